--- /dev/null
+++ b/src/persimmonspoke/__init__.py
@@ -0,0 +1,3 @@
+"""Router for servers that own keys exclusively."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/tests/fakes/virtual_hub.py
@@ -0,0 +1,40 @@
+"""An eventlet hub whose time is a variable.
+
+Every sleep and timer of real green-thread code then runs in virtual time: hours
+pass in milliseconds, and every run takes the same course.
+"""
+
+import eventlet
+from eventlet.hubs import selects
+
+
+class VirtualHub(selects.Hub):
+    """A hub that jumps to its next timer instead of waiting for it."""
+
+    def __init__(self):
+        self.virtual_now = 0.0
+        super().__init__(clock=self._read)
+
+    def _read(self):
+        return self.virtual_now
+
+    def wait(self, seconds=None):
+        """Advance the clock by `seconds`; poll sockets, if any, without waiting."""
+        if self.readers_watched():
+            super().wait(0)
+        if seconds is not None and seconds > 0:
+            self.virtual_now += seconds
+
+    def readers_watched(self):
+        """Return whether any socket is watched."""
+        return bool(self.listeners["read"] or self.listeners["write"])
+
+
+def install():
+    """Make the virtual hub the hub of this thread."""
+    eventlet.hubs.use_hub(VirtualHub)
+
+
+def now():
+    """Return the virtual time, in seconds."""
+    return eventlet.hubs.get_hub().virtual_now
