--- /dev/null
+++ b/src/persimmonspoke/internal/clock.py
@@ -0,0 +1,30 @@
+"""The clock that a process lives by."""
+
+import time
+from typing import Protocol
+
+import eventlet
+
+from persimmonspoke.ids import Instant
+
+
+class Clock(Protocol):
+    """A monotonic clock with a sleep; tests supply one that can be paused."""
+
+    def now(self) -> Instant:
+        """Return the time, in seconds from an arbitrary start."""
+
+    def sleep_until(self, deadline: Instant) -> None:
+        """Let other tasks run until `deadline`; return at once if it has passed."""
+
+
+class SystemClock:
+    """The machine's monotonic clock."""
+
+    def now(self) -> Instant:
+        """Return the time, in seconds from an arbitrary start."""
+        return Instant(time.monotonic())
+
+    def sleep_until(self, deadline: Instant) -> None:
+        """Let other tasks run until `deadline`; return at once if it has passed."""
+        eventlet.sleep(max(0.0, deadline - self.now()))
--- /dev/null
+++ b/src/persimmonspoke/internal/questionnaire/configuration.py
@@ -0,0 +1,114 @@
+"""The configuration that is generated from a team's questionnaire.
+
+Nobody edits it.  It is stored with the questionnaire that it came from, under one
+key and one generation, so both change together or not at all.
+"""
+
+from enum import Enum
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field
+
+from persimmonspoke.ids import DataCentreId, Generation, ServiceId, TargetId, TeamId
+
+
+class _Frozen(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class KeySource(Enum):
+    """Where a request carries its key."""
+
+    PATH = "path"
+    QUERY = "query"
+    HEADER = "header"
+
+
+class Precedence(Enum):
+    """Whose turn comes first when slots are short; lower values go first."""
+
+    HIGH = 0
+    NORMAL = 1
+    LOW = 2
+
+
+class Measure(Enum):
+    """The measure that a team weighs most when its keys are placed."""
+
+    UNAVAILABLE_TIME = "unavailable_time"
+    IMBALANCE = "imbalance"
+    CHURN = "churn"
+
+
+class KeyRule(_Frozen):
+    """How a request yields its key.
+
+    Attributes
+    ----------
+    name : str
+        Query parameter or header that holds the key; for `PATH`, the number of the
+        path segment after the service's prefix, from 0.
+    """
+
+    source: KeySource
+    name: str
+
+
+class TargetConfig(_Frozen):
+    """One target of a service."""
+
+    target_id: TargetId
+    ip: str
+    port: Annotated[int, Field(ge=1, le=65535)]
+    data_centre: DataCentreId
+    slots: Annotated[int, Field(ge=1)]
+    connections: Annotated[int, Field(ge=1)]
+    checks_fence: bool = True
+
+
+class ServiceConfig(_Frozen):
+    """One service of a team.
+
+    Attributes
+    ----------
+    path_prefix : str
+        Requests whose path starts with it belong to this service.
+    shard_count : int
+        Number of shards; 0 if the service is not divided by key.
+    shards_per_page : int
+        Number of shards that one object of the store holds.
+    protected_methods : tuple of str
+        HTTP methods whose requests are not idempotent and run at most once.
+    wait_ms : int
+        Longest time that a caller tolerates, from its request to its answer.
+    weight : int
+        The service's share of its targets, against the team's other services.
+    """
+
+    service: ServiceId
+    path_prefix: str
+    key: KeyRule | None
+    shard_count: Annotated[int, Field(ge=0)]
+    shards_per_page: Annotated[int, Field(ge=1)]
+    protected_methods: tuple[str, ...]
+    precedence: Precedence
+    wait_ms: Annotated[int, Field(ge=1)]
+    weight: Annotated[int, Field(ge=1)] = 1
+    max_body_bytes: Annotated[int, Field(ge=0)]
+    targets: tuple[TargetConfig, ...]
+
+    @property
+    def divided(self) -> bool:
+        """Return whether each key has one owner among the targets."""
+        return self.shard_count > 0
+
+
+class TeamConfig(_Frozen):
+    """All that the router knows of one team, at one generation."""
+
+    team: TeamId
+    generation: Generation
+    questionnaire_hash: str
+    measure: Measure
+    weight: Annotated[int, Field(ge=1)] = 1
+    services: tuple[ServiceConfig, ...]
--- /dev/null
+++ b/src/persimmonspoke/internal/store/writes.py
@@ -0,0 +1,90 @@
+"""Writes whose outcome is known when they return.
+
+An answer can be lost although the write took effect, or while it is still on its
+way.  Each object carries the id of the write that made it, so reading it back
+tells the truth; and repeating a conditional write is harmless, because at most
+one of the copies can match the version.
+"""
+
+import uuid
+
+from persimmonspoke.errors import (
+    StoreConflict,
+    StoreMissing,
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+)
+from persimmonspoke.ids import Instant, Version, WriteId
+from persimmonspoke.internal.clock import Clock
+from persimmonspoke.internal.store.api import Store, Stored, Value
+
+WRITE_ID = "write_id"
+RETRY_PAUSE_S = 0.05
+
+
+def new_write_id() -> WriteId:
+    """Return a fresh random write id."""
+    return WriteId(uuid.uuid4().hex)
+
+
+def write(
+    store: Store,
+    clock: Clock,
+    key: str,
+    value: Value,
+    version: Version,
+    deadline: Instant,
+) -> Stored:
+    """Write `value` under `key` if its version is `version` (0: create it).
+
+    Parameters
+    ----------
+    value : dict
+        The object; must carry a fresh id under ``write_id``.
+
+    Returns
+    -------
+    Stored
+        The object as written; the write is certain to have taken effect.
+
+    Raises
+    ------
+    StoreConflict
+        Another write won; this one did not happen and never will.
+    StoreOutcomeUnknown
+        `deadline` passed with at least one copy of the write unresolved.
+    StoreUnavailable
+        `deadline` passed and the write certainly did not happen.
+    """
+    unresolved = False
+    while True:
+        try:
+            if version == 0:
+                return store.create(key, value, deadline)
+            return store.update(key, value, version, deadline)
+        except StoreConflict:
+            return _written_by_us(store, key, value, deadline)
+        except StoreOutcomeUnknown:
+            unresolved = True
+        except StoreUnavailable:
+            pass
+        retry_at = Instant(clock.now() + RETRY_PAUSE_S)
+        if retry_at >= deadline:
+            break
+        clock.sleep_until(retry_at)
+    if unresolved:
+        raise StoreOutcomeUnknown(f"the write of {key} has no known outcome")
+    raise StoreUnavailable(f"{key} could not be written before the deadline")
+
+
+def _written_by_us(store, key, value, deadline):
+    """Return the object if it carries our write id; raise `StoreConflict` if not."""
+    try:
+        found = store.get(key, deadline)
+    except StoreMissing:
+        raise StoreConflict(f"{key} was deleted by another writer") from None
+    except StoreUnavailable as exc:
+        raise StoreOutcomeUnknown(f"{key} could not be read back") from exc
+    if found.value.get(WRITE_ID) != value[WRITE_ID]:
+        raise StoreConflict(f"{key} was written by somebody else")
+    return found
