--- /dev/null
+++ b/src/persimmonspoke/internal/scheduling/api.py
@@ -0,0 +1,53 @@
+"""What the request path needs of the scheduler: a slot at a target."""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from persimmonspoke.ids import Instant, KeyText, TargetId, TeamId
+from persimmonspoke.internal.questionnaire.configuration import ServiceConfig
+
+
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """One request that waits for its turn."""
+
+    team: TeamId
+    service: ServiceConfig
+    key: KeyText | None
+    protected: bool
+    deadline: Instant
+
+
+class SlotOutcome(Enum):
+    """What became of the request that used a slot."""
+
+    ANSWERED = "answered"
+    SHED = "shed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+class Slot(Protocol):
+    """Leave for one request to one target."""
+
+    @property
+    def target_id(self) -> TargetId:
+        """The target whose slot this is."""
+
+    def done(self, outcome: SlotOutcome) -> None:
+        """Give the slot back; a second call does nothing."""
+
+
+class Scheduler(Protocol):
+    """Queues in front of the targets."""
+
+    def acquire(self, ticket: Ticket, candidates: tuple[TargetId, ...]) -> Slot:
+        """Wait for a slot at one of `candidates`.
+
+        Raises `Overloaded` when the request is shed and `DeadlinePassed` when its
+        deadline passes first.
+        """
+
+    def may_retry(self, ticket: Ticket) -> bool:
+        """Take one retry from the service's budget; return whether there was one."""
--- /dev/null
+++ b/src/persimmonspoke/internal/timers.py
@@ -0,0 +1,73 @@
+"""Every timer of the control plane, checked together."""
+
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field, model_validator
+
+Seconds = Annotated[float, Field(gt=0)]
+
+
+class Timers(BaseModel):
+    """Periods and leases of the control plane, all in seconds.
+
+    Attributes
+    ----------
+    heartbeat_s : float
+        How often a host asks its successor to renew its lease.
+    lease_s : float
+        Length of a host's lease.
+    clock_drift : float
+        Largest relative difference between the rates of two machines' clocks.
+    probe_after_s : float
+        Silence of a peer after which it is probed for proof of death.
+    grant_s : float
+        Length of a grant to a target.
+    renew_s : float
+        How often a keeper renews its grants.
+    suspect_s : float
+        Silence of a target after which its grants are no longer renewed.
+    route_refresh_s : float
+        How often a host asks each keeper for its routes.
+    route_lease_s : float
+        Length of the lease under which routes are lent.
+    hold_s : float
+        Longest time that a planned move may hold requests.
+    store_call_s : float
+        Time allowed to one call of the store.
+    watch_s : float
+        Longest time that one watch call waits.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    heartbeat_s: Seconds = 0.15
+    lease_s: Seconds = 0.6
+    clock_drift: Annotated[float, Field(ge=0, lt=0.1)] = 0.01
+    probe_after_s: Seconds = 0.3
+    grant_s: Seconds = 0.8
+    renew_s: Seconds = 0.2
+    suspect_s: Seconds = 0.4
+    route_refresh_s: Seconds = 0.2
+    route_lease_s: Seconds = 0.5
+    hold_s: Seconds = 1.0
+    store_call_s: Seconds = 3.0
+    watch_s: Seconds = 10.0
+
+    @model_validator(mode="after")
+    def _leases_outlast_two_renewals(self):
+        pairs = (
+            ("heartbeat_s", "lease_s"),
+            ("renew_s", "grant_s"),
+            ("route_refresh_s", "route_lease_s"),
+        )
+        for period, lease in pairs:
+            if getattr(self, lease) < 2 * getattr(self, period):
+                raise ValueError(
+                    f"{lease}={getattr(self, lease)} must be at least twice "
+                    f"{period}={getattr(self, period)}, or one lost message ends it"
+                )
+        return self
+
+    def longest(self, lease_s: float) -> float:
+        """Return how long a lease of `lease_s` may last on the slowest clock."""
+        return lease_s * (1 + self.clock_drift)
