--- a/features/steps/time_steps.py
+++ b/features/steps/time_steps.py
@@ -2,7 +2,6 @@
 
 import eventlet
 from behave import then, when
-
 from tests.fakes import virtual_hub
 
 
