--- /dev/null
+++ b/tests/cover/test_news.py
@@ -0,0 +1,90 @@
+"""The news board, the watcher and the relays."""
+
+import unittest
+
+import eventlet
+
+from persimmonspoke.errors import PeerTimeout
+from persimmonspoke.ids import HostId, Instant
+from persimmonspoke.internal.news.board import NewsBoard
+from persimmonspoke.internal.news.messages import NewsReply
+from persimmonspoke.internal.news.relay import RelayReader
+from persimmonspoke.internal.peers.api import PeerAddress
+from persimmonspoke.internal.store.api import Listing, Stored
+from tests.fakes import virtual_hub
+
+
+class HubClock:
+    def now(self):
+        return Instant(virtual_hub.now())
+
+    def sleep_until(self, deadline):
+        eventlet.sleep(max(0, deadline - self.now()))
+
+
+class TestNewsBoard(unittest.TestCase):
+    def setUp(self):
+        self.board = NewsBoard(HubClock())
+
+    def test_a_lower_version_never_replaces_a_higher_one(self):
+        self.board.observe(Stored("k", {"n": 2}, 2))
+        self.board.observe(Stored("k", {"n": 1}, 1))
+        self.assertEqual(self.board.get("k").value, {"n": 2})
+
+    def test_an_object_missing_from_a_listing_is_gone(self):
+        self.board.observe(Stored("k", {"n": 1}, 1))
+        self.board.observe_listing(Listing((), 5), self.board.snapshot())
+        self.assertIsNone(self.board.get("k"))
+
+    def test_an_object_learned_during_a_listing_stays(self):
+        before = self.board.snapshot()
+        self.board.observe(Stored("k", {"n": 1}, 1))
+        self.board.observe_listing(Listing((), 5), before)
+        self.assertIsNotNone(self.board.get("k"))
+
+    def test_a_deletion_wins_over_the_version_that_it_ended(self):
+        self.board.observe(Stored("k", {}, 1))
+        self.board.observe(Stored("k", {"n": 1}, 1))
+        self.assertIsNone(self.board.get("k"))
+
+    def test_a_waiting_task_wakes_at_a_change(self):
+        eventlet.spawn_after(1, self.board.observe, Stored("k", {"n": 1}, 1))
+        began = virtual_hub.now()
+        self.board.wait(0, Instant(began + 60))
+        self.assertAlmostEqual(virtual_hub.now() - began, 1, places=3)
+
+    def test_a_wait_ends_at_its_deadline(self):
+        began = virtual_hub.now()
+        self.board.wait(0, Instant(began + 2))
+        self.assertAlmostEqual(virtual_hub.now() - began, 2, places=3)
+
+
+class _Link:
+    """Answers for one relay; the other is silent."""
+
+    def call(self, peer, message, deadline):
+        if peer.host_id == "silent":
+            raise PeerTimeout("no answer")
+        eventlet.sleep(1)
+        return NewsReply((), 7, 3.0)
+
+
+class TestRelayReader(unittest.TestCase):
+    def test_a_silent_relay_is_passed_over_and_the_age_is_counted(self):
+        clock = HubClock()
+        relays = tuple(
+            PeerAddress(HostId(name), "127.0.0.1", 1) for name in ("silent", "r")
+        )
+        reader = RelayReader(
+            HostId("me"),
+            _Link(),
+            NewsBoard(clock),
+            clock,
+            lambda: relays,
+            lambda: True,
+        )
+        began = clock.now()
+        task = eventlet.spawn(reader.run)
+        eventlet.sleep(1.5)
+        task.kill()
+        self.assertAlmostEqual(reader.confirmed_at, began - 3.0, places=3)
