--- /dev/null
+++ b/src/persimmonspoke/internal/store/http_store.py
@@ -0,0 +1,158 @@
+"""The platform's object API over HTTP."""
+
+import json
+from urllib.parse import quote, urlencode
+
+import urllib3
+from urllib3.exceptions import HTTPError, MaxRetryError, NewConnectionError
+
+from persimmonspoke.errors import (
+    StoreCompacted,
+    StoreConflict,
+    StoreMissing,
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+)
+from persimmonspoke.ids import Instant, Version
+from persimmonspoke.internal.clock import Clock
+from persimmonspoke.internal.store.api import Listing, Stored, Value
+
+CONNECTIONS = 8
+MIN_TIMEOUT_S = 0.001
+WATCH_ANSWER_S = 0.5
+
+HTTP_OK = 200
+HTTP_CREATED = 201
+HTTP_NOT_FOUND = 404
+HTTP_CONFLICT = 409
+HTTP_GONE = 410
+HTTP_PRECONDITION_FAILED = 412
+HTTP_TOO_MANY = 429
+
+
+class HttpStore:
+    """Implements `persimmonspoke.internal.store.api.Store`.
+
+    Parameters
+    ----------
+    base_url : str
+        Address of the object API, without a trailing slash.
+
+    Attributes
+    ----------
+    calls : int
+        Number of calls made so far, waiting watches included.
+    """
+
+    def __init__(self, base_url: str, clock: Clock):
+        self._base_url = base_url
+        self._clock = clock
+        self._http = urllib3.PoolManager(maxsize=CONNECTIONS, retries=False)
+        self.calls = 0
+
+    def get(self, key: str, deadline: Instant) -> Stored:
+        """Return the object under `key`, or raise `StoreMissing`."""
+        return _stored(self._read(_object_path(key), deadline))
+
+    def list(self, prefix: str, deadline: Instant) -> Listing:
+        """Return all objects whose keys start with `prefix`."""
+        query = urlencode({"prefix": prefix})
+        return _listing(self._read(f"/objects?{query}", deadline))
+
+    def create(self, key: str, value: Value, deadline: Instant) -> Stored:
+        """Write a new object, or raise `StoreConflict` if there is one."""
+        return self._put(key, value, {"If-None-Match": "*"}, deadline)
+
+    def update(
+        self, key: str, value: Value, version: Version, deadline: Instant
+    ) -> Stored:
+        """Replace the object if its version is still `version`."""
+        return self._put(key, value, {"If-Match": str(version)}, deadline)
+
+    def delete(self, key: str, version: Version, deadline: Instant) -> None:
+        """Remove the object if its version is still `version`."""
+        headers = {"If-Match": str(version)}
+        self._write("DELETE", key, None, headers, deadline)
+
+    def watch(self, prefix: str, revision: int, deadline: Instant) -> Listing:
+        """Wait for changes after `revision` and return them."""
+        wait_s = max(0.0, deadline - self._clock.now())
+        query = urlencode(
+            {"prefix": prefix, "revision": revision, "wait_ms": int(wait_s * 1000)}
+        )
+        answered_by = Instant(deadline + WATCH_ANSWER_S)
+        return _listing(self._read(f"/watch?{query}", answered_by))
+
+    def _put(self, key, value, condition, deadline):
+        """Write an object under a condition."""
+        headers = {"Content-Type": "application/json", **condition}
+        body = json.dumps(value).encode()
+        return _stored(self._write("PUT", key, body, headers, deadline))
+
+    def _read(self, path, deadline):
+        """Return the JSON answer to a GET."""
+        try:
+            answer = self._request("GET", path, deadline)
+        except HTTPError as exc:
+            raise StoreUnavailable(f"the store is silent: {exc}") from exc
+        if answer.status == HTTP_NOT_FOUND:
+            raise StoreMissing(f"{path} does not exist")
+        if answer.status == HTTP_GONE:
+            raise StoreCompacted("the revision is no longer known; list again")
+        if answer.status != HTTP_OK:
+            raise StoreUnavailable(f"the store answered {answer.status}")
+        return _json(answer, StoreUnavailable)
+
+    def _write(self, method, key, body, headers, deadline):
+        """Return the JSON answer to a conditional write."""
+        path = _object_path(key)
+        try:
+            answer = self._request(method, path, deadline, body, headers)
+        except (NewConnectionError, MaxRetryError) as exc:
+            raise StoreUnavailable(f"no connection to the store: {exc}") from exc
+        except HTTPError as exc:
+            raise StoreOutcomeUnknown(f"the store's answer was lost: {exc}") from exc
+        if answer.status in (HTTP_CONFLICT, HTTP_PRECONDITION_FAILED):
+            raise StoreConflict(f"{key} has another version")
+        if answer.status == HTTP_NOT_FOUND:
+            raise StoreConflict(f"{key} does not exist")
+        if answer.status == HTTP_TOO_MANY:
+            raise StoreUnavailable("the store limits our rate")
+        if answer.status not in (HTTP_OK, HTTP_CREATED):
+            raise StoreOutcomeUnknown(f"the store answered {answer.status}")
+        return _json(answer, StoreOutcomeUnknown)
+
+    def _request(self, method, path, deadline, body=None, headers=None):
+        """Make one call that ends by `deadline`."""
+        self.calls += 1
+        left_s = max(MIN_TIMEOUT_S, deadline - self._clock.now())
+        return self._http.request(
+            method,
+            self._base_url + path,
+            body=body,
+            headers=headers,
+            timeout=urllib3.Timeout(total=left_s),
+        )
+
+
+def _object_path(key):
+    """Return the URL path of an object."""
+    return "/objects/" + quote(key, safe="/")
+
+
+def _json(answer, failure):
+    """Return the answer's JSON body, or raise `failure`."""
+    try:
+        return json.loads(answer.data)
+    except ValueError as exc:
+        raise failure("the store's answer is not JSON") from exc
+
+
+def _stored(data):
+    """Read one object."""
+    return Stored(data["key"], data["value"], data["version"])
+
+
+def _listing(data):
+    """Read a list of objects."""
+    return Listing(tuple(_stored(item) for item in data["items"]), data["revision"])
