--- a/src/persimmonspoke/standins/platform.py
+++ b/src/persimmonspoke/standins/platform.py
@@ -81,7 +81,9 @@
 
 def _dispatch(state, environ, path):
     """Return the status and the body of one call."""
-    query = {name: v[0] for name, v in parse_qs(environ.get("QUERY_STRING", "")).items()}
+    query = {
+        name: v[0] for name, v in parse_qs(environ.get("QUERY_STRING", "")).items()
+    }
     method = environ["REQUEST_METHOD"]
     if path == "/hosts":
         if method == "PUT":
