--- a/src/persimmonspoke/errors.py
+++ b/src/persimmonspoke/errors.py
@@ -69,6 +69,22 @@
     """The target refused an order or a request whose epoch is out of date."""
 
 
+class TargetShed(TargetError):
+    """The target said that it shed the request, which did not run."""
+
+
+class TargetDraining(TargetError):
+    """The target said that it is leaving, and did not run the request."""
+
+
+class RouteLapsed(TargetError):
+    """The route's lease ended before the first byte; nothing was written."""
+
+
+class AnswerLost(TargetError):
+    """A request was written and no whole answer to it came; it may have run."""
+
+
 class OrderOutcomeUnknown(TargetError):
     """An order was sent and its answer was lost."""
 
