--- /dev/null
+++ b/src/persimmonspoke/internal/observe/logs.py
@@ -0,0 +1,19 @@
+"""Logs as JSON lines on standard error."""
+
+import logging
+import sys
+
+from pythonjsonlogger.json import JsonFormatter
+
+FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
+RENAMED = {"asctime": "time", "levelname": "level", "name": "module"}
+
+
+def start_logs(level: str, host_id: str) -> None:
+    """Send all log records of this process to standard error, one JSON line each."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        JsonFormatter(FIELDS, rename_fields=RENAMED, static_fields={"host": host_id})
+    )
+    logging.basicConfig(level=level, handlers=[handler], force=True)
+    logging.getLogger("urllib3").setLevel(logging.ERROR)
