--- /dev/null
+++ b/src/persimmonspoke/internal/observe/statsd_metrics.py
@@ -0,0 +1,42 @@
+"""Metrics over the statsd protocol."""
+
+import statsd
+
+from persimmonspoke.daemon.settings import Observe
+
+PREFIX = "persimmonspoke"
+
+
+class StatsdMetrics:
+    """Sends each metric to statsd over UDP; does nothing if there is no address.
+
+    Parameters
+    ----------
+    cfg : Observe
+        Where statsd listens.
+    """
+
+    def __init__(self, cfg: Observe):
+        self._client = None
+        if cfg.statsd_ip is not None:
+            self._client = statsd.StatsClient(
+                str(cfg.statsd_ip),
+                cfg.statsd_port,
+                prefix=PREFIX,
+                ipv6=cfg.statsd_ip.version == 6,
+            )
+
+    def incr(self, name: str, count: int = 1) -> None:
+        """Add `count` to a counter."""
+        if self._client is not None:
+            self._client.incr(name, count)
+
+    def timing(self, name: str, ms: float) -> None:
+        """Record one duration, in milliseconds."""
+        if self._client is not None:
+            self._client.timing(name, ms)
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        if self._client is not None:
+            self._client.gauge(name, value)
--- /dev/null
+++ b/src/persimmonspoke/standins/target.py
@@ -0,0 +1,206 @@
+"""A small stand-in of a target: requests, orders, health, over HTTP.
+
+Run it with ``python -m persimmonspoke.standins.target --port 9000 --name t1``.
+``POST /faults`` with a JSON object changes its behaviour: ``draining``, ``health``
+(what the health endpoint claims), ``work_ms``, ``slots``, ``checks_fence``.
+"""
+
+import argparse
+import json
+import time
+from dataclasses import dataclass, field
+
+import eventlet
+import eventlet.wsgi
+
+from persimmonspoke.internal.targets import protocol
+
+JSON = ("Content-Type", "application/json")
+
+
+@dataclass
+class TargetState:
+    """What one target, which serves one service, holds and how it behaves.
+
+    Attributes
+    ----------
+    fences : dict
+        Highest fence seen, by page.
+    grants : dict
+        Epoch and end of the grant on this target's clock, by shard.
+    working : dict
+        Number of requests in hand, by shard.
+    runs : dict
+        Number of times that each request id ran.
+    """
+
+    name: str
+    slots: int = 3
+    work_ms: float = 1.0
+    checks_fence: bool = True
+    draining: bool = False
+    health: str = "ok"
+    busy: int = 0
+    fences: dict = field(default_factory=dict)
+    grants: dict = field(default_factory=dict)
+    working: dict = field(default_factory=dict)
+    runs: dict = field(default_factory=dict)
+
+    def clock(self) -> float:
+        """Return this target's monotonic clock, in seconds."""
+        return time.monotonic()
+
+
+def make_target_app(state: TargetState):
+    """Return the stand-in's WSGI application."""
+
+    def app(environ, start_response):
+        path = environ["PATH_INFO"]
+        if path in _CONTROL:
+            status, body = _CONTROL[path](state, _body(environ))
+            return _answer(start_response, status, body, [])
+        if path.startswith(protocol.CANCEL_PATH):
+            return _answer(start_response, 200, {}, [])
+        return _work(state, environ, start_response)
+
+    return app
+
+
+def _grant(state, order):
+    """Take shards until an instant on this target's clock."""
+    page = order["page"]
+    if state.checks_fence and order["fence"] < state.fences.get(page, 0):
+        return 409, {"error": "fenced"}
+    state.fences[page] = max(order["fence"], state.fences.get(page, 0))
+    for entry in order["shards"]:
+        state.grants[entry["shard"]] = (entry["epoch"], order["not_after"])
+    return 200, {"clock": state.clock()}
+
+
+def _release(state, order):
+    """Give shards back once the work in hand on them is done."""
+    page = order["page"]
+    if state.checks_fence and order["fence"] < state.fences.get(page, 0):
+        return 409, {"error": "fenced"}
+    for shard in order["shards"]:
+        state.grants.pop(shard, None)
+        while state.working.get(shard):
+            eventlet.sleep(0.001)
+    return 200, {"clock": state.clock()}
+
+
+def _health(state, _):
+    return 200, {"health": state.health, "load": state.busy / state.slots}
+
+
+def _faults(state, changes):
+    for name in ("draining", "health", "work_ms", "slots", "checks_fence"):
+        if name in changes:
+            setattr(state, name, changes[name])
+    return 200, {"name": state.name}
+
+
+def _dump(state, _):
+    held = [
+        {"shard": shard, "epoch": epoch}
+        for shard, (epoch, until) in sorted(state.grants.items())
+        if until > state.clock()
+    ]
+    return 200, {"name": state.name, "grants": held, "runs": state.runs}
+
+
+_CONTROL = {
+    protocol.GRANT_PATH: _grant,
+    protocol.RELEASE_PATH: _release,
+    "/health": _health,
+    "/faults": _faults,
+    "/dump": _dump,
+}
+
+
+def _work(state, environ, start_response):
+    """Run one request, or say that it did not run."""
+    request_id = environ.get(_environ_name(protocol.REQUEST_ID), "")
+    headers = [(protocol.REQUEST_ID, request_id)]
+    if state.draining:
+        return _not_run(start_response, 503, protocol.DRAINING, headers)
+    if state.checks_fence and not _owns(state, environ):
+        return _not_run(start_response, 409, protocol.NOT_OWNER, headers)
+    if state.busy >= state.slots:
+        return _not_run(start_response, 503, protocol.SHED, headers)
+    data = environ["wsgi.input"].read(int(environ.get("CONTENT_LENGTH") or 0))
+    shard = _shard(environ)
+    state.busy += 1
+    state.working[shard] = state.working.get(shard, 0) + 1
+    try:
+        eventlet.sleep(state.work_ms / 1000)
+        state.runs[request_id] = state.runs.get(request_id, 0) + 1
+    finally:
+        state.busy -= 1
+        state.working[shard] -= 1
+    body = {
+        "target": state.name,
+        "path": environ["PATH_INFO"],
+        "method": environ["REQUEST_METHOD"],
+        "bytes": len(data),
+    }
+    return _answer(start_response, 200, body, headers)
+
+
+def _shard(environ):
+    """Return the shard that the request names, or None."""
+    text = environ.get(_environ_name(protocol.SHARD))
+    return None if text is None else int(text)
+
+
+def _owns(state, environ):
+    """Return whether the request's shard is granted to this target in its epoch."""
+    shard = _shard(environ)
+    if shard is None:
+        return True
+    epoch, until = state.grants.get(shard, (None, 0))
+    wanted = int(environ[_environ_name(protocol.SHARD_EPOCH)])
+    return epoch == wanted and state.clock() < until
+
+
+def _not_run(start_response, status, outcome, headers):
+    headers = [*headers, (protocol.OUTCOME, outcome)]
+    return _answer(start_response, status, {"error": outcome}, headers)
+
+
+def _environ_name(header):
+    return "HTTP_" + header.upper().replace("-", "_")
+
+
+def _body(environ):
+    data = environ["wsgi.input"].read(int(environ.get("CONTENT_LENGTH") or 0))
+    return json.loads(data) if data else {}
+
+
+def _answer(start_response, status, body, headers):
+    data = json.dumps(body).encode()
+    length = ("Content-Length", str(len(data)))
+    start_response(f"{status} -", [JSON, length, *headers])
+    return [data]
+
+
+def main(argv=None):
+    """Serve the stand-in until it is stopped."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--ip", default="127.0.0.1")
+    parser.add_argument("--port", type=int, default=9000)
+    parser.add_argument("--name", default="target")
+    parser.add_argument("--slots", type=int, default=3)
+    parser.add_argument("--work-ms", type=float, default=1.0)
+    parser.add_argument("--no-fence", action="store_true")
+    args = parser.parse_args(argv)
+    state = TargetState(
+        args.name, args.slots, args.work_ms, checks_fence=not args.no_fence
+    )
+    listener = eventlet.listen((args.ip, args.port))
+    print(f"{args.name} on {args.ip}:{listener.getsockname()[1]}", flush=True)
+    eventlet.wsgi.server(listener, make_target_app(state), log_output=False)
+
+
+if __name__ == "__main__":
+    main()
