Generate configurations from questionnaires and keep both in the store

Cause: teams describe their services, operators never edit what is generated. Change: checked YAML with every fault at once, questionnaire models, generation, sealed configurations, conditional apply, drained targets, both examples.

--- a/src/persimmonspoke/errors.py
+++ b/src/persimmonspoke/errors.py
@@ -6,7 +6,123 @@
 
 
 class InvalidSettings(PersimmonspokeError):
-    """Settings or a questionnaire break a rule; the message lists every fault."""
+    """Settings or a questionnaire break a rule; the message lists every fault.
+
+    Parameters
+    ----------
+    message : str
+        Every fault, one a line.
+    faults : tuple of Fault
+        The same faults, each with its path, value and remedy.
+    """
+
+    def __init__(self, message, faults=()):
+        super().__init__(message)
+        self.faults = tuple(faults)
+
+
+class UnsafeChange(InvalidSettings):
+    """A revised questionnaire changes what can't change while keys are owned."""
+
+
+class ConfigurationEdited(PersimmonspokeError):
+    """A configuration does not match its own hash: it was not generated."""
+
+
+class ApplyConflict(PersimmonspokeError):
+    """The accepted generation is not the one that an operator revised.
+
+    Parameters
+    ----------
+    message : str
+        Which generation was expected and which was found.
+    generation : Generation
+        The accepted generation.
+    changes : tuple of Change
+        What the operator's questionnaire would change in the accepted one.
+    """
+
+    def __init__(self, message, generation, changes=()):
+        super().__init__(message)
+        self.generation = generation
+        self.changes = tuple(changes)
+
+
+class UnknownName(PersimmonspokeError):
+    """A request of the administration API names what does not exist."""
+
+
+class UnknownTeam(UnknownName):
+    """No team of that name has an accepted questionnaire."""
+
+
+class UnknownService(UnknownName):
+    """The team has no such service."""
+
+
+class UnknownTarget(UnknownName):
+    """The service has no such target."""
+
+
+class AdminFailure(PersimmonspokeError):
+    """A request of the administration API was refused; nothing was changed."""
+
+
+class UnknownPath(AdminFailure):
+    """The administration API has nothing at that path."""
+
+
+class MethodNotAllowed(AdminFailure):
+    """The path exists, but not for that method."""
+
+
+class MalformedAdminRequest(AdminFailure):
+    """A header, a parameter or the body can't be read."""
+
+
+class GenerationRequired(AdminFailure):
+    """A change came without the generation that it revises."""
+
+
+class BodyTooLarge(AdminFailure):
+    """The body exceeds the limit of the settings."""
+
+
+class Unauthenticated(AdminFailure):
+    """The request carries no token, or a wrong one."""
+
+
+class Forbidden(AdminFailure):
+    """The token is valid, but not for this path."""
+
+
+class CommandFailure(PersimmonspokeError):
+    """The command-line tool could not do what was asked."""
+
+
+class AdminUnreachable(CommandFailure):
+    """No administration API answered."""
+
+
+class AdminRefused(CommandFailure):
+    """The administration API answered with a failure.
+
+    Parameters
+    ----------
+    status : int
+        Status of the HTTP answer.
+    failure : AdminFailureBody
+        The typed failure in its body.
+    """
+
+    def __init__(self, status, failure):
+        super().__init__(failure.message)
+        self.status = status
+        self.failure = failure
+
+
+class NotInForce(CommandFailure):
+    """Some hosts had not put the generation into force in time."""
 
 
 class StoreError(PersimmonspokeError):
--- /dev/null
+++ b/src/persimmonspoke/internal/questionnaire/canonical.py
@@ -0,0 +1,66 @@
+"""A generated configuration as it is stored and printed, sealed by its own hash."""
+
+from typing import Any
+
+import yaml
+from pydantic import ValidationError
+
+from persimmonspoke.errors import ConfigurationEdited
+from persimmonspoke.internal.checked_yaml import parse
+from persimmonspoke.internal.questionnaire.configuration import TeamConfig
+from persimmonspoke.internal.questionnaire.questions import digest
+
+CONTENT_HASH = "content_hash"
+_HEADER = """\
+# Generated from the team's questionnaire.  Revise the questionnaire and generate
+# this again; an edited configuration does not match its hash and is refused.
+"""
+
+
+def seal(cfg: TeamConfig) -> dict[str, Any]:
+    """Return `cfg` as a JSON object that carries its own hash."""
+    body = cfg.model_dump(mode="json")
+    return {CONTENT_HASH: digest(body), **body}
+
+
+def unseal(value: Any) -> TeamConfig:
+    """Return the configuration in `value`.
+
+    Raises
+    ------
+    ConfigurationEdited
+        `value` is no configuration, or not the one that its hash names.
+    """
+    if not isinstance(value, dict):
+        raise ConfigurationEdited("not a generated configuration")
+    # The hash covers what was written, so that a field that a later version adds
+    # with a default does not make older configurations look edited.
+    body = {name: entry for name, entry in value.items() if name != CONTENT_HASH}
+    if digest(body) != value.get(CONTENT_HASH):
+        raise ConfigurationEdited(
+            "the configuration does not match its hash; generate it again from "
+            "the questionnaire"
+        )
+    try:
+        return TeamConfig.model_validate(body)
+    except ValidationError as exc:
+        raise ConfigurationEdited(f"not a generated configuration: {exc}") from exc
+
+
+def to_text(cfg: TeamConfig) -> str:
+    """Return `cfg` as YAML, the same for equal configurations."""
+    text = yaml.safe_dump(seal(cfg), sort_keys=False, width=88)
+    return _HEADER + text
+
+
+def from_text(text: str, source_name: str) -> TeamConfig:
+    """Return the configuration in the YAML document `text`.
+
+    Raises
+    ------
+    InvalidSettings
+        The document is not readable as YAML.
+    ConfigurationEdited
+        It is no configuration, or was changed after it was generated.
+    """
+    return unseal(parse(text, source_name))
--- a/src/persimmonspoke/internal/questionnaire/configuration.py
+++ b/src/persimmonspoke/internal/questionnaire/configuration.py
@@ -40,6 +40,11 @@
     CHURN = "churn"
 
 
+STANDARD_METHODS = frozenset(
+    ("GET", "HEAD", "OPTIONS", "TRACE", "POST", "PUT", "PATCH", "DELETE")
+)
+
+
 class KeyRule(_Frozen):
     """How a request yields its key.
 
@@ -55,7 +60,14 @@
 
 
 class TargetConfig(_Frozen):
-    """One target of a service."""
+    """One target of a service.
+
+    Attributes
+    ----------
+    target_id : TargetId
+        Unique among all teams.  It changes with the address and with
+        `checks_fence`, so that one id never stands for two processes.
+    """
 
     target_id: TargetId
     ip: str
@@ -79,6 +91,8 @@
         Number of shards that one object of the store holds.
     protected_methods : tuple of str
         HTTP methods whose requests are not idempotent and run at most once.
+    protected_precedence : Precedence or None
+        Precedence of protected requests, where it differs from the others'.
     wait_ms : int
         Longest time that a caller tolerates, from its request to its answer.
     weight : int
@@ -92,6 +106,7 @@
     shards_per_page: Annotated[int, Field(ge=1)]
     protected_methods: tuple[str, ...]
     precedence: Precedence
+    protected_precedence: Precedence | None = None
     wait_ms: Annotated[int, Field(ge=1)]
     weight: Annotated[int, Field(ge=1)] = 1
     max_body_bytes: Annotated[int, Field(ge=0)]
@@ -102,6 +117,29 @@
         """Return whether each key has one owner among the targets."""
         return self.shard_count > 0
 
+    def protects(self, method: str) -> bool:
+        """Return whether requests with `method` run at most once.
+
+        A method that HTTP does not define is protected, since nobody said that it
+        is idempotent.
+        """
+        return method in self.protected_methods or method not in STANDARD_METHODS
+
+    def precedence_for(self, protected: bool) -> Precedence:
+        """Return the precedence of a request, by whether it is protected."""
+        if protected and self.protected_precedence is not None:
+            return self.protected_precedence
+        return self.precedence
+
+
+class RetiredService(_Frozen):
+    """What a removed service must keep to, should its name be used again."""
+
+    service: ServiceId
+    key: KeyRule | None
+    shard_count: Annotated[int, Field(ge=0)]
+    shards_per_page: Annotated[int, Field(ge=1)]
+
 
 class TeamConfig(_Frozen):
     """All that the router knows of one team, at one generation."""
@@ -112,3 +150,4 @@
     measure: Measure
     weight: Annotated[int, Field(ge=1)] = 1
     services: tuple[ServiceConfig, ...]
+    retired: tuple[RetiredService, ...] = ()
--- /dev/null
+++ b/src/persimmonspoke/internal/questionnaire/drains.py
@@ -0,0 +1,87 @@
+"""Targets that operators drain, as the store keeps them for all entry hosts."""
+
+from collections.abc import Callable
+from typing import Any
+
+from persimmonspoke.errors import StoreConflict, StoreMissing, StoreUnavailable
+from persimmonspoke.ids import Instant, TargetId, TeamId, Version
+from persimmonspoke.internal.clock import Clock
+from persimmonspoke.internal.store.api import Store, Stored
+from persimmonspoke.internal.store.writes import new_write_id, write
+
+DRAINS_PREFIX = "drains/"
+Targets = frozenset[TargetId]
+
+
+def drained_targets(value: dict[str, Any]) -> Targets:
+    """Return the targets that the object of one team says are drained."""
+    return frozenset(TargetId(name) for name in value.get("targets", ()))
+
+
+class Drains:
+    """Repository of the targets that get no new work because an operator said so."""
+
+    def __init__(self, store: Store, clock: Clock):
+        self._store = store
+        self._clock = clock
+
+    def read(self, team: TeamId, deadline: Instant) -> Targets:
+        """Return the drained targets of `team`."""
+        return drained_targets(self._find(team, deadline).value)
+
+    def drain(
+        self, team: TeamId, target: TargetId, known: Targets, deadline: Instant
+    ) -> Targets:
+        """Drain `target` and return all drained targets.
+
+        Parameters
+        ----------
+        known : frozenset of TargetId
+            The team's targets; drained ones that no longer exist are forgotten.
+        """
+        return self._change(team, lambda now: (now & known) | {target}, deadline)
+
+    def undrain(
+        self, team: TeamId, target: TargetId, known: Targets, deadline: Instant
+    ) -> Targets:
+        """Give `target` new work again and return the targets still drained."""
+        return self._change(team, lambda now: (now & known) - {target}, deadline)
+
+    def _change(
+        self, team: TeamId, change: Callable[[Targets], Targets], deadline: Instant
+    ) -> Targets:
+        """Change the set; concurrent changes of other targets are kept."""
+        while self._clock.now() < deadline:
+            stored = self._find(team, deadline)
+            before = drained_targets(stored.value)
+            after = change(before)
+            if after == before:
+                return after
+            value = {
+                "team": team,
+                "targets": sorted(after),
+                "write_id": new_write_id(),
+            }
+            try:
+                write(
+                    self._store,
+                    self._clock,
+                    stored.key,
+                    value,
+                    stored.version,
+                    deadline,
+                )
+                return after
+            except StoreConflict:
+                continue  # Another operator was faster; add to what it wrote.
+        raise StoreUnavailable(
+            f"drains of {team}: too many writers before the deadline"
+        )
+
+    def _find(self, team, deadline):
+        """Return the team's object, an empty one if there is none."""
+        key = f"{DRAINS_PREFIX}{team}"
+        try:
+            return self._store.get(key, deadline)
+        except StoreMissing:
+            return Stored(key, {}, Version(0))
