Add the administration API

Cause: operators act through HTTP, each team within its own bounds. Change: WSGI application, tokens, typed JSON failures, status messages of peers.

--- /dev/null
+++ b/src/persimmonspoke/internal/admin/app.py
@@ -0,0 +1,183 @@
+"""The administration API as a WSGI application."""
+
+import json
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from persimmonspoke.errors import (
+    MethodNotAllowed,
+    PersimmonspokeError,
+    Unauthenticated,
+    UnknownPath,
+)
+from persimmonspoke.ids import Instant
+from persimmonspoke.internal.admin.api import Assignments, Members, Node
+from persimmonspoke.internal.admin.failures import refusal
+from persimmonspoke.internal.admin.handlers import HostHandlers, TeamHandlers
+from persimmonspoke.internal.admin.request import (
+    Access,
+    AdminRequest,
+    Answer,
+    Principal,
+    authorize,
+    check_names,
+    identify,
+)
+from persimmonspoke.internal.admin.settings import AdminSettings
+from persimmonspoke.internal.clock import Clock
+from persimmonspoke.internal.questionnaire.drains import Drains
+from persimmonspoke.internal.questionnaire.teams import Teams
+
+log = logging.getLogger(__name__)
+
+INTERNAL_MESSAGE = "this host failed to answer; its log says why"
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """One method of one path; parts of the path in braces vary."""
+
+    method: str
+    path: tuple[str, ...]
+    access: Access
+    handler: Callable[[AdminRequest], Answer]
+
+    def names(self, parts: tuple[str, ...]) -> dict[str, str] | None:
+        """Return the varying parts of a path that matches, else None."""
+        if len(parts) != len(self.path):
+            return None
+        names = {}
+        for pattern, part in zip(self.path, parts, strict=True):
+            if pattern.startswith("{"):
+                names[pattern.strip("{}")] = part
+            elif pattern != part:
+                return None
+        return names
+
+
+class AdminApp:
+    """The application; every answer but a configuration is JSON."""
+
+    def __init__(
+        self, cfg: AdminSettings, clock: Clock, endpoints: tuple[Endpoint, ...]
+    ):
+        self._cfg = cfg
+        self._clock = clock
+        self._endpoints = endpoints
+
+    def __call__(self, environ, start_response):
+        """Answer one request, as WSGI prescribes."""
+        try:
+            answer = self._answer(environ)
+        except PersimmonspokeError as exc:
+            answer = _refused(environ, exc)
+        except Exception as exc:
+            log.exception("admin: request failed", extra=_where(environ))
+            answer = Answer(
+                refusal(exc).body(exc, INTERNAL_MESSAGE), refusal(exc).status
+            )
+        data, headers = _encoded(answer)
+        start_response(answer.status, headers)
+        return [data]
+
+    def _answer(self, environ):
+        """Find the endpoint, check who asks, and run it."""
+        endpoint, names = self._find(environ)
+        principal = Principal()
+        if endpoint.access is not Access.ANYBODY:
+            principal = identify(self._cfg, environ)
+            check_names(names)
+            authorize(principal, endpoint.access, names)
+        deadline = Instant(self._clock.now() + self._cfg.call_s)
+        req = AdminRequest(principal, names, deadline, environ, self._cfg)
+        return endpoint.handler(req)
+
+    def _find(self, environ):
+        """Return the endpoint of a request and the varying parts of its path."""
+        parts = tuple(environ.get("PATH_INFO", "").strip("/").split("/"))
+        method = environ.get("REQUEST_METHOD", "")
+        allowed = []
+        for endpoint in self._endpoints:
+            names = endpoint.names(parts)
+            if names is None:
+                continue
+            if endpoint.method == method:
+                return endpoint, names
+            allowed.append(endpoint.method)
+        if allowed:
+            raise MethodNotAllowed(f"use {' or '.join(allowed)} here")
+        raise UnknownPath("there is nothing at this path")
+
+
+def make_admin_app(
+    cfg: AdminSettings,
+    clock: Clock,
+    teams: Teams,
+    drains: Drains,
+    node: Node,
+    members: Members,
+    assignments: Assignments,
+) -> AdminApp:
+    """Return the administration API of one daemon."""
+    hosts = HostHandlers(node, members)
+    team = TeamHandlers(teams, drains, assignments)
+    target = "/v1/teams/{team}/services/{service}/targets/{target}"
+    table = (
+        ("GET", "/health", Access.ANYBODY, hosts.health),
+        ("GET", "/ready", Access.ANYBODY, hosts.ready),
+        ("GET", "/v1/status", Access.ANY_TOKEN, hosts.status),
+        ("GET", "/v1/dump", Access.OPERATOR, hosts.dump),
+        ("POST", "/v1/drain", Access.OPERATOR, hosts.drain),
+        ("POST", "/v1/undrain", Access.OPERATOR, hosts.undrain),
+        ("GET", "/v1/teams/{team}/questionnaire", Access.OWN_TEAM, team.questionnaire),
+        ("PUT", "/v1/teams/{team}/questionnaire", Access.OWN_TEAM, team.apply),
+        ("GET", "/v1/teams/{team}/configuration", Access.OWN_TEAM, team.configuration),
+        ("POST", "/v1/teams/{team}/diff", Access.OWN_TEAM, team.diff),
+        ("GET", "/v1/teams/{team}/drains", Access.OWN_TEAM, team.drains),
+        ("POST", f"{target}/drain", Access.OWN_TEAM, team.drain),
+        ("POST", f"{target}/undrain", Access.OWN_TEAM, team.undrain),
+        (
+            "GET",
+            "/v1/assignments/{team}/{service}",
+            Access.OWN_TEAM,
+            team.assignments,
+        ),
+    )
+    endpoints = tuple(
+        Endpoint(method, tuple(path.strip("/").split("/")), access, handler)
+        for method, path, access, handler in table
+    )
+    return AdminApp(cfg, clock, endpoints)
+
+
+def _refused(environ, exc):
+    """Return the answer to a request that failed in a known way, and log it."""
+    answer = refusal(exc)
+    fields = {**_where(environ), "failure": type(exc).__name__, "reason": str(exc)}
+    log.warning("admin: request refused", extra=fields)
+    headers = ()
+    if isinstance(exc, Unauthenticated):
+        headers = (("WWW-Authenticate", "Bearer"),)
+    return Answer(answer.body(exc, str(exc)), answer.status, headers)
+
+
+def _encoded(answer):
+    """Return the body as bytes, and the headers."""
+    headers = dict(answer.headers)
+    if "Content-Type" in headers:
+        data = answer.body.encode()
+    else:
+        headers["Content-Type"] = "application/json"
+        data = json.dumps(answer.body, default=str).encode() + b"\n"
+    headers["Content-Length"] = str(len(data))
+    headers["Cache-Control"] = "no-store"
+    return data, list(headers.items())
+
+
+def _where(environ):
+    """Return the fields of a log line that say which request it was."""
+    return {
+        "method": environ.get("REQUEST_METHOD"),
+        "path": environ.get("PATH_INFO"),
+    }
--- /dev/null
+++ b/src/persimmonspoke/internal/admin/handlers.py
@@ -0,0 +1,222 @@
+"""What each path of the administration API does."""
+
+import logging
+from collections import Counter
+from dataclasses import asdict
+from functools import singledispatch
+from typing import Any
+
+from persimmonspoke.errors import UnknownService, UnknownTarget
+from persimmonspoke.ids import ServiceId, TargetId, TeamId, WriteId
+from persimmonspoke.internal.admin.api import (
+    Assignments,
+    Members,
+    Node,
+    UnreachableHost,
+)
+from persimmonspoke.internal.admin.messages import HostStatus
+from persimmonspoke.internal.admin.request import AdminRequest, Answer, Principal
+from persimmonspoke.internal.ownership.page import Page
+from persimmonspoke.internal.questionnaire.canonical import to_text
+from persimmonspoke.internal.questionnaire.drains import Drains
+from persimmonspoke.internal.questionnaire.generate import questionnaire_name
+from persimmonspoke.internal.questionnaire.questions import read_questionnaire
+from persimmonspoke.internal.questionnaire.teams import Teams
+
+log = logging.getLogger(__name__)
+
+YAML_TYPE = "application/yaml"
+BODY = "the body"
+
+
+class HostHandlers:
+    """Paths about this host and the other ones."""
+
+    def __init__(self, node: Node, members: Members):
+        self._node = node
+        self._members = members
+
+    def health(self, req: AdminRequest) -> Answer:
+        """Say that the process runs."""
+        return Answer({"alive": True})
+
+    def ready(self, req: AdminRequest) -> Answer:
+        """Say whether this host takes new requests, for balancers."""
+        if self._node.ready():
+            return Answer({"ready": True})
+        return Answer({"ready": False}, "503 Service Unavailable")
+
+    def status(self, req: AdminRequest) -> Answer:
+        """List all live hosts with the generations that they have in force."""
+        found = self._members.statuses(req.deadline)
+        return Answer({"hosts": [host_row(entry, req.principal) for entry in found]})
+
+    def dump(self, req: AdminRequest) -> Answer:
+        """Return the whole state of this process."""
+        return Answer(self._node.dump())
+
+    def drain(self, req: AdminRequest) -> Answer:
+        """Take this host out of service."""
+        self._node.drain()
+        log.info("admin: host drained")
+        return Answer({"draining": True})
+
+    def undrain(self, req: AdminRequest) -> Answer:
+        """Put this host back into service."""
+        self._node.undrain()
+        log.info("admin: host undrained")
+        return Answer({"draining": False})
+
+
+class TeamHandlers:
+    """Paths about one team."""
+
+    def __init__(self, teams: Teams, drains: Drains, assignments: Assignments):
+        self._teams = teams
+        self._drains = drains
+        self._assignments = assignments
+
+    def questionnaire(self, req: AdminRequest) -> Answer:
+        """Return the accepted answers; the generation is the ETag as well."""
+        record = self._teams.read(_team(req), req.deadline)
+        generation = record.config.generation
+        body = {
+            "team": record.config.team,
+            "generation": generation,
+            "questionnaire_hash": record.config.questionnaire_hash,
+            "questionnaire": record.questionnaire.model_dump(mode="json"),
+        }
+        return Answer(body, headers=(("ETag", f'"{generation}"'),))
+
+    def apply(self, req: AdminRequest) -> Answer:
+        """Accept new answers in place of the generation in If-Match."""
+        expected, key = req.expected_generation(), req.idempotency_key()
+        answers = read_questionnaire(req.text(), BODY)
+        # One key stands for one attempt only, whatever a careless script sends.
+        attempt = f"{key}.{expected}.{answers.digest()}" if key else None
+        done = self._teams.apply(
+            _team(req), answers, expected, req.deadline, attempt and WriteId(attempt)
+        )
+        log.info(
+            "admin: questionnaire accepted",
+            extra={"team": done.team, "generation": done.generation},
+        )
+        return Answer(asdict(done), headers=(("ETag", f'"{done.generation}"'),))
+
+    def diff(self, req: AdminRequest) -> Answer:
+        """Return what the answers in the body would change."""
+        answers = read_questionnaire(req.text(), BODY)
+        generation, changes = self._teams.diff(_team(req), answers, req.deadline)
+        rows = [asdict(change) for change in changes]
+        return Answer({"generation": generation, "changes": rows})
+
+    def configuration(self, req: AdminRequest) -> Answer:
+        """Return the generated configuration as YAML."""
+        config = self._teams.read(_team(req), req.deadline).config
+        return Answer(to_text(config), headers=(("Content-Type", YAML_TYPE),))
+
+    def assignments(self, req: AdminRequest) -> Answer:
+        """Return the pages of one service, with all shards if asked by ``shards=1``."""
+        service = self._service(req)
+        with_shards = req.flag("shards")
+        pages = self._assignments.pages(_team(req), service.service, req.deadline)
+        owners = Counter(entry.owner for page in pages for entry in page.assignments)
+        body = {
+            "team": _team(req),
+            "service": service.service,
+            "divided_by_key": service.divided,
+            "shard_count": service.shard_count,
+            "shards_by_owner": dict(sorted(owners.items())),
+            "pages": [page_row(page, with_shards) for page in pages],
+        }
+        return Answer(body)
+
+    def drains(self, req: AdminRequest) -> Answer:
+        """List the drained targets of the team."""
+        self._teams.read(_team(req), req.deadline)
+        return _drained(self._drains.read(_team(req), req.deadline))
+
+    def drain(self, req: AdminRequest) -> Answer:
+        """Give one target no new work, on all hosts, until it is undrained."""
+        target, known = self._target(req)
+        log.info("admin: target drained", extra={"target": target})
+        return _drained(self._drains.drain(_team(req), target, known, req.deadline))
+
+    def undrain(self, req: AdminRequest) -> Answer:
+        """Give one target new work again."""
+        target, known = self._target(req)
+        log.info("admin: target undrained", extra={"target": target})
+        return _drained(self._drains.undrain(_team(req), target, known, req.deadline))
+
+    def _service(self, req):
+        """Return the service that the path names, or raise `UnknownService`."""
+        config = self._teams.read(_team(req), req.deadline).config
+        name = ServiceId(req.names["service"])
+        for service in config.services:
+            if service.service == name:
+                return service
+        raise UnknownService(f"team {_team(req)} has no service {name}")
+
+    def _target(self, req):
+        """Return the target that the path names, and all targets of the team."""
+        config = self._teams.read(_team(req), req.deadline).config
+        known = frozenset(
+            target.target_id
+            for service in config.services
+            for target in service.targets
+        )
+        for target in self._service(req).targets:
+            if questionnaire_name(target.target_id) == req.names["target"]:
+                return target.target_id, known
+        raise UnknownTarget(f"the service has no target {req.names['target']}")
+
+
+@singledispatch
+def host_row(entry: Any, principal: Principal) -> dict[str, Any]:
+    """Return what `principal` may know of one host, as JSON values."""
+    raise TypeError(f"{type(entry).__name__} is no status of a host")
+
+
+@host_row.register
+def _(entry: UnreachableHost, principal):
+    return {"host_id": entry.host_id, "reachable": False, "reason": entry.reason}
+
+
+@host_row.register
+def _(entry: HostStatus, principal):
+    return {
+        "host_id": entry.host_id,
+        "reachable": True,
+        "data_centre": entry.data_centre,
+        "ready": entry.ready,
+        "draining": entry.draining,
+        "in_force": {
+            row.team: row.generation
+            for row in entry.in_force
+            if principal.may_see(row.team)
+        },
+    }
+
+
+def page_row(page: Page, with_shards: bool) -> dict[str, Any]:
+    """Return one page as JSON values."""
+    row = {
+        "page": page.key.page,
+        "keeper": page.keeper,
+        "epoch": page.epoch,
+        "first_shard": page.first_shard,
+        "shard_count": len(page.assignments),
+    }
+    if with_shards:
+        row["owners"] = [entry.owner for entry in page.assignments]
+    return row
+
+
+def _team(req):
+    """Return the team that the path names."""
+    return TeamId(req.names["team"])
+
+
+def _drained(targets: frozenset[TargetId]) -> Answer:
+    """Return the drained targets, in order."""
+    return Answer({"drained_targets": sorted(targets)})
--- /dev/null
+++ b/src/persimmonspoke/internal/admin/messages.py
@@ -0,0 +1,49 @@
+"""What entry hosts tell each other for their operators."""
+
+from dataclasses import dataclass
+
+from persimmonspoke.ids import DataCentreId, Generation, HostId, TeamId
+from persimmonspoke.internal.peers.codec import message
+
+
+@dataclass(frozen=True, slots=True)
+class TeamGeneration:
+    """The generation of one team that a host has in force."""
+
+    team: TeamId
+    generation: Generation
+
+
+@dataclass(frozen=True, slots=True)
+class HostStatus:
+    """The state of one entry host, as it sees itself.
+
+    Attributes
+    ----------
+    ready : bool
+        Whether it takes new requests.
+    draining : bool
+        Whether an operator or a stop has taken it out of service.
+    in_force : tuple of TeamGeneration
+        One entry a team.
+    """
+
+    host_id: HostId
+    data_centre: DataCentreId
+    ready: bool
+    draining: bool
+    in_force: tuple[TeamGeneration, ...]
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class StatusRequest:
+    """Asks an entry host for its status."""
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class StatusReply:
+    """The answer to `StatusRequest`."""
+
+    status: HostStatus
--- /dev/null
+++ b/src/persimmonspoke/internal/admin/request.py
@@ -0,0 +1,151 @@
+"""Requests and answers of the administration API."""
+
+import re
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+from urllib.parse import parse_qs
+
+from persimmonspoke.errors import (
+    BodyTooLarge,
+    Forbidden,
+    GenerationRequired,
+    MalformedAdminRequest,
+    Unauthenticated,
+)
+from persimmonspoke.ids import Generation, Instant
+from persimmonspoke.internal.admin.settings import AdminSettings
+
+MAX_PARAMETERS = 20
+_NAME = re.compile(r"[a-z0-9]([a-z0-9-]{0,46}[a-z0-9])?")
+_GENERATION = re.compile(r'"?([0-9]{1,15})"?')
+_IDEMPOTENCY_KEY = re.compile(r"[A-Za-z0-9-]{8,64}")
+
+
+class Access(Enum):
+    """Who may use a path."""
+
+    ANYBODY = "anybody"
+    ANY_TOKEN = "any token"
+    OWN_TEAM = "operators, and the team that the path names"
+    OPERATOR = "operators"
+
+
+@dataclass(frozen=True, slots=True)
+class Principal:
+    """Who sent a request; `team` is None for an operator."""
+
+    team: str | None = None
+
+    def may_see(self, team: str) -> bool:
+        """Return whether `team` is one that this principal may know about."""
+        return self.team is None or self.team == team
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What is sent back: a JSON body, or any other text with its content type."""
+
+    body: Any
+    status: str = "200 OK"
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class AdminRequest:
+    """One request, its path matched and its sender known.
+
+    Attributes
+    ----------
+    names : dict of str to str
+        Parts of the path that vary, such as the team; each is a well-formed name.
+    """
+
+    principal: Principal
+    names: dict[str, str]
+    deadline: Instant
+    environ: dict[str, Any] = field(repr=False)
+    cfg: AdminSettings = field(repr=False)
+
+    def text(self) -> str:
+        """Return the body, or raise `BodyTooLarge` or `MalformedAdminRequest`."""
+        length = self.environ.get("CONTENT_LENGTH") or "0"
+        if not length.isascii() or not length.isdigit():
+            raise MalformedAdminRequest("Content-Length is no number")
+        limit = self.cfg.max_body_bytes
+        if int(length) > limit:
+            raise BodyTooLarge(f"the body may have {limit} bytes")
+        try:
+            # A chunked body has no length beforehand, so one byte more is read.
+            data = self.environ["wsgi.input"].read(limit + 1)
+            text = data.decode()
+        except (OSError, ValueError) as exc:
+            raise MalformedAdminRequest(f"the body can't be read: {exc}") from exc
+        if len(data) > limit:
+            raise BodyTooLarge(f"the body may have {limit} bytes")
+        if not text.strip():
+            raise MalformedAdminRequest("the body is empty")
+        return text
+
+    def flag(self, name: str) -> bool:
+        """Return whether the query has ``name=1``."""
+        try:
+            params = parse_qs(
+                self.environ.get("QUERY_STRING", ""), max_num_fields=MAX_PARAMETERS
+            )
+        except ValueError as exc:
+            raise MalformedAdminRequest(f"the query can't be read: {exc}") from exc
+        return params.get(name) == ["1"]
+
+    def expected_generation(self) -> Generation:
+        """Return the generation in If-Match, or raise `GenerationRequired`."""
+        header = self.environ.get("HTTP_IF_MATCH")
+        if header is None:
+            raise GenerationRequired(
+                "send the generation that you revised as If-Match, 0 for a new team"
+            )
+        found = _GENERATION.fullmatch(header)
+        if found is None:
+            raise MalformedAdminRequest("If-Match must be a generation, a number")
+        return Generation(int(found[1]))
+
+    def idempotency_key(self) -> str | None:
+        """Return the name that the sender gave to this attempt, if any."""
+        header = self.environ.get("HTTP_IDEMPOTENCY_KEY")
+        if header is not None and not _IDEMPOTENCY_KEY.fullmatch(header):
+            raise MalformedAdminRequest(
+                "Idempotency-Key must be 8 to 64 letters, digits or hyphens"
+            )
+        return header
+
+
+def check_names(names: dict[str, str]) -> None:
+    """Raise `MalformedAdminRequest` unless every part of the path is a name."""
+    for part, name in names.items():
+        if not _NAME.fullmatch(name):
+            raise MalformedAdminRequest(f"the {part} in the path is no name")
+
+
+def identify(cfg: AdminSettings, environ: dict[str, Any]) -> Principal:
+    """Return who sent the request, or raise `Unauthenticated`."""
+    if not cfg.token_needed:
+        return Principal()
+    scheme, _, token = environ.get("HTTP_AUTHORIZATION", "").partition(" ")
+    if scheme.lower() != "bearer" or not token:
+        raise Unauthenticated("send a token as Authorization: Bearer")
+    # Both are looked up in any case, so that the time tells nothing.
+    operator, team = cfg.is_operator(token), cfg.team_of(token)
+    if operator:
+        return Principal()
+    if team is None:
+        raise Unauthenticated("the token is not valid")
+    return Principal(team)
+
+
+def authorize(principal: Principal, access: Access, names: dict[str, str]) -> None:
+    """Raise `Forbidden` unless `principal` may use a path of that kind."""
+    if principal.team is None or access is Access.ANY_TOKEN:
+        return
+    if access is Access.OWN_TEAM and names.get("team") == principal.team:
+        return
+    raise Forbidden(f"the token is team {principal.team}'s, the path is for others")
