--- /dev/null
+++ b/src/persimmonspoke/cli/main.py
@@ -0,0 +1,73 @@
+"""The command-line tool ``persimmonspoke``."""
+
+import argparse
+import sys
+from collections.abc import Callable, Sequence
+
+from persimmonspoke.cli import host_commands, questionnaire_commands
+from persimmonspoke.cli.arguments import make_parser
+from persimmonspoke.cli.client import AdminClient, HttpTransport, Transport
+from persimmonspoke.cli.exit_status import ExitStatus, exit_status
+from persimmonspoke.cli.report import Report, failure_report
+from persimmonspoke.errors import PersimmonspokeError
+from persimmonspoke.internal.clock import Clock, SystemClock
+
+MakeTransport = Callable[[str, float], Transport]
+_LOCAL = {
+    "check": questionnaire_commands.check,
+    "generate": questionnaire_commands.generate_configuration,
+}
+_REMOTE = {
+    "show": questionnaire_commands.show,
+    "diff": questionnaire_commands.diff,
+    "status": host_commands.status,
+    "assignments": host_commands.assignments,
+    "dump": host_commands.dump,
+    "drain": host_commands.drain,
+    "undrain": host_commands.drain,
+}
+
+
+def main(
+    argv: Sequence[str] | None = None, make_transport: MakeTransport = HttpTransport
+) -> int:
+    """Run one command and return its exit status.
+
+    Parameters
+    ----------
+    argv : sequence of str, optional
+        Arguments without the program's name; those of the process by default.
+    make_transport : callable
+        Makes the transport from a URL and a timeout in seconds.
+    """
+    args = make_parser().parse_args(argv)
+    try:
+        report = _run(args, make_transport, SystemClock())
+    except PersimmonspokeError as exc:
+        _print_failure(failure_report(exc), args.json)
+        return int(exit_status(exc))
+    print(report.text(args.json))
+    return int(ExitStatus.OK)
+
+
+def _run(args: argparse.Namespace, make_transport: MakeTransport, clock: Clock):
+    """Run the command that `args` name and return its report."""
+    name = getattr(args, "action", args.command)
+    if name in _LOCAL:
+        return _LOCAL[name](args)
+    token = None
+    if args.token_file is not None:
+        token = questionnaire_commands.read_file(args.token_file).strip()
+    client = AdminClient(make_transport(args.admin, args.timeout), clock, token)
+    if name == "apply":
+        return questionnaire_commands.apply(args, client, clock)
+    return _REMOTE[name](args, client)
+
+
+def _print_failure(report: Report, as_json: bool):
+    """Print a failure where its reader looks for it."""
+    print(report.text(as_json), file=sys.stdout if as_json else sys.stderr)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/persimmonspoke/errors.py
+++ b/src/persimmonspoke/errors.py
@@ -104,6 +104,10 @@
     """No administration API answered."""
 
 
+class AdminNotReached(AdminUnreachable):
+    """There was no connection, so nothing was sent."""
+
+
 class AdminRefused(CommandFailure):
     """The administration API answered with a failure.
 
@@ -111,7 +115,7 @@
     ----------
     status : int
         Status of the HTTP answer.
-    failure : AdminFailureBody
+    failure : FailureBody
         The typed failure in its body.
     """
 
@@ -121,8 +125,24 @@
         self.failure = failure
 
 
+class UnreadableFile(CommandFailure):
+    """A file that the command line names can't be read or written."""
+
+
 class NotInForce(CommandFailure):
-    """Some hosts had not put the generation into force in time."""
+    """Some hosts had not put the generation into force in time.
+
+    Parameters
+    ----------
+    message : str
+        Which generation of which team.
+    hosts : tuple of str
+        The hosts that have not, each with the reason.
+    """
+
+    def __init__(self, message, hosts):
+        super().__init__("\n  ".join((message, *hosts)))
+        self.hosts = tuple(hosts)
 
 
 class StoreError(PersimmonspokeError):
