--- a/src/persimmonspoke/cli/main.py
+++ b/src/persimmonspoke/cli/main.py
@@ -29,7 +29,9 @@
 
 
 def main(
-    argv: Sequence[str] | None = None, make_transport: MakeTransport = HttpTransport
+    argv: Sequence[str] | None = None,
+    make_transport: MakeTransport = HttpTransport,
+    clock: Clock | None = None,
 ) -> int:
     """Run one command and return its exit status.
 
@@ -39,10 +41,12 @@
         Arguments without the program's name; those of the process by default.
     make_transport : callable
         Makes the transport from a URL and a timeout in seconds.
+    clock : Clock, optional
+        The machine's by default.
     """
     args = make_parser().parse_args(argv)
     try:
-        report = _run(args, make_transport, SystemClock())
+        report = _run(args, make_transport, clock or SystemClock())
     except PersimmonspokeError as exc:
         _print_failure(failure_report(exc), args.json)
         return int(exit_status(exc))
--- /dev/null
+++ b/tests/cover/test_teams.py
@@ -0,0 +1,286 @@
+"""Accepting questionnaires while operators race and answers get lost."""
+
+import unittest
+from dataclasses import replace
+
+import eventlet
+
+from persimmonspoke.errors import (
+    ApplyConflict,
+    ConfigurationEdited,
+    InvalidSettings,
+    StoreConflict,
+    StoreMissing,
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+    UnknownTeam,
+)
+from persimmonspoke.ids import Instant
+from persimmonspoke.internal.questionnaire.drains import Drains
+from persimmonspoke.internal.questionnaire.teams import TeamRecord, Teams, read_config
+from persimmonspoke.internal.store.api import Stored
+from tests.cover.test_questionnaire import answers
+from tests.fakes.admin_api import HubClock
+
+CALL_S = 5
+
+
+class MemoryStore:
+    """A store whose writes pause, so that others come between, and lose answers.
+
+    Attributes
+    ----------
+    lost_answers : int
+        How many of the next writes take effect without an answer.
+    dropped_writes : int
+        How many of the next writes neither take effect nor get an answer.
+    after_write : callable or None
+        Called once after the next write took effect, before its answer is lost.
+    """
+
+    def __init__(self):
+        self.objects = {}
+        self.lost_answers = 0
+        self.dropped_writes = 0
+        self.after_write = None
+
+    def get(self, key, deadline):
+        if key not in self.objects:
+            raise StoreMissing(key)
+        return self.objects[key]
+
+    def create(self, key, value, deadline):
+        return self._write(key, value, 0)
+
+    def update(self, key, value, version, deadline):
+        return self._write(key, value, version)
+
+    def _write(self, key, value, version):
+        eventlet.sleep(0.01)
+        if self.dropped_writes:
+            self.dropped_writes -= 1
+            raise StoreOutcomeUnknown("dropped")
+        found = self.objects[key].version if key in self.objects else 0
+        if found != version:
+            raise StoreConflict(key)
+        self.objects[key] = Stored(key, value, version + 1)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            call, self.after_write = self.after_write, None
+            if call is not None:
+                call()
+            raise StoreOutcomeUnknown("the answer was lost")
+        return self.objects[key]
+
+
+class TestApply(unittest.TestCase):
+    def setUp(self):
+        self.store = MemoryStore()
+        self.clock = HubClock()
+        self.teams = Teams(self.store, self.clock)
+
+    def deadline(self, left_s=CALL_S):
+        return Instant(self.clock.now() + left_s)
+
+    def apply(self, expected, write_id=None, **desk):
+        return self.teams.apply(
+            "demo", answers(**desk), expected, self.deadline(), write_id
+        )
+
+    def read(self):
+        return self.teams.read("demo", self.deadline())
+
+    def test_generations_follow_each_other(self):
+        self.assertEqual(self.apply(0).generation, 1)
+        self.assertEqual(self.apply(1, wait_ms=9).generation, 2)
+        record = self.read()
+        self.assertEqual(record.config.generation, 2)
+        self.assertEqual(record.questionnaire, answers(wait_ms=9))
+        self.assertEqual(len(record.recent_write_ids), 2)
+        stored = self.store.objects["teams/demo"]
+        self.assertEqual(read_config(stored), record.config)
+
+    def test_of_two_racing_operators_one_wins_and_one_sees_the_changes(self):
+        self.apply(0)
+        outcomes = []
+
+        def operator(wait_ms):
+            try:
+                outcomes.append(self.apply(1, wait_ms=wait_ms))
+            except ApplyConflict as exc:
+                outcomes.append(exc)
+
+        tasks = [eventlet.spawn(operator, wait_ms) for wait_ms in (7, 8)]
+        for task in tasks:
+            task.wait()
+        accepted, conflict = sorted(
+            outcomes, key=lambda row: isinstance(row, Exception)
+        )
+        self.assertEqual(accepted.generation, 2)
+        self.assertEqual(conflict.generation, 2)
+        change = conflict.changes[0]
+        self.assertEqual(change.path, "services[desk].wait_ms")
+        self.assertEqual({change.before, change.after}, {7, 8})
+        self.assertEqual(self.read().config.services[0].wait_ms, change.before)
+
+    def test_a_late_operator_is_refused(self):
+        self.apply(0)
+        self.apply(1, wait_ms=9)
+        for expected in (0, 1, 3):
+            with self.assertRaises(ApplyConflict):
+                self.apply(expected, wait_ms=10)
+        self.assertEqual(self.read().config.generation, 2)
+
+    def test_a_lost_answer_is_settled_by_reading(self):
+        self.store.lost_answers = 1
+        self.assertEqual(self.apply(0).generation, 1)
+        self.assertEqual(self.read().config.generation, 1)
+
+    def test_a_dropped_write_is_repeated(self):
+        self.store.dropped_writes = 3
+        self.assertEqual(self.apply(0).generation, 1)
+
+    def test_a_write_that_was_replaced_before_it_was_read_back_is_known(self):
+        self.store.lost_answers = 1
+        self.store.after_write = lambda: self.apply(1, wait_ms=9)
+        done = self.apply(0)
+        self.assertEqual((done.generation, done.replaced), (1, True))
+        self.assertEqual(self.read().config.generation, 2)
+
+    def test_a_lost_write_that_never_happened_is_a_conflict_if_another_wins(self):
+        self.store.dropped_writes = 1
+        rival = eventlet.spawn_after(0.02, self.apply, 0, wait_ms=9)
+        with self.assertRaises(ApplyConflict):
+            self.apply(0)
+        self.assertEqual(rival.wait().generation, 1)
+        self.assertEqual(self.read().questionnaire, answers(wait_ms=9))
+
+    def test_an_outcome_that_nobody_can_know_is_said_to_be_unknown(self):
+        self.store.dropped_writes = 10**6
+        with self.assertRaises(StoreOutcomeUnknown):
+            self.apply(0)
+
+    def test_an_attempt_is_recognised_after_later_generations(self):
+        self.apply(0, write_id="first")
+        for generation in range(1, 6):
+            self.apply(generation, wait_ms=generation)
+        done = self.apply(0, write_id="first")
+        self.assertEqual((done.generation, done.replaced), (1, True))
+        self.assertEqual(self.read().config.generation, 6)
+
+    def test_only_the_last_writes_are_remembered(self):
+        for generation in range(20):
+            self.apply(generation, write_id=str(generation), wait_ms=generation + 1)
+        expected = tuple(str(number) for number in range(4, 20))
+        self.assertEqual(self.read().recent_write_ids, expected)
+
+    def test_the_same_answers_make_no_new_generation(self):
+        self.apply(0)
+        self.assertEqual(self.apply(1).generation, 1)
+        self.assertEqual(self.apply(0).generation, 1)
+        self.assertEqual(self.read().version, 1)
+
+    def test_answers_of_another_team_are_refused(self):
+        with self.assertRaises(InvalidSettings):
+            self.teams.apply("other", answers(), 0, self.deadline())
+        with self.assertRaises(InvalidSettings):
+            self.teams.diff("other", answers(), self.deadline())
+        self.assertEqual(self.store.objects, {})
+
+    def test_answers_beyond_what_the_store_holds_are_refused(self):
+        many = [
+            {
+                "id_prefix": f"r{number}",
+                "count": 2000,
+                "first_ip": f"10.{number}.0.1",
+                "first_port": 9000,
+                "data_centres": ["east"],
+                "slots": 1,
+                "connections": 1,
+                "checks_fence": True,
+            }
+            for number in range(4)
+        ]
+        with self.assertRaisesRegex(InvalidSettings, "1000000 for each team"):
+            self.apply(0, target_ranges=many)
+
+    def test_an_unknown_team_is_told_so(self):
+        with self.assertRaises(UnknownTeam):
+            self.read()
+
+    def test_the_diff_of_a_new_team_names_every_answer(self):
+        generation, changes = self.teams.diff("demo", answers(), self.deadline())
+        self.assertEqual(generation, 0)
+        self.assertTrue(all(change.before is None for change in changes))
+        self.assertIn("team", {change.path for change in changes})
+
+
+class TestStoredTeam(unittest.TestCase):
+    def test_an_object_changed_by_other_means_is_refused(self):
+        store, clock = MemoryStore(), HubClock()
+        teams = Teams(store, clock)
+        deadline = Instant(clock.now() + CALL_S)
+        teams.apply("demo", answers(), 0, deadline)
+        good = store.objects["teams/demo"]
+        other = answers(wait_ms=9).model_dump(mode="json")
+        edits = (
+            {"generation": 8},
+            {"team": "other"},
+            {"questionnaire": other},
+            {"questionnaire": None},
+            {"config": {**good.value["config"], "generation": 8}},
+            {"config": None},
+            {"recent_write_ids": None},
+        )
+        for edit in edits:
+            with self.subTest(list(edit)):
+                bad = replace(good, value={**good.value, **edit})
+                store.objects["teams/demo"] = bad
+                with self.assertRaises(ConfigurationEdited):
+                    TeamRecord.from_stored(bad)
+                with self.assertRaises(ConfigurationEdited):
+                    teams.apply("demo", answers(wait_ms=5), 1, deadline)
+                self.assertIs(store.objects["teams/demo"], bad)
+
+
+class TestDrains(unittest.TestCase):
+    def setUp(self):
+        self.store = MemoryStore()
+        self.clock = HubClock()
+        self.drains = Drains(self.store, self.clock)
+        self.known = frozenset(("a", "b"))
+
+    def deadline(self, left_s=CALL_S):
+        return Instant(self.clock.now() + left_s)
+
+    def test_racing_operators_drain_both_targets(self):
+        tasks = [
+            eventlet.spawn(self.drains.drain, "demo", t, self.known, self.deadline())
+            for t in ("a", "b")
+        ]
+        for task in tasks:
+            task.wait()
+        self.assertEqual(self.drains.read("demo", self.deadline()), self.known)
+
+    def test_a_lost_answer_changes_nothing_about_the_outcome(self):
+        self.store.lost_answers = 1
+        self.drains.drain("demo", "a", self.known, self.deadline())
+        self.store.lost_answers = 1
+        left = self.drains.undrain("demo", "a", self.known, self.deadline())
+        self.assertEqual(left, frozenset())
+        self.assertEqual(self.drains.read("demo", self.deadline()), left)
+
+    def test_targets_that_no_longer_exist_are_forgotten(self):
+        self.drains.drain("demo", "a", self.known, self.deadline())
+        left = self.drains.drain("demo", "b", frozenset("b"), self.deadline())
+        self.assertEqual(left, frozenset("b"))
+
+    def test_draining_twice_writes_once(self):
+        for _ in range(2):
+            self.drains.drain("demo", "a", self.known, self.deadline())
+        self.assertEqual(self.store.objects["drains/demo"].version, 1)
+
+    def test_no_time_left_means_that_nothing_was_changed(self):
+        with self.assertRaises(StoreUnavailable):
+            self.drains.drain("demo", "a", self.known, self.deadline(0))
+        self.assertEqual(self.store.objects, {})
--- /dev/null
+++ b/tests/fakes/admin_api.py
@@ -0,0 +1,115 @@
+"""An administration API without sockets, with everything behind it in memory."""
+
+import io
+import json
+from dataclasses import replace
+
+import eventlet
+
+from persimmonspoke.cli.client import HttpAnswer
+from persimmonspoke.errors import AdminUnreachable
+from persimmonspoke.internal.admin.api import UnreachableHost
+from persimmonspoke.internal.admin.app import make_admin_app
+from persimmonspoke.internal.admin.messages import HostStatus, TeamGeneration
+from persimmonspoke.internal.admin.settings import AdminSettings
+from persimmonspoke.internal.ownership.page import Assignment, Page, PageKey
+from persimmonspoke.internal.questionnaire.drains import Drains
+from persimmonspoke.internal.questionnaire.teams import Teams
+from tests.fakes import virtual_hub
+
+OPEN = AdminSettings()
+
+
+class HubClock:
+    """The virtual time of the hub."""
+
+    def now(self):
+        return virtual_hub.now()
+
+    def sleep_until(self, deadline):
+        eventlet.sleep(max(0.0, deadline - self.now()))
+
+
+def host_status(name, **in_force):
+    """Return the status of a ready host."""
+    rows = tuple(TeamGeneration(*pair) for pair in in_force.items())
+    return HostStatus(name, "east", True, False, rows)
+
+
+class FakeHost:
+    """Node, members and assignments in one, with plain answers."""
+
+    def __init__(self):
+        self.own = host_status("a.1")
+        self.others = [UnreachableHost("b.1", "PeerTimeout: no answer")]
+
+    def dump(self):
+        return {"host": self.own.host_id}
+
+    def ready(self):
+        return not self.own.draining
+
+    def drain(self):
+        self.own = replace(self.own, draining=True)
+
+    def undrain(self):
+        self.own = replace(self.own, draining=False)
+
+    def status(self):
+        return self.own
+
+    def statuses(self, deadline):
+        return [self.own, *self.others]
+
+    def pages(self, team, service, deadline):
+        owners = (Assignment("t1", 4), Assignment("t2", 5), Assignment("t1", 4))
+        return (Page(PageKey(team, service, 0), "a.1", 5, 0, owners),)
+
+
+class FakeAdmin:
+    """The WSGI application; also a transport of the command-line tool.
+
+    Attributes
+    ----------
+    lost_answers : int
+        How many of the next answers get lost on their way back.
+    """
+
+    def __init__(self, store, cfg=OPEN):
+        clock = HubClock()
+        self.host = FakeHost()
+        self.lost_answers = 0
+        parts = (Teams(store, clock), Drains(store, clock))
+        host = self.host
+        self.app = make_admin_app(cfg, clock, *parts, host, host, host)
+
+    def request(self, method, path, body=b"", **headers):
+        """Return the status and the JSON (or text) body of one answer."""
+        path, _, query = path.partition("?")
+        environ = {
+            "REQUEST_METHOD": method,
+            "PATH_INFO": path,
+            "QUERY_STRING": query,
+            "CONTENT_LENGTH": str(len(body)),
+            "wsgi.input": io.BytesIO(body),
+            **{f"HTTP_{name}": value for name, value in headers.items()},
+        }
+        environ["CONTENT_LENGTH"] = environ.pop(
+            "HTTP_CONTENT_LENGTH", environ["CONTENT_LENGTH"]
+        )
+        started = []
+        data = b"".join(self.app(environ, lambda *args: started.append(args)))
+        status, headers = started[0]
+        assert dict(headers)["Content-Length"] == str(len(data))
+        is_json = dict(headers)["Content-Type"] == "application/json"
+        return int(status[:3]), json.loads(data) if is_json else data.decode()
+
+    def send(self, method, path, headers, body):
+        """Act as the transport of the command-line tool."""
+        named = {k.upper().replace("-", "_"): v for k, v in headers.items()}
+        data = (body or "").encode()
+        status, value = self.request(method, path, data, **named)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            raise AdminUnreachable("the answer was lost")
+        return HttpAnswer(status, json.dumps(value).encode())
