Add HTTP clients of targets: connections, requests, orders

Cause: a connection may go silent while new ones work, and a protected request must not be written twice. Change: pools that hand out new or proved connections, one exchange a connection, the first byte noted by the connection itself; orders over the same connections.

--- /dev/null
+++ b/src/persimmonspoke/internal/targets/connections.py
@@ -0,0 +1,255 @@
+"""Connections to targets: which may be reused, for what, and how many there are.
+
+A connection can go silent for good while new ones work.  So a protected request
+gets a connection that is new or has answered just now, a connection that timed out
+is never used again, and its idle sisters are dropped with it.
+"""
+
+import socket
+from collections import deque
+from collections.abc import Callable
+
+import eventlet
+from eventlet import greenio
+from eventlet.semaphore import Semaphore
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError, NewConnectionError
+
+from persimmonspoke.errors import TargetRefusedConnection, TargetUnreachable
+from persimmonspoke.ids import Instant, RequestId
+from persimmonspoke.internal.clock import Clock
+from persimmonspoke.internal.questionnaire.configuration import TargetConfig
+from persimmonspoke.internal.targets.settings import TargetSettings
+
+REMEMBERED_REQUESTS = 8
+"""How many of its last requests a connection remembers."""
+
+
+class TargetConnection(HTTPConnection):
+    """One connection to a target, and what is known of its health.
+
+    Attributes
+    ----------
+    wrote : bool
+        Whether any byte of the present request has left this process.
+    answered_at : Instant or None
+        When the last whole answer had arrived; None for a new connection.
+    """
+
+    def __init__(self, ip: str, port: int):
+        super().__init__(ip, port)
+        self.wrote = False
+        self.answered_at = None
+        self._carried = deque(maxlen=REMEMBERED_REQUESTS)
+
+    def send(self, data):
+        """Send `data` whole, and take note of the first byte that goes out."""
+        sent = self.sock.send(data)
+        self.wrote = True
+        if sent < len(data):
+            self.sock.sendall(memoryview(data)[sent:])
+
+    def begin(self, request_id: RequestId) -> None:
+        """Take note of the request that comes next."""
+        self.wrote = False
+        self._carried.append(request_id)
+
+    def carried(self, request_id: RequestId) -> bool:
+        """Return whether a late second answer to `request_id` could still come."""
+        return request_id in self._carried
+
+    def quiet(self) -> bool:
+        """Return whether the connection is open and nothing waits to be read."""
+        sock = self.sock
+        if sock is None:
+            return False
+        # The green socket would suspend the task; the plain one answers at once.
+        plain = sock.fd if isinstance(sock, greenio.GreenSocket) else sock
+        try:
+            plain.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+
+def connect(ip: str, port: int, timeout_s: float) -> TargetConnection:
+    """Open a connection to a target.
+
+    Raises
+    ------
+    TargetRefusedConnection
+        Nothing listens there, although the target's host answers.
+    TargetUnreachable
+        No connection came about in time, or for another reason.
+    """
+    if timeout_s <= 0:
+        raise TargetUnreachable("the deadline passed before the connection")
+    conn = TargetConnection(ip, port)
+    conn.timeout = timeout_s
+    try:
+        conn.connect()
+    except NewConnectionError as exc:
+        if isinstance(exc.__cause__, ConnectionRefusedError):
+            raise TargetRefusedConnection(str(exc)) from exc
+        raise TargetUnreachable(str(exc)) from exc
+    except (HTTPError, OSError) as exc:
+        raise TargetUnreachable(str(exc)) from exc
+    conn.timeout = None
+    return conn
+
+
+class TargetPool:
+    """The connections of this host to one target.
+
+    Parameters
+    ----------
+    limit : int
+        Largest number of connections, idle ones included.
+    """
+
+    def __init__(
+        self, cfg: TargetSettings, target: TargetConfig, limit: int, clock: Clock
+    ):
+        self._cfg = cfg
+        self._target = target
+        self._clock = clock
+        self._limit = limit
+        self._permits = Semaphore(limit)
+        self._idle: deque[TargetConnection] = deque()
+        self._in_use = 0
+
+    def resize(self, limit: int) -> None:
+        """Change the largest number of connections."""
+        change = limit - self._limit
+        self._limit = limit
+        if change < 0:
+            self._permits.counter += change
+        for _ in range(change):
+            self._permits.release()
+
+    def acquire(
+        self, request_id: RequestId, deadline: Instant, proved: bool
+    ) -> TargetConnection:
+        """Return a connection for one request.
+
+        Parameters
+        ----------
+        proved : bool
+            Whether it must be new or have answered just now.
+        """
+        self._take_permit(deadline)
+        self._in_use += 1
+        try:
+            conn = self._reusable(request_id, proved)
+            return self._open(deadline) if conn is None else conn
+        except BaseException:
+            self._give_permit()
+            raise
+
+    def acquire_new(self, deadline: Instant) -> TargetConnection:
+        """Return a connection that has carried nothing yet."""
+        self._take_permit(deadline)
+        self._in_use += 1
+        try:
+            return self._open(deadline)
+        except BaseException:
+            self._give_permit()
+            raise
+
+    def release(self, conn: TargetConnection) -> None:
+        """Take back a connection on which a whole answer has just arrived."""
+        conn.answered_at = self._clock.now()
+        self._idle.append(conn)
+        self._give_permit()
+
+    def discard(self, conn: TargetConnection) -> None:
+        """Close a connection that must not be used again."""
+        conn.close()
+        self._give_permit()
+
+    def drop_idle(self) -> None:
+        """Close all idle connections, since one of their kind went silent."""
+        while self._idle:
+            self._idle.pop().close()
+
+    def drop_old(self) -> None:
+        """Close the connections that were idle for too long."""
+        oldest = self._clock.now() - self._cfg.idle_s
+        while self._idle and self._idle[0].answered_at < oldest:
+            self._idle.popleft().close()
+
+    @property
+    def open_count(self) -> int:
+        """Return the number of connections, idle ones included."""
+        return self._in_use + len(self._idle)
+
+    def _take_permit(self, deadline: Instant) -> None:
+        left_s = deadline - self._clock.now()
+        if left_s <= 0 or not self._permits.acquire(timeout=left_s):
+            raise TargetUnreachable("no connection came free before the deadline")
+
+    def _give_permit(self) -> None:
+        self._in_use -= 1
+        self._permits.release()
+
+    def _reusable(self, request_id, proved):
+        age_s = self._cfg.proved_alive_s if proved else self._cfg.idle_s
+        oldest = self._clock.now() - age_s
+        # The last to be released comes first, so all that follow are older still.
+        for index in range(len(self._idle) - 1, -1, -1):
+            conn = self._idle[index]
+            if conn.answered_at < oldest:
+                return None
+            if conn.carried(request_id):
+                continue
+            del self._idle[index]
+            if conn.quiet():
+                return conn
+            conn.close()
+        return None
+
+    def _open(self, deadline):
+        while self._idle and self.open_count > self._limit:
+            self._idle.popleft().close()
+        left_s = min(self._cfg.connect_s, deadline - self._clock.now())
+        return connect(self._target.ip, self._target.port, left_s)
+
+
+class TargetPools:
+    """The pools of all targets, by address.
+
+    Parameters
+    ----------
+    limit_of : callable
+        Returns this host's share of a target's connections.
+    """
+
+    def __init__(
+        self,
+        cfg: TargetSettings,
+        clock: Clock,
+        limit_of: Callable[[TargetConfig], int],
+    ):
+        self.cfg = cfg
+        self._clock = clock
+        self._limit_of = limit_of
+        self._pools: dict[tuple[str, int], TargetPool] = {}
+
+    def of(self, target: TargetConfig) -> TargetPool:
+        """Return the pool of `target`."""
+        address = (target.ip, target.port)
+        pool = self._pools.get(address)
+        if pool is None:
+            limit = self._limit_of(target)
+            pool = TargetPool(self.cfg, target, limit, self._clock)
+            self._pools[address] = pool
+        return pool
+
+    def keep_tidy(self) -> None:
+        """Close connections idle for too long, for ever; a task of the daemon."""
+        while True:
+            eventlet.sleep(self.cfg.idle_s / 2)
+            for pool in self._pools.values():
+                pool.drop_old()
--- /dev/null
+++ b/src/persimmonspoke/internal/targets/http_requests.py
@@ -0,0 +1,299 @@
+"""Requests to targets over HTTP."""
+
+import itertools
+import logging
+import secrets
+from collections.abc import Iterator
+from http.client import HTTPException
+
+import eventlet
+from eventlet.greenpool import GreenPool
+from urllib3.exceptions import HTTPError
+from urllib3.response import HTTPResponse
+
+from persimmonspoke.errors import (
+    AnswerLost,
+    MalformedRequest,
+    RequestFailure,
+    RouteLapsed,
+    TargetError,
+    TargetUnreachable,
+)
+from persimmonspoke.ids import Instant
+from persimmonspoke.internal.clock import Clock
+from persimmonspoke.internal.questionnaire.configuration import TargetConfig
+from persimmonspoke.internal.targets import protocol
+from persimmonspoke.internal.targets.connections import (
+    TargetConnection,
+    TargetPool,
+    TargetPools,
+)
+from persimmonspoke.internal.targets.request_api import TargetRequest
+
+log = logging.getLogger(__name__)
+
+BROKEN = (HTTPError, HTTPException, OSError, ValueError)
+"""What the library raises for a lost connection and for an answer it can't read."""
+
+LONGEST_REFUSAL_BYTES = 4096
+"""A longer refusal is not read; closing its connection costs less."""
+
+
+class _Silent(Exception):
+    """Nothing came on a connection by the time at which it had to be given up."""
+
+
+class _Exchange:
+    """One request on one connection, up to the end of its answer."""
+
+    def __init__(self, target, pool, conn, req, attempt):
+        self.target: TargetConfig = target
+        self.pool: TargetPool = pool
+        self.conn: TargetConnection = conn
+        self.req: TargetRequest = req
+        self.attempt: str = attempt
+        self.resp: HTTPResponse | None = None
+        self.over = False
+
+    def succeed(self) -> None:
+        """Take note that the whole answer has arrived."""
+        self.over = True
+        self.resp.close()
+        if self.conn.sock is None:
+            self.pool.discard(self.conn)
+        else:
+            self.pool.release(self.conn)
+
+    def fail(self, suspect: bool = False) -> None:
+        """Close the connection, and the idle ones to the target if it is suspect."""
+        if self.over:
+            return
+        self.over = True
+        if self.resp is not None:
+            self.resp.close()
+        self.pool.discard(self.conn)
+        if suspect:
+            self.pool.drop_idle()
+
+
+class HttpAnswer:
+    """An answer whose body is still to be read."""
+
+    def __init__(self, client: "HttpTargetRequests", exchange: _Exchange):
+        resp = exchange.resp
+        self.status = resp.status
+        self.headers = protocol.answer_headers(resp.headers.items())
+        self._client = client
+        self._exchange = exchange
+
+    def chunks(self) -> Iterator[bytes]:
+        """Yield the body; raise `AnswerLost` if it ends early."""
+        return self._client.read_body(self._exchange)
+
+    def close(self) -> None:
+        """Let go of the answer; one not read to its end is cancelled."""
+        if not self._exchange.over:
+            self._client.cancel(self._exchange)
+
+
+class HttpTargetRequests:
+    """`TargetRequests` over HTTP/1.1; the process must be monkey-patched."""
+
+    def __init__(self, pools: TargetPools, clock: Clock):
+        self._pools = pools
+        self._cfg = pools.cfg
+        self._clock = clock
+        self._cancels = GreenPool(self._cfg.cancel_tasks)
+        self._prefix = secrets.token_hex(6)
+        self._counter = itertools.count()
+
+    def send(self, target: TargetConfig, req: TargetRequest) -> HttpAnswer:
+        """Write the request to `target` and return once its answer has begun."""
+        pool = self._pools.of(target)
+        conn = pool.acquire(req.request_id, req.deadline, proved=not req.repeatable)
+        exchange = self._exchange(target, pool, conn, req)
+        try:
+            return self._run(exchange, self._patience(conn, req))
+        except _Silent:
+            log.warning(
+                "targets: connection went silent",
+                extra={"target": target.target_id, "request_id": req.request_id},
+            )
+        conn = pool.acquire_new(req.deadline)
+        exchange = self._exchange(target, pool, conn, req)
+        return self._run(exchange, req.deadline)
+
+    def read_body(self, exchange: _Exchange) -> Iterator[bytes]:
+        """Yield the rest of an answer."""
+        while True:
+            chunk = self._read(exchange)
+            if not chunk:
+                break
+            if exchange.resp.length_remaining == 0:
+                exchange.succeed()
+                yield chunk
+                return
+            yield chunk
+        exchange.succeed()
+
+    def cancel(self, exchange: _Exchange) -> None:
+        """Close the connection and tell the target that nobody waits any more."""
+        wrote = exchange.conn.wrote
+        exchange.fail()
+        if wrote and self._cancels.free() > 0:
+            self._cancels.spawn_n(self._send_cancel, exchange)
+
+    def _exchange(self, target, pool, conn, req):
+        attempt = f"{self._prefix}-{next(self._counter):x}"
+        conn.begin(req.request_id)
+        return _Exchange(target, pool, conn, req, attempt)
+
+    def _patience(self, conn, req) -> Instant:
+        """Return until when an answer may begin on this connection."""
+        now = self._clock.now()
+        if conn.answered_at is None or not req.repeatable:
+            return req.deadline
+        if conn.answered_at >= now - self._cfg.proved_alive_s:
+            return req.deadline
+        return Instant(now + self._cfg.silence_share * (req.deadline - now))
+
+    def _run(self, exchange, until: Instant) -> HttpAnswer:
+        try:
+            self._answer_head(exchange, until)
+            return self._judged(exchange)
+        except (RequestFailure, TargetError, _Silent):
+            exchange.fail()
+            raise
+        except BaseException:
+            # Whoever waited was interrupted: the caller left, or the host stops.
+            self.cancel(exchange)
+            raise
+
+    def _answer_head(self, exchange, until):
+        timer = eventlet.Timeout(max(0.0, until - self._clock.now()))
+        try:
+            self._write(exchange)
+            exchange.resp = exchange.conn.getresponse()
+        except eventlet.Timeout as exc:
+            if exc is not timer:
+                raise
+            raise self._timed_out(exchange, until) from exc
+        except BROKEN as exc:
+            raise _broken(exchange, exc) from exc
+        finally:
+            timer.cancel()
+
+    def _write(self, exchange):
+        req = exchange.req
+        now = self._clock.now()
+        fields = protocol.request_headers(req, exchange.attempt, now)
+        body = req.body
+        if not isinstance(body, bytes):
+            if body.length is not None:
+                fields["Content-Length"] = str(body.length)
+            body = _guarded(exchange, body.chunks)
+        if not req.may_send():
+            raise RouteLapsed("the route's lease ended before the first byte")
+        exchange.conn.request(
+            req.method,
+            req.path,
+            body=body or None,
+            headers=fields,
+            preload_content=False,
+            decode_content=False,
+        )
+
+    def _judged(self, exchange):
+        resp = exchange.resp
+        protocol.check_answer(
+            exchange.req.request_id, exchange.attempt, resp.status, resp.headers
+        )
+        error = protocol.refusal(resp.status, resp.headers)
+        if error is not None:
+            self._read_refusal(exchange)
+            raise error
+        original = resp._original_response
+        if original.msg.defects or not (
+            original.chunked or original.length is not None
+        ):
+            raise AnswerLost("nobody can tell where the answer ends")
+        return HttpAnswer(self, exchange)
+
+    def _read_refusal(self, exchange):
+        length = exchange.resp.length_remaining
+        if length is None or length > LONGEST_REFUSAL_BYTES:
+            exchange.fail()
+            return
+        try:
+            for _ in self.read_body(exchange):
+                pass
+        except AnswerLost:
+            # Its first line has already said that the request did not run.
+            exchange.fail()
+
+    def _read(self, exchange):
+        left_s = max(0.0, exchange.req.deadline - self._clock.now())
+        timer = eventlet.Timeout(left_s)
+        try:
+            return exchange.resp.read1(self._cfg.chunk_bytes, decode_content=False)
+        except eventlet.Timeout as exc:
+            if exc is not timer:
+                raise
+            raise self._timed_out(exchange, exchange.req.deadline) from exc
+        except BROKEN as exc:
+            exchange.fail()
+            raise AnswerLost(f"the answer broke off: {exc}") from exc
+        finally:
+            timer.cancel()
+
+    def _timed_out(self, exchange, until) -> Exception:
+        """Give up a connection on which time ran out; return what that means."""
+        wrote = exchange.conn.wrote
+        exchange.fail(suspect=True)
+        if not wrote:
+            return TargetUnreachable("nothing could be written before the deadline")
+        if until < exchange.req.deadline:
+            return _Silent()
+        self.cancel(exchange)
+        return AnswerLost("no whole answer before the deadline")
+
+    def _send_cancel(self, exchange):
+        deadline = Instant(self._clock.now() + self._cfg.cancel_s)
+        try:
+            conn = exchange.pool.acquire_new(deadline)
+        except TargetError:
+            return
+        try:
+            conn.timeout = self._cfg.cancel_s
+            conn.request(
+                "POST",
+                protocol.CANCEL_PATH + exchange.req.request_id,
+                headers=protocol.cancel_headers(exchange.attempt),
+            )
+            conn.getresponse()
+        except BROKEN:
+            log.info(
+                "targets: cancellation lost",
+                extra={"request_id": exchange.req.request_id},
+            )
+        finally:
+            exchange.pool.discard(conn)
+
+
+def _guarded(exchange, chunks):
+    """Yield `chunks`; a failure after the first byte makes the outcome unknown."""
+    try:
+        yield from chunks
+    except RequestFailure as exc:
+        if exchange.conn.wrote:
+            raise AnswerLost(f"the request broke off: {exc}") from exc
+        raise
+
+
+def _broken(exchange, exc) -> Exception:
+    """Return what a failure of the library means, by how far the request got."""
+    if exchange.conn.wrote:
+        return AnswerLost(f"the connection broke: {exc}")
+    if isinstance(exc, OSError):
+        return TargetUnreachable(f"the connection broke before the first byte: {exc}")
+    return MalformedRequest(f"the request can't be written: {exc}")
--- a/src/persimmonspoke/internal/targets/request_api.py
+++ b/src/persimmonspoke/internal/targets/request_api.py
@@ -6,7 +6,6 @@
 
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
-from enum import Enum
 from typing import Protocol
 
 from persimmonspoke.errors import (
@@ -34,14 +33,6 @@
 """The errors of an attempt that did not run and never will."""
 
 
-class CancelReason(Enum):
-    """Why nobody waits for an answer any more."""
-
-    CALLER_GONE = "caller_gone"
-    DEADLINE = "deadline"
-    SILENT_CONNECTION = "silent_connection"
-
-
 @dataclass(frozen=True, slots=True)
 class StreamedBody:
     """A body that can be read once only.
