--- a/src/persimmonspoke/errors.py
+++ b/src/persimmonspoke/errors.py
@@ -109,9 +109,45 @@
     """The caller's deadline passed before the request was written to a target."""
 
 
+class HostClosed(NotRun):
+    """This host takes no new requests: it has no lease, or it is being stopped."""
+
+
 class MalformedRequest(NotRun):
     """The request breaks a rule of HTTP or of the service's configuration."""
 
 
+class UnknownPath(MalformedRequest):
+    """No service of any team has this path."""
+
+
+class BodyTooLarge(MalformedRequest):
+    """The body is longer than the service allows."""
+
+
+class BodyTooSlow(MalformedRequest):
+    """The body had not arrived at the deadline."""
+
+
+class LineTooLong(MalformedRequest):
+    """The request line is longer than this host reads."""
+
+
+class HeadTooLarge(MalformedRequest):
+    """The header fields are longer than this host reads."""
+
+
+class LengthRequired(MalformedRequest):
+    """The request has a body of a form whose length nobody can tell."""
+
+
+class HostFault(RequestFailure):
+    """A fault of this program ended the request; nobody can say whether it ran."""
+
+
+class CallerGone(RequestFailure):
+    """The caller closed its connection; nobody waits for the answer."""
+
+
 class OutcomeUnknown(RequestFailure):
     """The request was written, and nobody can say whether it ran."""
--- /dev/null
+++ b/src/persimmonspoke/internal/callers/app.py
@@ -0,0 +1,224 @@
+"""The WSGI application that callers reach."""
+
+import logging
+from collections.abc import Iterator
+from http import HTTPStatus
+
+from persimmonspoke.errors import (
+    AnswerLost,
+    CallerGone,
+    HostClosed,
+    HostFault,
+    MalformedRequest,
+    RequestFailure,
+)
+from persimmonspoke.ids import RequestId
+from persimmonspoke.internal.callers.api import Configurations, Gate
+from persimmonspoke.internal.callers.attempts import RequestRunner, RunningAnswer
+from persimmonspoke.internal.callers.bodies import BodyReader
+from persimmonspoke.internal.callers.gone import CallerWatch
+from persimmonspoke.internal.callers.refusals import Run, refusal
+from persimmonspoke.internal.callers.request import HOP_BY_HOP, RequestReader
+from persimmonspoke.internal.callers.services import ServiceTable
+from persimmonspoke.internal.callers.settings import CallerSettings
+from persimmonspoke.internal.clock import Clock
+from persimmonspoke.internal.observe.api import Metrics, NoMetrics
+from persimmonspoke.internal.ownership.api import Routes
+from persimmonspoke.internal.scheduling.api import Scheduler
+from persimmonspoke.internal.targets.request_api import TargetRequests
+
+log = logging.getLogger(__name__)
+
+CONNECTION_KEY = "persimmonspoke.connection"
+"""Where the server puts the object that handles the caller's connection."""
+
+WRITE_AT_ONCE = 1
+"""Size from which the server passes on a piece of an answer."""
+
+_PHRASES = {status.value: f"{status.value} {status.phrase}" for status in HTTPStatus}
+
+
+class CallerApp:
+    """Answers callers' requests."""
+
+    def __init__(
+        self,
+        reader: RequestReader,
+        runner: RequestRunner,
+        watch: CallerWatch,
+        cfg: CallerSettings,
+        clock: Clock,
+        gate: Gate,
+        metrics: Metrics,
+    ):
+        self.watch = watch
+        self._reader = reader
+        self._runner = runner
+        self._cfg = cfg
+        self._clock = clock
+        self._gate = gate
+        self._metrics = metrics
+
+    def __call__(self, environ: dict, start_response) -> "_Request":
+        """Answer one request; the server closes what is returned."""
+        request = _Request(self, environ, self._reader.request_id(environ))
+        try:
+            request.start(start_response)
+        except BaseException:
+            request.close()
+            raise
+        return request
+
+    def open_request(self):
+        """Return the context that counts a request, or raise `HostClosed`."""
+        if not self._gate.open():
+            raise HostClosed("this host takes no new requests")
+        return self._gate.admitted()
+
+    def run(self, environ: dict, request_id: RequestId) -> RunningAnswer:
+        """Return the answer of a target once it has begun."""
+        started = self._clock.now()
+        req = self._reader.read(environ, request_id)
+        limit = req.entry.service.max_body_bytes
+        body = BodyReader(self._cfg, self._clock, environ, limit, req.deadline).read()
+        answer = self._runner.run(req, body)
+        self._metrics.timing("callers.begun", 1000 * (self._clock.now() - started))
+        return answer
+
+    def count(self, name: str) -> None:
+        """Count one event of the caller side."""
+        self._metrics.incr(f"callers.{name}")
+
+
+class _Request:
+    """One request in hand: what the server iterates over and closes at the end."""
+
+    def __init__(self, app: CallerApp, environ: dict, request_id: RequestId):
+        self._app = app
+        self._environ = environ
+        self._request_id = request_id
+        self._admission = None
+        self._watched = None
+        self._answer: RunningAnswer | None = None
+        self._body = b""
+
+    def start(self, start_response) -> None:
+        """Have the request answered, and begin the caller's answer."""
+        try:
+            self._run(start_response)
+        except CallerGone:
+            self._app.count("gone")
+            self._close_connection()
+            start_response("499 Client Closed Request", [("Content-Length", "0")])
+        except RequestFailure as exc:
+            self._refuse(exc, start_response)
+        except Exception:
+            log.exception(
+                "callers: request failed by a fault of this host",
+                extra={"request_id": self._request_id},
+            )
+            self._refuse(HostFault("this host failed"), start_response)
+
+    def _run(self, start_response):
+        admission = self._app.open_request()
+        admission.__enter__()
+        self._admission = admission
+        sock = self._environ["wsgi.input"].get_socket()
+        self._watched = self._app.watch.add(sock)
+        self._answer = self._app.run(self._environ, self._request_id)
+        self._body = self._answer.head
+        self._app.count("answered")
+        start_response(self._status(), self._headers())
+
+    def __iter__(self) -> Iterator[bytes]:
+        if self._body:
+            yield self._body
+        if self._answer is None:
+            return
+        try:
+            yield from self._answer.rest()
+        except AnswerLost as exc:
+            # The server cuts the connection, so no caller takes half for whole.
+            log.warning(
+                "callers: answer cut off",
+                extra={"request_id": self._request_id, "reason": str(exc)},
+            )
+            self._app.count("cut_off")
+            raise
+
+    def close(self) -> None:
+        """Give back all that the request held."""
+        self._app.watch.remove(self._watched)
+        if self._answer is not None:
+            self._answer.close()
+        if self._admission is not None:
+            admission, self._admission = self._admission, None
+            admission.__exit__(None, None, None)
+
+    def _status(self):
+        status = self._answer.status
+        return _PHRASES.get(status) or f"{status} Status"
+
+    def _headers(self):
+        fields = [
+            pair for pair in self._answer.headers if pair[0].lower() not in HOP_BY_HOP
+        ]
+        fields.append(("X-Request-Id", self._request_id))
+        self._environ["eventlet.minimum_write_chunk_size"] = WRITE_AT_ONCE
+        return fields
+
+    def _refuse(self, exc, start_response):
+        told = refusal(exc)
+        self._app.count(f"refused.{told.kind}")
+        if isinstance(exc, MalformedRequest):
+            log.info(
+                "callers: request refused as malformed",
+                extra={"request_id": self._request_id, "reason": str(exc)},
+            )
+        if told.run is Run.UNKNOWN:
+            log.warning(
+                "callers: outcome unknown",
+                extra={"request_id": self._request_id, "reason": repr(exc.__cause__)},
+            )
+        if isinstance(exc, HostClosed) or self._unread():
+            self._close_connection()
+        body = told.body(self._request_id, str(exc))
+        headers = told.headers(self._request_id, len(body))
+        if self._environ["REQUEST_METHOD"] != "HEAD":
+            self._body = body
+        start_response(_PHRASES[told.status], list(headers))
+
+    def _unread(self) -> bool:
+        """Return whether some of the request's body may still be on its way."""
+        source = self._environ["wsgi.input"]
+        if source.chunked_input:
+            return True
+        return source.position < (source.content_length or 0)
+
+    def _close_connection(self):
+        conn = self._environ.get(CONNECTION_KEY)
+        if conn is not None:
+            conn.close_connection = True
+
+
+def make_caller_app(
+    cfg: CallerSettings,
+    configs: Configurations,
+    routes: Routes,
+    scheduler: Scheduler,
+    requests: TargetRequests,
+    clock: Clock,
+    gate: Gate,
+    metrics: Metrics | None = None,
+) -> CallerApp:
+    """Build the application; its `watch.run` is a task that the host must start."""
+    metrics = NoMetrics() if metrics is None else metrics
+    return CallerApp(
+        reader=RequestReader(ServiceTable(configs), clock),
+        runner=RequestRunner(cfg, routes, scheduler, requests, clock, metrics),
+        watch=CallerWatch(cfg, clock),
+        cfg=cfg,
+        clock=clock,
+        gate=gate,
+        metrics=metrics,
+    )
--- /dev/null
+++ b/src/persimmonspoke/internal/callers/bodies.py
@@ -0,0 +1,122 @@
+"""The body of a caller's request: short ones held whole, long ones streamed."""
+
+from collections.abc import Iterator
+
+import eventlet
+
+from persimmonspoke.errors import (
+    BodyTooLarge,
+    BodyTooSlow,
+    LengthRequired,
+    MalformedRequest,
+)
+from persimmonspoke.ids import Instant
+from persimmonspoke.internal.callers.settings import CallerSettings
+from persimmonspoke.internal.clock import Clock
+from persimmonspoke.internal.targets.request_api import Body, StreamedBody
+
+CHUNK_BYTES = 16384
+
+
+class BodyChunks:
+    """An iterator of pieces that knows whether any was taken."""
+
+    def __init__(self, chunks: Iterator[bytes]):
+        self.started = False
+        self._chunks = chunks
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self
+
+    def __next__(self) -> bytes:
+        self.started = True
+        return next(self._chunks)
+
+
+class BodyReader:
+    """Reads one request's body from its WSGI input.
+
+    A `deadline` bounds every read, so a slow caller holds nothing for longer.
+    """
+
+    def __init__(
+        self,
+        cfg: CallerSettings,
+        clock: Clock,
+        environ: dict,
+        limit_bytes: int,
+        deadline: Instant,
+    ):
+        self._cfg = cfg
+        self._clock = clock
+        self._input = environ["wsgi.input"]
+        self._limit = limit_bytes
+        self._deadline = deadline
+        self._length = _length(environ)
+
+    def read(self) -> Body:
+        """Return the body, whole if it is short."""
+        if self._length == 0:
+            return b""
+        if self._length is not None and self._length > self._limit:
+            raise BodyTooLarge(f"the body is longer than {self._limit} bytes")
+        head, ended = self._read_head()
+        if ended:
+            return head
+        return StreamedBody(BodyChunks(self._chunks(head)), self._length)
+
+    def _read_head(self):
+        pieces, size = [], 0
+        while size < self._cfg.buffered_bytes:
+            piece = self._read(min(CHUNK_BYTES, self._cfg.buffered_bytes - size))
+            pieces.append(piece)
+            size += len(piece)
+            self._check(size, ended=not piece)
+            if not piece or size == self._length:
+                return b"".join(pieces), True
+        return b"".join(pieces), False
+
+    def _chunks(self, head) -> Iterator[bytes]:
+        yield head
+        size = len(head)
+        while size != self._length:
+            piece = self._read(CHUNK_BYTES)
+            size += len(piece)
+            self._check(size, ended=not piece)
+            if not piece:
+                return
+            yield piece
+
+    def _check(self, size, ended):
+        if size > self._limit:
+            raise BodyTooLarge(f"the body is longer than {self._limit} bytes")
+        if ended and self._length is not None and size < self._length:
+            raise MalformedRequest("the body ended early")
+
+    def _read(self, count) -> bytes:
+        timer = eventlet.Timeout(max(0.0, self._deadline - self._clock.now()))
+        try:
+            return self._input.read(count)
+        except eventlet.Timeout as exc:
+            if exc is not timer:
+                raise
+            raise BodyTooSlow("the body had not arrived at the deadline") from exc
+        except (OSError, ValueError) as exc:
+            raise MalformedRequest(f"the body can't be read: {exc}") from exc
+        finally:
+            timer.cancel()
+
+
+def may_be_sent(body: Body) -> bool:
+    """Return whether `body` can still be sent from its start."""
+    return isinstance(body, bytes) or not body.chunks.started
+
+
+def _length(environ) -> int | None:
+    """Return the length of the body, None if it comes in chunks."""
+    coding = environ.get("HTTP_TRANSFER_ENCODING")
+    if coding is None:
+        return int(environ.get("CONTENT_LENGTH") or 0)
+    if coding.lower() != "chunked":
+        raise LengthRequired("the only transfer coding that is read is chunked")
+    return None
--- /dev/null
+++ b/src/persimmonspoke/internal/callers/request.py
@@ -0,0 +1,163 @@
+"""A caller's request, read and checked."""
+
+import itertools
+import re
+import secrets
+from dataclasses import dataclass
+
+from persimmonspoke.errors import MalformedRequest
+from persimmonspoke.ids import Instant, KeyText, RequestId
+from persimmonspoke.internal.callers.keys import find_key
+from persimmonspoke.internal.callers.services import ServiceEntry, ServiceTable
+from persimmonspoke.internal.clock import Clock
+from persimmonspoke.internal.targets import protocol
+from persimmonspoke.internal.targets.request_api import Headers
+
+HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+"""Lower-case names of the header fields that concern one connection only."""
+
+_NOT_FORWARDED = HOP_BY_HOP | protocol.OWN_HEADERS | {"content-length", "expect"}
+_REQUEST_ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}", re.ASCII)
+_METHOD = re.compile(r"[A-Z][A-Z0-9-]{0,31}", re.ASCII)
+_PATH = re.compile(r"/[!\"$-\[\]-~]*", re.ASCII)
+_DOT_SEGMENT = re.compile(r"/(?:\.|%2e){1,2}(?:[/;]|%2f|$)", re.ASCII | re.IGNORECASE)
+_ESCAPE_FAULT = re.compile(r"%(?![0-9A-Fa-f]{2})|%00", re.ASCII)
+_QUERY = re.compile(r"[!\"$-~]*", re.ASCII)
+_FIELD_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+", re.ASCII)
+_FIELD_VALUE = re.compile(r"[\t -~\x80-\xff]*")
+_MS = re.compile(r"[0-9]{1,9}", re.ASCII)
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A caller's request, apart from its body.
+
+    Attributes
+    ----------
+    path : str
+        Path and query as the target gets them, still percent-encoded.
+    headers : Headers
+        What is passed on to the target.
+    """
+
+    request_id: RequestId
+    entry: ServiceEntry
+    method: str
+    path: str
+    headers: Headers
+    key: KeyText | None
+    protected: bool
+    deadline: Instant
+
+
+class RequestReader:
+    """Reads requests out of WSGI environments."""
+
+    def __init__(self, table: ServiceTable, clock: Clock):
+        self._table = table
+        self._clock = clock
+        # The random part keeps the ids of different runs and hosts apart.
+        self._prefix = secrets.token_hex(8)
+        self._counter = itertools.count()
+
+    def request_id(self, environ: dict) -> RequestId:
+        """Return the caller's own id for the request if well formed, or a new one."""
+        given = environ.get("HTTP_X_REQUEST_ID")
+        if given is not None and _REQUEST_ID.fullmatch(given):
+            return RequestId(given)
+        return RequestId(f"{self._prefix}-{next(self._counter):x}")
+
+    def read(self, environ: dict, request_id: RequestId) -> CallerRequest:
+        """Return the checked request, or raise `MalformedRequest`."""
+        started = self._clock.now()
+        method = environ["REQUEST_METHOD"]
+        if not _METHOD.fullmatch(method):
+            raise MalformedRequest("the method is no token of capital letters")
+        path = _checked_path(environ["RAW_PATH_INFO"])
+        query = environ.get("QUERY_STRING", "")
+        if not _QUERY.fullmatch(query):
+            raise MalformedRequest("the query holds a forbidden character")
+        entry = self._table.find(path)
+        headers = _forwarded(environ["headers_raw"])
+        inner = path[1 + len(entry.team) :]
+        return CallerRequest(
+            request_id=request_id,
+            entry=entry,
+            method=method,
+            path=_joined(inner, query),
+            headers=headers,
+            key=_key(entry, inner, query, headers),
+            protected=method in entry.protected,
+            deadline=_deadline(environ, entry, started),
+        )
+
+
+def _joined(path, query):
+    path = path or "/"
+    return f"{path}?{query}" if query else path
+
+
+def _checked_path(path):
+    if not _PATH.fullmatch(path):
+        raise MalformedRequest("the path must start with / and hold no blanks")
+    if "%" in path and _ESCAPE_FAULT.search(path):
+        raise MalformedRequest("the path holds a broken percent-encoding")
+    # A target that resolved them would find another key than this host did.
+    if _DOT_SEGMENT.search(path):
+        raise MalformedRequest("the path holds a dot segment")
+    return path
+
+
+def _key(entry, path, query, headers):
+    rule = entry.service.key
+    if rule is None:
+        return None
+    return find_key(rule, path[len(entry.prefix) :], query, headers)
+
+
+def _deadline(environ, entry, started):
+    wait_ms = entry.service.wait_ms
+    given = environ.get("HTTP_X_DEADLINE_MS")
+    if given is not None:
+        if not _MS.fullmatch(given):
+            raise MalformedRequest("X-Deadline-Ms must be a whole number")
+        wait_ms = min(wait_ms, int(given))
+    return Instant(started + wait_ms / protocol.MS_PER_S)
+
+
+def _forwarded(pairs) -> Headers:
+    """Return the header fields that are passed on, checked."""
+    dropped = _NOT_FORWARDED
+    kept = []
+    hosts = 0
+    for name, value in pairs:
+        lower = name.lower()
+        if not _FIELD_NAME.fullmatch(name) or not _FIELD_VALUE.fullmatch(value):
+            raise MalformedRequest("a header field holds a forbidden character")
+        if lower == "connection":
+            dropped = dropped | _tokens(value)
+        elif lower == "host":
+            hosts += 1
+        # Many servers take an underscore for a hyphen, so such a name could pass
+        # itself off as one of the fields that this host alone may set.
+        if "_" not in name:
+            kept.append((lower, name, value))
+    if hosts > 1:
+        raise MalformedRequest("Host is given more than once")
+    return tuple((name, value) for lower, name, value in kept if lower not in dropped)
+
+
+def _tokens(value):
+    return {token.strip().lower() for token in value.split(",")} - {"host"}
--- /dev/null
+++ b/src/persimmonspoke/internal/callers/server.py
@@ -0,0 +1,162 @@
+"""The HTTP server that callers connect to."""
+
+import logging
+import re
+from http import HTTPStatus
+
+import eventlet
+from eventlet import wsgi
+
+from persimmonspoke.errors import (
+    HeadTooLarge,
+    LengthRequired,
+    LineTooLong,
+    MalformedRequest,
+)
+from persimmonspoke.ids import RequestId
+from persimmonspoke.internal.callers.app import CONNECTION_KEY, CallerApp
+from persimmonspoke.internal.callers.refusals import refusal
+from persimmonspoke.internal.callers.settings import CallerSettings
+
+log = logging.getLogger(__name__)
+
+LINGER_S = 1.0
+LINGER_BYTES = 1 << 20
+
+_LENGTH = re.compile(r"[0-9]{1,18}", re.ASCII)
+
+
+class _HeadTooSlow(Exception):
+    """The head of a request took too long."""
+
+
+class CallerConnection(wsgi.HttpProtocol):
+    """One caller's connection; refuses heads that break the rules of HTTP."""
+
+    def handle(self):
+        """Answer requests until the caller or this host closes the connection."""
+        try:
+            super().handle()
+        except TimeoutError:
+            raise
+        except OSError as exc:
+            log.debug("callers: connection lost", extra={"reason": str(exc)})
+
+    def _read_request_line(self):
+        line = super()._read_request_line()
+        if len(line) >= self.server.url_length_limit:
+            self._refuse(LineTooLong("the request line is too long"))
+            return ""
+        return line
+
+    def parse_request(self):
+        """Read and check the head; return whether it can be answered."""
+        try:
+            with eventlet.Timeout(self.cfg.head_s, _HeadTooSlow):
+                if not super().parse_request():
+                    return False
+            self._check_framing()
+        except _HeadTooSlow:
+            self._refuse(MalformedRequest("the head took too long"))
+        except (wsgi.HeaderLineTooLong, wsgi.HeadersTooLarge):
+            self._refuse(HeadTooLarge("the header fields are too long"))
+        except MalformedRequest as exc:
+            self._refuse(exc)
+        else:
+            return True
+        return False
+
+    def _check_framing(self):
+        if self.request_version not in ("HTTP/1.0", "HTTP/1.1"):
+            raise MalformedRequest("the version of HTTP is not 1.0 or 1.1")
+        lengths = set(self.headers.get_all("content-length", ()))
+        codings = self.headers.get_all("transfer-encoding", ())
+        if len(lengths) > 1 or not all(map(_LENGTH.fullmatch, lengths)):
+            raise MalformedRequest("Content-Length must be one whole number")
+        if lengths and codings:
+            raise MalformedRequest("Content-Length and Transfer-Encoding clash")
+        if codings and [coding.lower() for coding in codings] != ["chunked"]:
+            raise LengthRequired("the only transfer coding that is read is chunked")
+        if self.headers.defects:
+            raise MalformedRequest("a header field can't be read")
+        if self.request_version == "HTTP/1.1" and "host" not in self.headers:
+            raise MalformedRequest("Host is missing")
+
+    def send_error(self, code, message=None, explain=None):
+        """Refuse a head that the library could not read."""
+        if code == HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE:
+            self._refuse(HeadTooLarge("the header fields are too long"))
+        else:
+            self._refuse(MalformedRequest(message or "the request can't be read"))
+
+    def _refuse(self, exc: MalformedRequest):
+        """Answer without the application, and close the connection."""
+        self.close_connection = True
+        told = refusal(exc)
+        request_id = RequestId("")
+        body = told.body(request_id, str(exc))
+        lines = [f"HTTP/1.1 {told.status.value} {told.status.phrase}"]
+        for name, value in told.headers(request_id, len(body)):
+            if value:
+                lines.append(f"{name}: {value}")
+        lines.append("Connection: close\r\n\r\n")
+        self.wfile.write("\r\n".join(lines).encode("latin-1") + body)
+        log.info(
+            "callers: head refused as malformed",
+            extra={"caller": self.client_address[0], "reason": str(exc)},
+        )
+
+    def get_environ(self):
+        """Return the request's environment, with this connection in it."""
+        environ = super().get_environ()
+        environ[CONNECTION_KEY] = self
+        return environ
+
+    def finish(self):
+        """Close the connection, once the caller could read the last answer."""
+        self._linger()
+        super().finish()
+
+    def _linger(self):
+        """Read what the caller still sends, so that it is not cut off by a reset."""
+        try:
+            with eventlet.Timeout(LINGER_S, False):
+                self.wfile.flush()
+                self.connection.shutdown(eventlet.green.socket.SHUT_WR)
+                left = LINGER_BYTES
+                while left > 0:
+                    piece = self.connection.recv(16384)
+                    if not piece:
+                        return
+                    left -= len(piece)
+        except OSError:
+            return
+
+    def log_message(self, format, *args):
+        """Write nothing: the refusals are logged already."""
+
+
+def serve_callers(listener, app: CallerApp, settings: CallerSettings) -> None:
+    """Answer callers on `listener` until the listener is closed or the task killed.
+
+    Returns once no request is in hand.
+    """
+
+    class _Connection(CallerConnection):
+        cfg = settings
+
+    watch = eventlet.spawn(app.watch.run)
+    try:
+        wsgi.server(
+            listener,
+            app,
+            protocol=_Connection,
+            max_size=settings.max_connections,
+            keepalive=settings.idle_s,
+            socket_timeout=settings.stalled_s,
+            url_length_limit=settings.max_line_bytes,
+            log_output=False,
+            debug=False,
+        )
+    finally:
+        watch.kill()
