--- a/src/persimmonspoke/internal/admin/failures.py
+++ b/src/persimmonspoke/internal/admin/failures.py
@@ -5,9 +5,9 @@
 from typing import Any
 
 from persimmonspoke.errors import (
+    AdminBodyTooLarge,
     AdminFailure,
     ApplyConflict,
-    BodyTooLarge,
     ConfigurationEdited,
     Forbidden,
     GenerationRequired,
@@ -18,8 +18,8 @@
     StoreError,
     StoreOutcomeUnknown,
     Unauthenticated,
+    UnknownAdminPath,
     UnknownName,
-    UnknownPath,
 )
 
 OUTCOME_UNKNOWN_ADVICE = (
@@ -79,7 +79,7 @@
 
 
 @refusal.register(UnknownName)
-@refusal.register(UnknownPath)
+@refusal.register(UnknownAdminPath)
 def _(exc):
     return Refusal("404 Not Found", {})
 
@@ -100,7 +100,7 @@
 
 
 @refusal.register
-def _(exc: BodyTooLarge):
+def _(exc: AdminBodyTooLarge):
     return Refusal("413 Content Too Large", {})
 
 
--- a/src/persimmonspoke/standins/target.py
+++ b/src/persimmonspoke/standins/target.py
@@ -16,6 +16,9 @@
 from persimmonspoke.internal.targets import protocol
 
 JSON = ("Content-Type", "application/json")
+NOT_OWNER = "not-owner"
+SHED = "shed"
+DRAINING = "draining"
 
 
 @dataclass
@@ -123,11 +126,11 @@
     request_id = environ.get(_environ_name(protocol.REQUEST_ID), "")
     headers = [(protocol.REQUEST_ID, request_id)]
     if state.draining:
-        return _not_run(start_response, 503, protocol.DRAINING, headers)
+        return _not_run(start_response, 503, DRAINING, headers)
     if state.checks_fence and not _owns(state, environ):
-        return _not_run(start_response, 409, protocol.NOT_OWNER, headers)
+        return _not_run(start_response, 409, NOT_OWNER, headers)
     if state.busy >= state.slots:
-        return _not_run(start_response, 503, protocol.SHED, headers)
+        return _not_run(start_response, 503, SHED, headers)
     data = environ["wsgi.input"].read(int(environ.get("CONTENT_LENGTH") or 0))
     shard = _shard(environ)
     state.busy += 1
