--- /dev/null
+++ b/src/persimmonspoke/daemon/gate.py
@@ -0,0 +1,54 @@
+"""Whether this host takes requests, and how many it has in hand."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+from persimmonspoke.ids import Instant
+from persimmonspoke.internal.clock import Clock
+
+CHECK_S = 0.02
+
+
+class HostGate:
+    """Implements `persimmonspoke.internal.callers.api.Gate`.
+
+    Parameters
+    ----------
+    holds_lease : callable
+        Returns whether this host's lease is running.
+
+    Attributes
+    ----------
+    draining : bool
+        Whether an operator has taken this host out of service.
+    stopping : bool
+        Whether the process is about to end.
+    in_hand : int
+        Number of requests not yet answered.
+    """
+
+    def __init__(self, holds_lease: Callable[[], bool], clock: Clock):
+        self._holds_lease = holds_lease
+        self._clock = clock
+        self.draining = False
+        self.stopping = False
+        self.in_hand = 0
+
+    def open(self) -> bool:
+        """Return whether the host takes new requests."""
+        return not self.draining and not self.stopping and self._holds_lease()
+
+    @contextmanager
+    def admitted(self) -> Iterator[None]:
+        """Count one request in hand for as long as the context lasts."""
+        self.in_hand += 1
+        try:
+            yield
+        finally:
+            self.in_hand -= 1
+
+    def wait_empty(self, deadline: Instant) -> bool:
+        """Wait until no request is in hand; return whether that came in time."""
+        while self.in_hand and self._clock.now() < deadline:
+            self._clock.sleep_until(Instant(self._clock.now() + CHECK_S))
+        return self.in_hand == 0
--- a/src/persimmonspoke/daemon/settings.py
+++ b/src/persimmonspoke/daemon/settings.py
@@ -1,86 +1,24 @@
 """Settings of one daemon, as an operator writes them in YAML."""
 
-from ipaddress import IPv4Address, IPv6Address
-from typing import Annotated, Literal
-
-from pydantic import BaseModel, ConfigDict, Field, model_validator
-
+import ipaddress
+from collections.abc import Iterator
+from typing import Annotated, Any, Literal
+
+from pydantic import Field
+
+from persimmonspoke.internal.admin.settings import AdminSettings
+from persimmonspoke.internal.callers.settings import CallerSettings
+from persimmonspoke.internal.checked_yaml import CheckedModel, CrossFault
+from persimmonspoke.internal.questionnaire.questions import Address, Name
+from persimmonspoke.internal.scheduling.settings import SchedulingSettings
+from persimmonspoke.internal.targets.settings import TargetSettings
 from persimmonspoke.internal.timers import Timers
 
-Port = Annotated[int, Field(ge=1, le=65535)]
-Name = Annotated[str, Field(pattern=r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$")]
-
-
-class _Block(BaseModel):
-    model_config = ConfigDict(extra="forbid", frozen=True)
-
-
-class Listen(_Block):
-    """Where the daemon listens.
-
-    Attributes
-    ----------
-    ip : IPv4Address or IPv6Address
-        Address of this host, as peers and callers reach it.
-    callers, peers, admin : int
-        TCP ports.  Several daemons of one host may share the callers' port.
-    """
-
-    ip: IPv4Address | IPv6Address
-    callers: Port = 8080
-    peers: Port = 7100
-    admin: Port = 7200
-
-
-class Platform(_Block):
-    """Where the platform answers.
-
-    Attributes
-    ----------
-    url : str
-        Base URL of the object API and of the list of hosts.
-    """
-
-    url: Annotated[str, Field(pattern=r"^https?://[^/]+(/.*[^/])?$")]
-
+Port = Annotated[int, Field(strict=True, ge=0, le=65535)]
+Url = Annotated[str, Field(pattern=r"^https?://[^/\s]+(/\S*[^/\s])?$")]
 
-class Admin(_Block):
-    """Who may use the administration API.
 
-    Attributes
-    ----------
-    operator_token : str or None
-        Bearer token for everything; may be left out only on a loopback address.
-    team_tokens : dict of str to str
-        Bearer token of each team, for that team alone.
-    """
-
-    operator_token: Annotated[str, Field(min_length=16)] | None = None
-    team_tokens: dict[str, Annotated[str, Field(min_length=16)]] = {}
-
-
-class Limits(_Block):
-    """What one daemon takes on at most.
-
-    Attributes
-    ----------
-    callers : int
-        Connections of callers open at once.
-    waiting : int
-        Requests that wait for a slot, all services together.
-    header_bytes : int
-        Size of a request's line and headers.
-    stop_s : float
-        Time that a graceful stop allows requests in hand.
-    """
-
-    callers: Annotated[int, Field(ge=1)] = 4096
-    waiting: Annotated[int, Field(ge=1)] = 2048
-    header_bytes: Annotated[int, Field(ge=1024)] = 32768
-    stop_s: Annotated[float, Field(gt=0)] = 20.0
-
-
-class Observe(_Block):
+class Observe(CheckedModel):
     """Logs and metrics.
 
     Attributes
@@ -92,36 +30,52 @@
     """
 
     log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
-    statsd_ip: IPv4Address | IPv6Address | None = None
+    statsd_ip: Address | None = None
     statsd_port: Port = 8125
 
 
-class Settings(_Block):
+class Settings(CheckedModel):
     """All settings of one daemon.
 
     Attributes
     ----------
     host : str
-        Name of the host, the same at each start; several daemons of one host add a
-        number to it.
+        Name of the host, the same at each start and as the platform lists it.
+        Several daemons of one host have different names.
     data_centre : str
         The data centre that the host stands in.
+    ip : str
+        Address of this host, as callers and the other entry hosts reach it.
+    caller_port, peer_port : int
+        TCP ports; 0 lets the kernel choose.  Several daemons of one host may share
+        the callers' port.
+    platform_url : str
+        Base URL of the object API and of the list of hosts.
+    stop_s : float
+        Time that a graceful stop allows requests in hand.
     """
 
     host: Name
     data_centre: Name
-    listen: Listen
-    platform: Platform
-    admin: Admin = Admin()
-    limits: Limits = Limits()
+    ip: Address
+    caller_port: Port = 8080
+    peer_port: Port = 7100
+    platform_url: Url
+    stop_s: Annotated[float, Field(gt=0)] = 20.0
+    admin: AdminSettings = AdminSettings()
+    callers: CallerSettings = CallerSettings()
+    targets: TargetSettings = TargetSettings()
+    scheduling: SchedulingSettings = SchedulingSettings()
     observe: Observe = Observe()
     timers: Timers = Timers()
 
-    @model_validator(mode="after")
-    def _token_unless_loopback(self):
-        if self.admin.operator_token is None and not self.listen.ip.is_loopback:
-            raise ValueError(
-                f"listen.ip={self.listen.ip} is not a loopback address, so "
-                "admin.operator_token must be set"
-            )
-        return self
+    @classmethod
+    def cross_faults(cls, raw: dict[str, Any]) -> Iterator[CrossFault]:
+        """Yield a fault if other hosts could not reach this one."""
+        try:
+            unspecified = ipaddress.ip_address(str(raw.get("ip"))).is_unspecified
+        except ValueError:
+            return
+        if unspecified:
+            remedy = "write the address under which the other hosts reach this one"
+            yield CrossFault(("ip",), raw["ip"], remedy)
