--- a/tests/fakes/admin_api.py
+++ b/tests/fakes/admin_api.py
@@ -75,8 +75,8 @@
         How many of the next answers get lost on their way back.
     """
 
-    def __init__(self, store, cfg=OPEN):
-        clock = HubClock()
+    def __init__(self, store, cfg=OPEN, clock=None):
+        clock = clock or HubClock()
         self.host = FakeHost()
         self.lost_answers = 0
         parts = (Teams(store, clock), Drains(store, clock))
--- /dev/null
+++ b/tests/loopback/test_admin_http.py
@@ -0,0 +1,107 @@
+"""The administration API and the command-line tool over real sockets."""
+
+import json
+import logging
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+import eventlet
+import eventlet.wsgi
+from eventlet.green import subprocess
+
+from persimmonspoke.cli.exit_status import ExitStatus
+from persimmonspoke.internal.admin.settings import AdminSettings
+from persimmonspoke.internal.clock import SystemClock
+from tests.cover.test_teams import MemoryStore
+from tests.fakes.admin_api import FakeAdmin
+
+ROOT = Path(__file__).resolve().parents[2]
+QUESTIONNAIRE = ROOT / "examples" / "qoyan" / "questionnaire.yaml"
+TOKEN = "t" * 20
+
+
+class TestAdminOverHttp(unittest.TestCase):
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        cfg = AdminSettings(operator_token=TOKEN)
+        self.api = FakeAdmin(MemoryStore(), cfg, SystemClock())
+        listener = eventlet.listen(("127.0.0.1", 0))
+        self.port = listener.getsockname()[1]
+        server = eventlet.spawn(
+            eventlet.wsgi.server, listener, self.api.app, log_output=False
+        )
+        self.addCleanup(server.kill)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.token_file = Path(folder.name) / "token"
+        self.token_file.write_text(f"{TOKEN}\n")
+
+    def run_tool(self, *argv):
+        """Run the program and return its exit status and its output."""
+        done = subprocess.run(
+            [sys.executable, "-m", "persimmonspoke.cli.main", *argv],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+        )
+        self.assertNotIn("Traceback", done.stderr)
+        return done.returncode, done.stdout
+
+    def remote(self, *argv):
+        """Run a command that calls the API, and read its JSON."""
+        url = f"http://127.0.0.1:{self.port}"
+        options = ("--admin", url, "--token-file", str(self.token_file), "--json")
+        status, text = self.run_tool(*argv, *options)
+        return status, json.loads(text)
+
+    def talk(self, data):
+        """Send raw bytes and return the first line of the answer."""
+        conn = eventlet.connect(("127.0.0.1", self.port))
+        conn.sendall(data)
+        with eventlet.Timeout(20):
+            line = conn.makefile("rb").readline()
+        conn.close()
+        return line
+
+    def test_a_questionnaire_is_applied_by_the_program(self):
+        apply = ("questionnaire", "apply", str(QUESTIONNAIRE), "--generation")
+        status, value = self.remote(*apply, "0")
+        self.assertEqual((status, value["generation"]), (ExitStatus.OK, 1))
+        status, value = self.remote(*apply, "5")
+        self.assertEqual(status, ExitStatus.CONFLICT)
+        self.token_file.write_text("wrong")
+        status, value = self.remote("status")
+        self.assertEqual(status, ExitStatus.FAILURE)
+        self.assertEqual(value["error"]["type"], "Unauthenticated")
+
+    def test_a_port_where_nothing_listens_is_unreachable(self):
+        closed = eventlet.listen(("127.0.0.1", 0))
+        url = f"http://127.0.0.1:{closed.getsockname()[1]}"
+        closed.close()
+        status, text = self.run_tool("status", "--admin", url, "--json")
+        self.assertEqual(status, ExitStatus.UNREACHABLE)
+        self.assertEqual(json.loads(text)["error"]["type"], "AdminNotReached")
+
+    def test_bodies_over_the_limit_are_refused_in_either_form(self):
+        limit = AdminSettings().max_body_bytes
+        head = (
+            "PUT /v1/teams/qoyan/questionnaire HTTP/1.1\r\nHost: a\r\n"
+            f"If-Match: 0\r\nAuthorization: Bearer {TOKEN}\r\n"
+        ).encode()
+        announced = b"Content-Length: %d\r\n\r\n" % (limit + 1)
+        self.assertIn(b"413", self.talk(head + announced))
+        size = limit + 1
+        chunk = b"%x\r\n%s\r\n0\r\n\r\n" % (size, b"x" * size)
+        chunked = b"Transfer-Encoding: chunked\r\n\r\n"
+        self.assertIn(b"413", self.talk(head + chunked + chunk))
+
+    def test_malformed_chunks_are_refused(self):
+        head = (
+            "PUT /v1/teams/qoyan/questionnaire HTTP/1.1\r\nHost: a\r\n"
+            f"If-Match: 0\r\nAuthorization: Bearer {TOKEN}\r\n"
+            "Transfer-Encoding: chunked\r\n\r\nnonsense\r\n"
+        ).encode()
+        self.assertIn(b" 400 ", self.talk(head))
