--- a/src/persimmonspoke/errors.py
+++ b/src/persimmonspoke/errors.py
@@ -68,7 +68,7 @@
     """A request of the administration API was refused; nothing was changed."""
 
 
-class UnknownPath(AdminFailure):
+class UnknownAdminPath(AdminFailure):
     """The administration API has nothing at that path."""
 
 
@@ -84,7 +84,7 @@
     """A change came without the generation that it revises."""
 
 
-class BodyTooLarge(AdminFailure):
+class AdminBodyTooLarge(AdminFailure):
     """The body exceeds the limit of the settings."""
 
 
--- a/src/persimmonspoke/internal/admin/app.py
+++ b/src/persimmonspoke/internal/admin/app.py
@@ -9,7 +9,7 @@
     MethodNotAllowed,
     PersimmonspokeError,
     Unauthenticated,
-    UnknownPath,
+    UnknownAdminPath,
 )
 from persimmonspoke.ids import Instant
 from persimmonspoke.internal.admin.api import Assignments, Members, Node
@@ -107,7 +107,7 @@
             allowed.append(endpoint.method)
         if allowed:
             raise MethodNotAllowed(f"use {' or '.join(allowed)} here")
-        raise UnknownPath("there is nothing at this path")
+        raise UnknownAdminPath("there is nothing at this path")
 
 
 def make_admin_app(
--- a/src/persimmonspoke/internal/admin/failures.py
+++ b/src/persimmonspoke/internal/admin/failures.py
@@ -7,7 +7,7 @@
 from persimmonspoke.errors import (
     AdminFailure,
     ApplyConflict,
-    BodyTooLarge,
+    AdminBodyTooLarge,
     ConfigurationEdited,
     Forbidden,
     GenerationRequired,
@@ -19,7 +19,7 @@
     StoreOutcomeUnknown,
     Unauthenticated,
     UnknownName,
-    UnknownPath,
+    UnknownAdminPath,
 )
 
 OUTCOME_UNKNOWN_ADVICE = (
@@ -79,7 +79,7 @@
 
 
 @refusal.register(UnknownName)
-@refusal.register(UnknownPath)
+@refusal.register(UnknownAdminPath)
 def _(exc):
     return Refusal("404 Not Found", {})
 
@@ -100,7 +100,7 @@
 
 
 @refusal.register
-def _(exc: BodyTooLarge):
+def _(exc: AdminBodyTooLarge):
     return Refusal("413 Content Too Large", {})
 
 
--- a/src/persimmonspoke/internal/admin/request.py
+++ b/src/persimmonspoke/internal/admin/request.py
@@ -7,7 +7,7 @@
 from urllib.parse import parse_qs
 
 from persimmonspoke.errors import (
-    BodyTooLarge,
+    AdminBodyTooLarge,
     Forbidden,
     GenerationRequired,
     MalformedAdminRequest,
@@ -68,13 +68,13 @@
     cfg: AdminSettings = field(repr=False)
 
     def text(self) -> str:
-        """Return the body, or raise `BodyTooLarge` or `MalformedAdminRequest`."""
+        """Return the body, or raise `AdminBodyTooLarge` or `MalformedAdminRequest`."""
         length = self.environ.get("CONTENT_LENGTH") or "0"
         if not length.isascii() or not length.isdigit():
             raise MalformedAdminRequest("Content-Length is no number")
         limit = self.cfg.max_body_bytes
         if int(length) > limit:
-            raise BodyTooLarge(f"the body may have {limit} bytes")
+            raise AdminBodyTooLarge(f"the body may have {limit} bytes")
         try:
             # A chunked body has no length beforehand, so one byte more is read.
             data = self.environ["wsgi.input"].read(limit + 1)
@@ -82,7 +82,7 @@
         except (OSError, ValueError) as exc:
             raise MalformedAdminRequest(f"the body can't be read: {exc}") from exc
         if len(data) > limit:
-            raise BodyTooLarge(f"the body may have {limit} bytes")
+            raise AdminBodyTooLarge(f"the body may have {limit} bytes")
         if not text.strip():
             raise MalformedAdminRequest("the body is empty")
         return text
--- a/tests/cover/test_admin.py
+++ b/tests/cover/test_admin.py
@@ -157,8 +157,8 @@
             (self.put("1", CONTENT_LENGTH="-5"), 400, "MalformedAdminRequest"),
             (self.put("1", CONTENT_LENGTH="²"), 400, "MalformedAdminRequest"),
             (self.put("1", IDEMPOTENCY_KEY="a/b"), 400, "MalformedAdminRequest"),
-            (self.put("1", large), 413, "BodyTooLarge"),
-            (self.put("1", large, CONTENT_LENGTH=""), 413, "BodyTooLarge"),
+            (self.put("1", large), 413, "AdminBodyTooLarge"),
+            (self.put("1", large, CONTENT_LENGTH=""), 413, "AdminBodyTooLarge"),
             (self.put("1", b"[1"), 422, "InvalidSettings"),
             (self.put("1", b"team: demo"), 422, "InvalidSettings"),
             (
@@ -171,8 +171,8 @@
                 400,
                 "MalformedAdminRequest",
             ),
-            (self.api.request("GET", "/v1"), 404, "UnknownPath"),
-            (self.api.request("GET", "/v2/" + "é" * 99), 404, "UnknownPath"),
+            (self.api.request("GET", "/v1"), 404, "UnknownAdminPath"),
+            (self.api.request("GET", "/v2/" + "é" * 99), 404, "UnknownAdminPath"),
             (self.api.request("DELETE", ACCEPTED), 405, "MethodNotAllowed"),
             (
                 self.api.request("GET", "/v1/teams/none/questionnaire"),
