--- a/src/persimmonspoke/internal/admin/failures.py
+++ b/src/persimmonspoke/internal/admin/failures.py
@@ -5,9 +5,9 @@
 from typing import Any
 
 from persimmonspoke.errors import (
+    AdminBodyTooLarge,
     AdminFailure,
     ApplyConflict,
-    AdminBodyTooLarge,
     ConfigurationEdited,
     Forbidden,
     GenerationRequired,
@@ -18,8 +18,8 @@
     StoreError,
     StoreOutcomeUnknown,
     Unauthenticated,
-    UnknownName,
     UnknownAdminPath,
+    UnknownName,
 )
 
 OUTCOME_UNKNOWN_ADVICE = (
--- a/src/persimmonspoke/internal/admin/settings.py
+++ b/src/persimmonspoke/internal/admin/settings.py
@@ -8,7 +8,7 @@
 from pydantic import Field, SecretStr
 
 from persimmonspoke.internal.checked_yaml import CheckedModel, CrossFault
-from persimmonspoke.internal.questionnaire.questions import Address, Name
+from persimmonspoke.internal.questionnaire.fields import Address, Name
 
 MIN_TOKEN_CHARACTERS = 16
 Token = Annotated[SecretStr, Field(min_length=MIN_TOKEN_CHARACTERS)]
--- a/src/persimmonspoke/internal/questionnaire/configuration.py
+++ b/src/persimmonspoke/internal/questionnaire/configuration.py
@@ -84,7 +84,8 @@
     Attributes
     ----------
     path_prefix : str
-        Requests whose path starts with it belong to this service.
+        Requests whose path, after the team's name, starts with it belong to this
+        service.
     shard_count : int
         Number of shards; 0 if the service is not divided by key.
     shards_per_page : int
--- a/tests/cover/test_teams.py
+++ b/tests/cover/test_teams.py
@@ -17,7 +17,8 @@
 )
 from persimmonspoke.ids import Instant
 from persimmonspoke.internal.questionnaire.drains import Drains
-from persimmonspoke.internal.questionnaire.teams import TeamRecord, Teams, read_config
+from persimmonspoke.internal.questionnaire.team_record import TeamRecord, read_config
+from persimmonspoke.internal.questionnaire.teams import Teams
 from persimmonspoke.internal.store.api import Stored
 from tests.cover.test_questionnaire import answers
 from tests.fakes.admin_api import HubClock
