--- a/src/persimmonspoke/internal/admin/request.py
+++ b/src/persimmonspoke/internal/admin/request.py
@@ -16,6 +16,7 @@
 from persimmonspoke.ids import Generation, Instant
 from persimmonspoke.internal.admin.settings import AdminSettings
 
+MAX_LENGTH_DIGITS = 15
 MAX_PARAMETERS = 20
 _NAME = re.compile(r"[a-z0-9]([a-z0-9-]{0,46}[a-z0-9])?")
 _GENERATION = re.compile(r'"?([0-9]{1,15})"?')
@@ -73,7 +74,7 @@
         if not length.isascii() or not length.isdigit():
             raise MalformedAdminRequest("Content-Length is no number")
         limit = self.cfg.max_body_bytes
-        if int(length) > limit:
+        if len(length) > MAX_LENGTH_DIGITS or int(length) > limit:
             raise AdminBodyTooLarge(f"the body may have {limit} bytes")
         try:
             # A chunked body has no length beforehand, so one byte more is read.
--- a/tests/cover/test_admin.py
+++ b/tests/cover/test_admin.py
@@ -4,6 +4,7 @@
 import json
 import logging
 import unittest
+import unittest.mock
 
 from pydantic import ValidationError
 
@@ -158,6 +159,7 @@
             (self.put("1", CONTENT_LENGTH="²"), 400, "MalformedAdminRequest"),
             (self.put("1", IDEMPOTENCY_KEY="a/b"), 400, "MalformedAdminRequest"),
             (self.put("1", large), 413, "AdminBodyTooLarge"),
+            (self.put("1", CONTENT_LENGTH="9" * 5000), 413, "AdminBodyTooLarge"),
             (self.put("1", large, CONTENT_LENGTH=""), 413, "AdminBodyTooLarge"),
             (self.put("1", b"[1"), 422, "InvalidSettings"),
             (self.put("1", b"team: demo"), 422, "InvalidSettings"),
@@ -210,7 +212,7 @@
         self.assertEqual(paths, ["weighs_most", "services"])
         self.assertTrue(all(f["remedy"] for f in value["error"]["faults"]))
 
-    def test_a_body_that_breaks_off_is_refused(self):
+    def test_a_body_that_breaks_off_or_is_announced_too_long_is_refused(self):
         class Broken(io.RawIOBase):
             def read(self, size=-1):
                 raise OSError("reset")
@@ -219,12 +221,13 @@
             "REQUEST_METHOD": "PUT",
             "PATH_INFO": ACCEPTED,
             "HTTP_IF_MATCH": "0",
-            "CONTENT_LENGTH": "10",
             "wsgi.input": Broken(),
         }
-        started = []
-        self.api.app(environ, lambda *args: started.append(args))
-        self.assertEqual(started[0][0], "400 Bad Request")
+        for length, status in ((10, "400"), (self.api_limit() + 1, "413")):
+            environ["CONTENT_LENGTH"] = str(length)
+            start = unittest.mock.Mock()
+            self.api.app(environ, start)
+            self.assertEqual(start.call_args.args[0][:3], status)
 
     def test_an_unexpected_failure_is_told_without_its_details(self):
         self.api.host.dump = lambda: 1 / 0
--- a/tests/cover/test_cli.py
+++ b/tests/cover/test_cli.py
@@ -10,6 +10,7 @@
 
 import eventlet
 
+from persimmonspoke.cli.client import HttpAnswer
 from persimmonspoke.cli.exit_status import ExitStatus
 from persimmonspoke.cli.main import main
 from persimmonspoke.errors import AdminNotReached, AdminUnreachable
@@ -180,6 +181,13 @@
         self.assertNotIn("unknown", text)
         self.assertEqual(HubClock().now(), before)
 
+    def test_an_answer_of_something_else_is_a_failure(self):
+        for data in (b"<html>", b"[]", b'{"error": 5}'):
+            self.api.send = lambda *args, data=data: HttpAnswer(502, data)
+            status, text = self.apply(0, "--json")
+            self.assertEqual(status, ExitStatus.FAILURE)
+            self.assertEqual(json.loads(text)["error"]["type"], "MalformedAnswer")
+
     def test_waiting_ends_when_every_live_host_has_the_generation(self):
         self.api.host.others = [host_status("b.1", demo=7)]
 
--- a/tests/cover/test_teams.py
+++ b/tests/cover/test_teams.py
@@ -179,6 +179,8 @@
         self.apply(0)
         self.assertEqual(self.apply(1).generation, 1)
         self.assertEqual(self.apply(0).generation, 1)
+        with self.assertRaises(ApplyConflict):
+            self.apply(5)
         self.assertEqual(self.read().version, 1)
 
     def test_answers_of_another_team_are_refused(self):
