Add the scheduler: queues, lent slots, retry budget

Cause: the request path needs slots shared by all entry hosts. Change: one lender a group of targets lends permits by demand; waiting requests are ordered by team share, precedence, service share, key in turn.

--- a/src/persimmonspoke/errors.py
+++ b/src/persimmonspoke/errors.py
@@ -93,6 +93,10 @@
     """The caller's deadline passed before the request was written to a target."""
 
 
+class GroupsChanged(NotRun):
+    """The group of targets that the request waited for no longer exists."""
+
+
 class MalformedRequest(NotRun):
     """The request breaks a rule of HTTP or of the service's configuration."""
 
--- /dev/null
+++ b/src/persimmonspoke/internal/scheduling/borrower.py
@@ -0,0 +1,368 @@
+"""The holding side: one host's permits and waiting requests in one group."""
+
+from collections.abc import Callable
+
+from persimmonspoke.errors import (
+    DeadlinePassed,
+    GroupsChanged,
+    NoOwnerYet,
+    Overloaded,
+)
+from persimmonspoke.ids import HostId, Instant
+from persimmonspoke.internal.clock import Clock
+from persimmonspoke.internal.scheduling.api import SlotOutcome, Ticket
+from persimmonspoke.internal.scheduling.groups import Choice, Endpoint, Group
+from persimmonspoke.internal.scheduling.health import TargetHealth
+from persimmonspoke.internal.scheduling.messages import (
+    Balance,
+    SlotGrant,
+    SlotReport,
+    Want,
+)
+from persimmonspoke.internal.scheduling.queue import Entry, EntryState, WaitingQueue
+from persimmonspoke.internal.scheduling.settings import SchedulingSettings
+
+
+class _Holding:
+    """Permits of one endpoint; `lent` and `returned` count since the account."""
+
+    __slots__ = ("lent", "returned", "busy", "least_idle")
+
+    def __init__(self):
+        self.lent = 0
+        self.returned = 0
+        self.busy = 0
+        self.least_idle = 0
+
+    def idle(self):
+        return self.lent - self.returned - self.busy
+
+
+class HeldSlot:
+    """One slot in use; see `api.Slot`."""
+
+    __slots__ = ("_borrower", "_ticket", "_choice", "_holding", "_started_at", "_open")
+
+    def __init__(self, borrower, ticket, choice, holding, started_at):
+        self._borrower = borrower
+        self._ticket = ticket
+        self._choice = choice
+        self._holding = holding
+        self._started_at = started_at
+        self._open = True
+
+    @property
+    def target_id(self):
+        """The target whose slot this is."""
+        return self._choice.target_id
+
+    def done(self, outcome: SlotOutcome) -> None:
+        """Give the slot back; a second call does nothing."""
+        if self._open:
+            self._open = False
+            self._borrower.take_back(
+                self._ticket,
+                self._choice.endpoint,
+                self._holding,
+                outcome,
+                self._started_at,
+            )
+
+
+class Borrower:
+    """Permits that this host holds in one group, and requests that wait for more.
+
+    Parameters
+    ----------
+    changed : callable
+        Called when the lender should hear of a change.
+    """
+
+    def __init__(
+        self,
+        group: Group,
+        me: HostId,
+        cfg: SchedulingSettings,
+        clock: Clock,
+        changed: Callable[["Borrower"], None],
+    ):
+        self.group = group
+        self.queue = WaitingQueue(cfg.max_waiting)
+        self.closed: frozenset[Endpoint] = frozenset()
+        self._me = me
+        self._clock = clock
+        self._changed = changed
+        self._holdings: dict[Endpoint, _Holding] = {}
+        self._health = {endpoint: TargetHealth() for endpoint in group.slots}
+        self._keep = 0
+        self._short = False
+        self._give_back: frozenset[Endpoint] = frozenset()
+        self._account = 1
+        self._report_serial = 0
+        self._grant_serial = 0
+        self.lender: HostId | None = None
+        self.lease_until = Instant(float("-inf"))
+
+    def acquire(self, ticket: Ticket, choices: tuple[Choice, ...]) -> HeldSlot:
+        """Return a slot at one of `choices`; wait for it if need be."""
+        if not self.queue:
+            slot = self._take(ticket, choices)
+            if slot is not None:
+                return slot
+        entry = Entry(ticket, choices, self._start_by(ticket))
+        self.queue.push(entry)
+        if entry.state is EntryState.WAITING:
+            self._start_waiting()
+        if entry.state is EntryState.WAITING:
+            # A lender on this host may serve the entry before this call returns.
+            self._changed(self)
+        try:
+            self._wait(entry)
+        except BaseException:
+            self._abandon(entry)
+            raise
+        return entry.slot
+
+    def configure(self, group: Group) -> None:
+        """Take in the group as it is now."""
+        self.group = group
+        for endpoint in group.slots:
+            self._health.setdefault(endpoint, TargetHealth())
+
+    def dissolve(self) -> None:
+        """Send all waiting requests back to where they choose their group."""
+        self._end_all(EntryState.MOVED, lambda entry: True)
+
+    def close(self, endpoints: frozenset[Endpoint]) -> None:
+        """Start nothing more on `endpoints`."""
+        self.closed = endpoints
+        self._end_all(EntryState.CLOSED, self._has_no_choice)
+        self._tidy()
+
+    def open_choices(self, choices: tuple[Choice, ...]) -> tuple[Choice, ...]:
+        """Return those of `choices` that take new work."""
+        if not self.closed:
+            return choices
+        return tuple(c for c in choices if c.endpoint not in self.closed)
+
+    def load(self) -> float:
+        """Return requests that run or wait here, for each slot of the group."""
+        busy = sum(holding.busy for holding in self._holdings.values())
+        return (busy + len(self.queue)) / sum(self.group.slots.values())
+
+    def permits(self) -> dict[Endpoint, int]:
+        """Return how many permits of each endpoint are held."""
+        return {e: h.lent - h.returned for e, h in self._holdings.items()}
+
+    def is_active(self) -> bool:
+        """Return whether the lender must hear from this host."""
+        return bool(self.queue) or any(
+            holding.lent > holding.returned for holding in self._holdings.values()
+        )
+
+    def report(self) -> SlotReport:
+        """Return the whole state for the lender."""
+        self._report_serial += 1
+        wants = self.queue.waiting + self.queue.running
+        return SlotReport(
+            group=self.group.group_id,
+            holder=self._me,
+            account=self._account,
+            serial=self._report_serial,
+            wants=tuple(Want(*rank, count) for rank, count in wants.items()),
+            balances=tuple(
+                self._balance(endpoint, holding)
+                for endpoint, holding in self._holdings.items()
+            ),
+            narrow=self._narrow(),
+        )
+
+    def change_lender(self, lender: HostId) -> None:
+        """Open an account with another lender and bring along what is held."""
+        self.lender = lender
+        self._open_account()
+        for holding in self._holdings.values():
+            holding.lent -= holding.returned
+            holding.returned = 0
+
+    def forget_account(self) -> None:
+        """Start afresh with the next request; nothing is held or waited for."""
+        self._holdings = {}
+        self._open_account()
+
+    def check_lease(self, now: Instant) -> None:
+        """Drop all permits if their lease has lapsed."""
+        if self._holdings and now >= self.lease_until:
+            # Slots in use keep their old record, which nobody counts any more.
+            self.forget_account()
+
+    def on_grant(self, grant: SlotGrant) -> None:
+        """Take in what may be used now and start requests that wait for it."""
+        stale = grant.lender != self.lender or grant.account != self._account
+        if stale or grant.serial <= self._grant_serial:
+            return
+        self._grant_serial = grant.serial
+        for loan in grant.loans:
+            holding = self._holdings.setdefault(loan.endpoint, _Holding())
+            holding.lent = max(holding.lent, loan.lent)
+        self._keep = grant.keep
+        self._short = grant.short
+        self._give_back = frozenset(grant.give_back)
+        self._start_waiting()
+        self._tidy()
+
+    def return_unused(self) -> None:
+        """Give back permits that nothing needed since the last call."""
+        returned = False
+        for holding in self._holdings.values():
+            unused = min(holding.least_idle, holding.idle())
+            holding.returned += unused
+            holding.least_idle = holding.idle()
+            returned = returned or unused > 0
+        if returned:
+            self._changed(self)
+
+    def take_back(self, ticket, endpoint, holding, outcome, started_at):
+        """Settle one slot; called by the slot itself."""
+        now = self._clock.now()
+        holding.busy -= 1
+        self.queue.finished(ticket)
+        health = self._health.get(endpoint)
+        if health is not None:
+            health.note(outcome, now - started_at, now)
+        if self._keep < self._held() or endpoint in self._give_back:
+            self._tidy()
+        if self.queue:
+            self._start_waiting()
+            self._changed(self)
+        elif self._short:
+            self._tidy()
+
+    def _open_account(self):
+        self._account += 1
+        self._grant_serial = 0
+        self._keep = 0
+        self._give_back = frozenset()
+
+    def _held(self):
+        return sum(h.lent - h.returned for h in self._holdings.values())
+
+    def _start_by(self, ticket):
+        """Return the last instant at which starting `ticket` makes sense.
+
+        The usual time of an answer is kept free, but never more than half of the
+        caller's patience: an overestimate must not keep all requests from running.
+        """
+        now = self._clock.now()
+        known = [h.latency_s for h in self._health.values() if h.latency_s]
+        usual = min(known, default=0.0)
+        return Instant(ticket.deadline - min(usual, (ticket.deadline - now) / 2))
+
+    def _take(self, ticket, choices):
+        """Return a slot at the best endpoint that has an idle permit, or None."""
+        now = self._clock.now()
+        if now >= self.lease_until:
+            return None
+        best = best_rank = None
+        for choice in choices:
+            holding = self._holdings.get(choice.endpoint)
+            if holding is None or holding.idle() <= 0 or choice.endpoint in self.closed:
+                continue
+            health = self._health[choice.endpoint]
+            rank = (health.avoid_until > now, health.latency_s)
+            if best is None or rank < best_rank:
+                best, best_rank = choice, rank
+        if best is None:
+            return None
+        holding = self._holdings[best.endpoint]
+        holding.busy += 1
+        holding.least_idle = min(holding.least_idle, holding.idle())
+        self.queue.started(ticket)
+        return HeldSlot(self, ticket, best, holding, now)
+
+    def _start_waiting(self):
+        """Give idle permits to waiting requests, in their order."""
+        now = self._clock.now()
+        while self.queue:
+            idle = {e for e, holding in self._holdings.items() if holding.idle() > 0}
+            idle -= self.closed
+            entry = self.queue.pop(idle, now) if idle else None
+            if entry is None:
+                return
+            entry.slot = self._take(entry.ticket, entry.choices)
+            if entry.slot is None:
+                self.queue.push(entry)
+                return
+            entry.end(EntryState.STARTED)
+
+    def _tidy(self):
+        """Give back idle permits that this host may not keep or cannot use."""
+        excess = self._held() - self._keep
+        if self._short and not self.queue:
+            excess = self._held()
+        returned = False
+        for endpoint, holding in self._holdings.items():
+            must = endpoint in self._give_back or endpoint in self.closed
+            count = holding.idle() if must else min(holding.idle(), max(0, excess))
+            if count > 0:
+                holding.returned += count
+                holding.least_idle = 0
+                excess -= count
+                returned = True
+        if returned:
+            self._changed(self)
+
+    def _wait(self, entry):
+        while entry.state is EntryState.WAITING:
+            left_s = entry.start_by - self._clock.now()
+            if left_s <= 0:
+                self.queue.remove(entry)
+                entry.state = EntryState.EXPIRED
+                break
+            entry.event.wait(timeout=left_s)
+        if entry.state is EntryState.EXPIRED:
+            raise DeadlinePassed("no slot became free in time")
+        if entry.state is EntryState.SHED:
+            raise Overloaded("too many requests wait")
+        if entry.state is EntryState.CLOSED:
+            raise NoOwnerYet("every candidate is leaving")
+        if entry.state is EntryState.MOVED:
+            raise GroupsChanged
+
+    def _abandon(self, entry):
+        """Clean up after a task that ends while it waits."""
+        if entry.slot is not None:
+            entry.slot.done(SlotOutcome.CANCELLED)
+        elif entry.state is EntryState.WAITING:
+            self.queue.remove(entry)
+
+    def _has_no_choice(self, entry):
+        return not self.open_choices(entry.choices)
+
+    def _end_all(self, state, condition):
+        for entry in [entry for entry in self.queue if condition(entry)]:
+            self.queue.remove(entry)
+            entry.end(state)
+
+    def _balance(self, endpoint, holding):
+        health = self._health.get(endpoint) or TargetHealth()
+        return Balance(
+            endpoint=endpoint,
+            lent=holding.lent,
+            returned=holding.returned,
+            answered=health.answered,
+            troubled=health.troubled,
+        )
+
+    def _narrow(self):
+        """Return endpoints that waiting requests need because they refuse others."""
+        if not self.group.pooled or not self.queue:
+            return ()
+        all_open = len(self.group.slots) - len(self.closed)
+        return tuple(
+            {
+                entry.choices[0].endpoint: None
+                for entry in self.queue
+                if len(entry.choices) < all_open
+            }
+        )
--- /dev/null
+++ b/src/persimmonspoke/internal/scheduling/retry_budget.py
@@ -0,0 +1,34 @@
+"""A budget of retries, so that retries cannot feed an overload."""
+
+from persimmonspoke.internal.scheduling.settings import SchedulingSettings
+
+
+class RetryBudget:
+    """Retries of one service, limited to a share of its first tries.
+
+    Parameters
+    ----------
+    cfg : SchedulingSettings
+        Gives the share and the most retries that can be saved up.
+    """
+
+    def __init__(self, cfg: SchedulingSettings):
+        self._share = cfg.retry_share
+        self._burst = cfg.retry_burst
+        self._tokens = 0.0
+
+    def tried(self) -> None:
+        """Count one request that starts to wait for a slot."""
+        self._tokens = min(self._burst, self._tokens + self._share)
+
+    def take(self) -> bool:
+        """Take one retry; return whether there was one.
+
+        The retry waits for a slot again and is counted there; the price makes up
+        for that, so that retries earn no further retries.
+        """
+        price = 1.0 + self._share
+        if self._tokens < price - 1e-9:
+            return False
+        self._tokens -= price
+        return True
