Make acquire and done cheaper

Cause: they are on the path of every request. Change: count use in records kept by service instead of in counters.

--- a/src/persimmonspoke/internal/scheduling/borrower.py
+++ b/src/persimmonspoke/internal/scheduling/borrower.py
@@ -41,11 +41,11 @@
 class HeldSlot:
     """One slot in use; see `api.Slot`."""
 
-    __slots__ = ("_borrower", "_ticket", "_choice", "_holding", "_started_at", "_open")
+    __slots__ = ("_borrower", "_use", "_choice", "_holding", "_started_at", "_open")
 
-    def __init__(self, borrower, ticket, choice, holding, started_at):
+    def __init__(self, borrower, use, choice, holding, started_at):
         self._borrower = borrower
-        self._ticket = ticket
+        self._use = use
         self._choice = choice
         self._holding = holding
         self._started_at = started_at
@@ -61,7 +61,7 @@
         if self._open:
             self._open = False
             self._borrower.take_back(
-                self._ticket,
+                self._use,
                 self._choice.endpoint,
                 self._holding,
                 outcome,
@@ -93,6 +93,7 @@
         self._clock = clock
         self._changed = changed
         self._holdings: dict[Endpoint, _Holding] = {}
+        self._held = 0
         self._health = {endpoint: TargetHealth() for endpoint in group.slots}
         self._keep = 0
         self._short = False
@@ -156,20 +157,19 @@
 
     def is_active(self) -> bool:
         """Return whether the lender must hear from this host."""
-        return bool(self.queue) or any(
-            holding.lent > holding.returned for holding in self._holdings.values()
-        )
+        return self._held > 0 or bool(self.queue)
 
     def report(self) -> SlotReport:
         """Return the whole state for the lender."""
         self._report_serial += 1
-        wants = self.queue.waiting + self.queue.running
         return SlotReport(
             group=self.group.group_id,
             holder=self._me,
             account=self._account,
             serial=self._report_serial,
-            wants=tuple(Want(*rank, count) for rank, count in wants.items()),
+            wants=tuple(
+                Want(*rank, count) for rank, count in self.queue.wants().items()
+            ),
             balances=tuple(
                 self._balance(endpoint, holding)
                 for endpoint, holding in self._holdings.items()
@@ -188,6 +188,7 @@
     def forget_account(self) -> None:
         """Start afresh with the next request; nothing is held or waited for."""
         self._holdings = {}
+        self._held = 0
         self._open_account()
 
     def check_lease(self, now: Instant) -> None:
@@ -205,6 +206,7 @@
         for loan in grant.loans:
             holding = self._holdings.setdefault(loan.endpoint, _Holding())
             holding.lent = max(holding.lent, loan.lent)
+        self._count_held()
         self._keep = grant.keep
         self._short = grant.short
         self._give_back = frozenset(grant.give_back)
@@ -220,17 +222,18 @@
             holding.least_idle = holding.idle()
             returned = returned or unused > 0
         if returned:
+            self._count_held()
             self._changed(self)
 
-    def take_back(self, ticket, endpoint, holding, outcome, started_at):
+    def take_back(self, use, endpoint, holding, outcome, started_at):
         """Settle one slot; called by the slot itself."""
         now = self._clock.now()
         holding.busy -= 1
-        self.queue.finished(ticket)
+        self.queue.finished(use)
         health = self._health.get(endpoint)
         if health is not None:
             health.note(outcome, now - started_at, now)
-        if self._keep < self._held() or endpoint in self._give_back:
+        if self._keep < self._held or endpoint in self._give_back:
             self._tidy()
         if self.queue:
             self._start_waiting()
@@ -244,8 +247,8 @@
         self._keep = 0
         self._give_back = frozenset()
 
-    def _held(self):
-        return sum(h.lent - h.returned for h in self._holdings.values())
+    def _count_held(self):
+        self._held = sum(h.lent - h.returned for h in self._holdings.values())
 
     def _start_by(self, ticket):
         """Return the last instant at which starting `ticket` makes sense.
@@ -261,45 +264,50 @@
     def _take(self, ticket, choices):
         """Return a slot at the best endpoint that has an idle permit, or None."""
         now = self._clock.now()
-        if now >= self.lease_until:
+        if not self._held or now >= self.lease_until:
             return None
-        best = best_rank = None
-        for choice in choices:
-            holding = self._holdings.get(choice.endpoint)
-            if holding is None or holding.idle() <= 0 or choice.endpoint in self.closed:
-                continue
-            health = self._health[choice.endpoint]
-            rank = (health.avoid_until > now, health.latency_s)
-            if best is None or rank < best_rank:
-                best, best_rank = choice, rank
-        if best is None:
+        usable = [choice for choice in choices if self._is_idle(choice.endpoint)]
+        if not usable:
             return None
+        best = usable[0]
+        if len(usable) > 1:
+            best = min(usable, key=lambda choice: self._rank(choice, now))
         holding = self._holdings[best.endpoint]
         holding.busy += 1
         holding.least_idle = min(holding.least_idle, holding.idle())
-        self.queue.started(ticket)
-        return HeldSlot(self, ticket, best, holding, now)
+        use = self.queue.use_of(ticket)
+        self.queue.started(use)
+        return HeldSlot(self, use, best, holding, now)
+
+    def _is_idle(self, endpoint):
+        holding = self._holdings.get(endpoint)
+        return (
+            holding is not None
+            and holding.lent - holding.returned > holding.busy
+            and endpoint not in self.closed
+        )
+
+    def _rank(self, choice, now):
+        health = self._health[choice.endpoint]
+        return health.avoid_until > now, health.latency_s
 
     def _start_waiting(self):
         """Give idle permits to waiting requests, in their order."""
         now = self._clock.now()
-        while self.queue:
+        while self.queue and now < self.lease_until:
             idle = {e for e, holding in self._holdings.items() if holding.idle() > 0}
             idle -= self.closed
             entry = self.queue.pop(idle, now) if idle else None
             if entry is None:
                 return
             entry.slot = self._take(entry.ticket, entry.choices)
-            if entry.slot is None:
-                self.queue.push(entry)
-                return
             entry.end(EntryState.STARTED)
 
     def _tidy(self):
         """Give back idle permits that this host may not keep or cannot use."""
-        excess = self._held() - self._keep
+        excess = self._held - self._keep
         if self._short and not self.queue:
-            excess = self._held()
+            excess = self._held
         returned = False
         for endpoint, holding in self._holdings.items():
             must = endpoint in self._give_back or endpoint in self.closed
@@ -310,6 +318,7 @@
                 excess -= count
                 returned = True
         if returned:
+            self._count_held()
             self._changed(self)
 
     def _wait(self, entry):
--- a/src/persimmonspoke/internal/scheduling/queue.py
+++ b/src/persimmonspoke/internal/scheduling/queue.py
@@ -12,7 +12,7 @@
 
 from eventlet.event import Event
 
-from persimmonspoke.ids import Instant, TeamId
+from persimmonspoke.ids import Instant, ServiceId, TeamId
 from persimmonspoke.internal.questionnaire.configuration import Precedence
 from persimmonspoke.internal.scheduling.api import Ticket
 from persimmonspoke.internal.scheduling.groups import Choice, Endpoint
@@ -105,29 +105,26 @@
             del self._by_key[key]
 
 
-class _Ordered:
-    """Names in the order of their use for their weight, least used first."""
+class _Use:
+    """How many slots one team or service uses, and when it got the last."""
+
+    __slots__ = ("running", "turn")
 
     def __init__(self):
-        self.running: Counter = Counter()
-        self._turn: dict[object, int] = {}
-        self._turns = 0
+        self.running = 0
+        self.turn = 0
 
-    def sorted(self, names, weights):
-        def rank(name):
-            return self.running[name] / weights.get(name, 1), self._turn.get(name, 0)
 
-        return sorted(names, key=rank) if len(names) > 1 else names
+class Use:
+    """Slots used by one service, counted for its team and precedence as well."""
 
-    def started(self, name):
-        self.running[name] += 1
-        self._turns += 1
-        self._turn[name] = self._turns
+    __slots__ = ("rank", "team", "service", "ranked")
 
-    def finished(self, name):
-        self.running[name] -= 1
-        if self.running[name] <= 0:
-            del self.running[name]
+    def __init__(self, rank: Rank, team: _Use, ranked: _Use):
+        self.rank = rank
+        self.team = team
+        self.service = _Use()
+        self.ranked = ranked
 
 
 class WaitingQueue:
@@ -143,10 +140,11 @@
         self._max_waiting = max_waiting
         self._teams: dict[TeamId, dict[Precedence, dict[object, _Keys]]] = {}
         self.waiting: Counter[Rank] = Counter()
-        self.running: Counter[Rank] = Counter()
         self.team_weights: dict[TeamId, int] = {}
-        self._by_team = _Ordered()
-        self._by_service = _Ordered()
+        self._team_uses: dict[TeamId, _Use] = {}
+        self._rank_uses: dict[Rank, _Use] = {}
+        self._uses: dict[tuple[TeamId, ServiceId], Use] = {}
+        self._turns = 0
         self._length = 0
 
     def __len__(self):
@@ -161,6 +159,7 @@
     def push(self, entry: Entry) -> None:
         """Add `entry`; when the queue is too long, somebody's entry is shed."""
         team, precedence = entry.rank
+        self.use_of(entry.ticket)
         services = self._teams.setdefault(team, {}).setdefault(precedence, {})
         services.setdefault(entry.ticket.service.service, _Keys()).push(entry)
         self.waiting[entry.rank] += 1
@@ -172,7 +171,7 @@
 
     def pop(self, accepted: Container[Endpoint], now: Instant) -> Entry | None:
         """Remove and return the next request that one of `accepted` may serve."""
-        for team in self._by_team.sorted(list(self._teams), self.team_weights):
+        for team in self._teams_in_order():
             levels = self._teams[team]
             for precedence in sorted(levels, key=_by_value):
                 entry = self._take(team, levels[precedence], accepted, now)
@@ -187,28 +186,61 @@
         self._teams[team][precedence][entry.ticket.service.service].remove(entry)
         self._forget(entry)
 
-    def started(self, ticket: Ticket) -> None:
+    def use_of(self, ticket: Ticket) -> Use:
+        """Return the record of slots that the ticket's service uses."""
+        key = (ticket.team, ticket.service.service)
+        use = self._uses.get(key)
+        if use is None or use.rank[1] is not ticket.service.precedence:
+            rank = (ticket.team, ticket.service.precedence)
+            team = self._team_uses.setdefault(ticket.team, _Use())
+            use = Use(rank, team, self._rank_uses.setdefault(rank, _Use()))
+            self._uses[key] = use
+        return use
+
+    def started(self, use: Use) -> None:
         """Count a request that has got a slot, whether it waited or not."""
-        self.running[ticket.team, ticket.service.precedence] += 1
-        self._by_team.started(ticket.team)
-        self._by_service.started((ticket.team, ticket.service.service))
+        self._turns += 1
+        use.team.running += 1
+        use.team.turn = self._turns
+        use.service.running += 1
+        use.service.turn = self._turns
+        use.ranked.running += 1
 
-    def finished(self, ticket: Ticket) -> None:
+    def finished(self, use: Use) -> None:
         """Count that the request gave its slot back."""
-        rank = (ticket.team, ticket.service.precedence)
-        self.running[rank] -= 1
-        if self.running[rank] <= 0:
-            del self.running[rank]
-        self._by_team.finished(ticket.team)
-        self._by_service.finished((ticket.team, ticket.service.service))
+        use.team.running -= 1
+        use.service.running -= 1
+        use.ranked.running -= 1
+
+    def wants(self) -> dict[Rank, int]:
+        """Return how many requests of each team and precedence run or wait."""
+        wants = Counter(self.waiting)
+        for rank, use in self._rank_uses.items():
+            if use.running:
+                wants[rank] += use.running
+        return wants
+
+    def _teams_in_order(self):
+        teams = list(self._teams)
+        if len(teams) == 1:
+            return teams
+
+        def rank(team):
+            use = self._team_uses.get(team) or _Use()
+            return use.running / self.team_weights.get(team, 1), use.turn
+
+        return sorted(teams, key=rank)
 
     def _take(self, team, services, accepted, now):
-        weights = {}
-        if len(services) > 1:
-            for name, keys in services.items():
-                weights[team, name] = next(iter(keys)).ticket.service.weight
-        names = [(team, name) for name in services]
-        for _, name in self._by_service.sorted(names, weights):
+        """Take the next entry, from the service that uses least for its weight."""
+
+        def rank(name):
+            service = next(iter(services[name])).ticket.service
+            use = self._uses[team, name].service
+            return use.running / service.weight, use.turn
+
+        names = sorted(services, key=rank) if len(services) > 1 else list(services)
+        for name in names:
             entry = services[name].take(accepted, now)
             if entry is not None:
                 return entry
--- a/src/persimmonspoke/internal/scheduling/shared.py
+++ b/src/persimmonspoke/internal/scheduling/shared.py
@@ -22,7 +22,6 @@
 from persimmonspoke.internal.scheduling.borrower import Borrower
 from persimmonspoke.internal.scheduling.directory import Directory
 from persimmonspoke.internal.scheduling.groups import (
-    Choice,
     Endpoint,
     GroupId,
     ServiceKey,
@@ -63,6 +62,26 @@
     running: bool = False
 
 
+class _Place:
+    """Where requests of one service with the same candidates may wait."""
+
+    __slots__ = ("budget", "_parts")
+
+    def __init__(self, budget, parts):
+        self.budget = budget
+        self._parts = parts
+
+    def choose(self, ticket):
+        """Return a borrower, the least loaded one, and the choices it serves."""
+        if len(self._parts) == 1 and not self._parts[0][0].closed:
+            return self._parts[0]
+        usable = [(b, b.open_choices(choices)) for b, choices in self._parts]
+        usable = [part for part in usable if part[1]]
+        if not usable:
+            raise NoOwnerYet(f"no candidate of {ticket.service.service} takes work")
+        return min(usable, key=lambda part: part[0].load())
+
+
 class SharedScheduler:
     """Queues on this host, in front of slots that all entry hosts share.
 
@@ -88,7 +107,7 @@
         self._directory = Directory()
         self._attended: dict[GroupId, _Attended] = {}
         self._lending: dict[GroupId, Lender] = {}
-        self._places: dict[tuple, list[tuple[Borrower, tuple[Choice, ...]]]] = {}
+        self._places: dict[tuple, _Place] = {}
         self._budgets: dict[ServiceKey, RetryBudget] = {}
         self._serials = itertools.count(1)
         self._pushes: dict[tuple[GroupId, HostId], SlotGrant] = {}
@@ -123,9 +142,9 @@
         """Wait for a slot at one of `candidates`; see `api.Scheduler`."""
         if ticket.deadline <= self._clock.now():
             raise DeadlinePassed("the deadline passed before the request waited")
-        self._budget(ticket).tried()
+        self._place(ticket, candidates).budget.tried()
         while True:
-            borrower, choices = self._place(ticket, candidates)
+            borrower, choices = self._place(ticket, candidates).choose(ticket)
             try:
                 return borrower.acquire(ticket, choices)
             except GroupsChanged:
@@ -161,25 +180,15 @@
         return budget
 
     def _place(self, ticket, candidates):
-        """Return the borrower to wait at, and the candidates that it serves."""
         key = (ticket.team, ticket.service.service, candidates)
-        places = self._places.get(key)
-        if places is None:
-            places = self._find_places(ticket, candidates)
+        place = self._places.get(key)
+        if place is None:
+            choices = self._directory.choices(ticket, candidates)
+            parts = [(self._attended[name].borrower, c) for name, c in choices.items()]
             if len(self._places) >= _MOST_CACHED_PLACES:
                 self._places.clear()
-            self._places[key] = places
-        if len(places) == 1 and not places[0][0].closed:
-            return places[0]
-        usable = [(b, b.open_choices(choices)) for b, choices in places]
-        usable = [place for place in usable if place[1]]
-        if not usable:
-            raise NoOwnerYet(f"no candidate of {ticket.service.service} takes work")
-        return min(usable, key=lambda place: place[0].load())
-
-    def _find_places(self, ticket, candidates):
-        choices = self._directory.choices(ticket, candidates)
-        return [(self._attended[name].borrower, part) for name, part in choices.items()]
+            place = self._places[key] = _Place(self._budget(ticket), parts)
+        return place
 
     def _regroup(self):
         self._places.clear()
--- a/tests/cover/test_scheduling_queue.py
+++ b/tests/cover/test_scheduling_queue.py
@@ -32,7 +32,7 @@
     def pop_all(self, now=0.0):
         out = []
         while (entry := self.queue.pop({"t:1"}, now)) is not None:
-            self.queue.started(entry.ticket)
+            self.queue.started(self.queue.use_of(entry.ticket))
             out.append(self.names[entry])
         return out
 
