Add membership, keepers, grants, takeover and routes

Cause: one lease a host, granted by its successor, is the base of ownership. Change: first version of membership and ownership; untested yet.

--- /dev/null
+++ b/src/persimmonspoke/internal/membership/holder.py
@@ -0,0 +1,442 @@
+"""This host's own lease: asking for it, and finding another grantor in time."""
+
+import logging
+from collections.abc import Callable
+
+from persimmonspoke.errors import (
+    PeerError,
+    StoreConflict,
+    StoreError,
+    StoreMissing,
+    StoreOutcomeUnknown,
+)
+from persimmonspoke.ids import HostId, Instant
+from persimmonspoke.internal.clock import Clock
+from persimmonspoke.internal.membership.directory import Directory
+from persimmonspoke.internal.membership.lease import FOREVER, NEVER, HeldLease
+from persimmonspoke.internal.membership.messages import (
+    LeaseRequest,
+    ReleaseRequest,
+    Verdict,
+)
+from persimmonspoke.internal.membership.record import NOBODY, HostRecord
+from persimmonspoke.internal.membership.settings import NodeSettings
+from persimmonspoke.internal.membership.tasks import Tasks
+from persimmonspoke.internal.news.api import News
+from persimmonspoke.internal.peers.api import Liveness, PeerAddress, PeerLink
+from persimmonspoke.internal.store.api import Store, Stored
+from persimmonspoke.internal.store.writes import new_write_id, write
+
+_LOG = logging.getLogger(__name__)
+
+STEP_S = 0.02
+WRITE_S = 0.5
+READ_PERIOD_S = 0.5
+CHANGE_PAUSE_S = 0.1
+ALONE_AFTER_S = 3.0
+ASKED_AT_ONCE = 3
+
+
+class Holder:
+    """The holder's end of this host's lease, and the only writer of its record.
+
+    Attributes
+    ----------
+    required : dict of HostId to HeldLease
+        By named successor, the lease that must run for this host to act.  Two
+        while a change of the successor has no known outcome; none if nobody but
+        proof of death can revoke this host.
+    revoked : bool
+        Whether this run has lost its authority for good.
+    hand_over : callable
+        Gives a prospective grantor all that this host keeps; returns whether it
+        took it.
+    acts_for : callable
+        Whether this host itself acts for a dead host.
+    """
+
+    def __init__(
+        self,
+        cfg: NodeSettings,
+        clock: Clock,
+        store: Store,
+        link: PeerLink,
+        news: News,
+        directory: Directory,
+        tasks: Tasks,
+    ):
+        self.cfg = cfg
+        self.timers = cfg.timers
+        self.record: HostRecord | None = None
+        self.required: dict[HostId, HeldLease] = {}
+        self.revoked = False
+        self.hand_over: Callable[[PeerAddress], bool] = lambda grantor: True
+        self.acts_for: Callable[[HostId], bool] = lambda host_id: False
+        self._clock = clock
+        self._store = store
+        self._link = link
+        self._news = news
+        self._directory = directory
+        self._tasks = tasks
+        self._stored = Stored("", {}, 0)
+        self._pending: HostRecord | None = None
+        self._sure_at = NEVER
+        self._read_at = NEVER
+        self._next_change = NEVER
+        self._isolated_since: Instant | None = None
+
+    def start(self) -> None:
+        """Begin to look after the lease; the record must have been written."""
+        self._tasks.every(STEP_S, self._guard)
+        self._tasks.every(STEP_S, self._steer)
+
+    def lease_end(self) -> Instant:
+        """Return the instant until which this host surely is not revoked."""
+        if self.record is None or self.revoked:
+            return NEVER
+        ends = (lease.end for lease in self.required.values())
+        return min(ends, default=FOREVER)
+
+    def valid_at(self, now: Instant) -> bool:
+        """Return whether this host may act at `now`."""
+        return now < self.lease_end()
+
+    def unrevoked_s(self, now: Instant) -> float:
+        """Return for how long this host surely is not revoked; it may be negative."""
+        sure_until = max(self.lease_end(), self._sure_at)
+        return min(sure_until - now, self.timers.lease_s)
+
+    def grantors(self) -> tuple[PeerAddress, ...]:
+        """Return all hosts that may now be this one's successor."""
+        return tuple(lease.grantor for lease in self.required.values())
+
+    def join(self) -> None:
+        """Write this host's record, naming a successor that has agreed."""
+        since = self._clock.now()
+        while self.record is None:
+            if self._pending is not None:
+                self._settle()
+            elif self._list_hosts() and not self._name_one_of(
+                self._directory.candidates()
+            ):
+                others = self._directory.unrevoked()
+                if not others or self._clock.now() > since + ALONE_AFTER_S:
+                    self._name(None)
+            self._clock.sleep_until(Instant(self._clock.now() + STEP_S))
+
+    def write_record(self, record: HostRecord) -> bool:
+        """Replace this host's record without a change of successor."""
+        if self._pending is not None:
+            return False
+        self._before = dict(self.required)
+        return self._write(record)
+
+    def _list_hosts(self):
+        """Read all host records; prove the ones that are dead."""
+        try:
+            listing = self._store.list("hosts/", self._soon(WRITE_S))
+        except StoreError:
+            return False
+        for item in listing.items:
+            self._news.observe(item)
+        self._tasks.gather(self.prove, self._directory.unrevoked())
+        return True
+
+    def prove(self, record: HostRecord) -> bool:
+        """Return whether the run behind `record` is proven dead; probe it if need be.
+
+        Some time passes if it neither answers nor refuses the connection.
+        """
+        if record.host_id == self.cfg.host_id:
+            return False
+        if record.host_id not in self._directory.dead:
+            deadline = self._soon(self.timers.heartbeat_s)
+            if self._link.probe(record.address, deadline) is Liveness.DEAD:
+                self._directory.dead.add(record.host_id)
+        return record.host_id in self._directory.dead
+
+    def _soon(self, period_s):
+        return Instant(self._clock.now() + period_s)
+
+    # Asking.
+
+    def _ask_on(self, lease):
+        """Renew `lease` for as long as it matters."""
+        while not self.revoked and lease in self.required.values():
+            due = self._soon(self.timers.heartbeat_s)
+            self._ask(lease)
+            self._clock.sleep_until(due)
+
+    def _ask(self, lease):
+        """Ask once; return whether the grantor granted."""
+        grantor = lease.grantor
+        asked_at = self._clock.now()
+        sequence = lease.next_sequence()
+        named = self._pending is None and self.record is not None
+        req = LeaseRequest(
+            holder=self.cfg.host_id,
+            named=named and self.record.successor == grantor.host_id,
+            acting_for=lease.acting_for,
+            sequence=sequence,
+            echoed=lease.echoed,
+        )
+        deadline = Instant(asked_at + self.timers.probe_after_s)
+        try:
+            reply = self._link.call(grantor, req, deadline)
+        except PeerError:
+            return False
+        lease.answered(sequence, asked_at, self._clock.now(), reply)
+        return reply.verdict in (Verdict.GRANTED, Verdict.LEAVING)
+
+    # A grantor that is dead while the store may be silent.
+
+    def _guard(self):
+        """Prove silent grantors dead, and put their heirs in their place."""
+        for named, lease in list(self.required.items()):
+            if not lease.dead and lease.silent(self._clock.now()):
+                lease.dead = self._is_dead(lease)
+            if lease.dead:
+                self._adopt_heir(named, lease)
+
+    def _is_dead(self, lease):
+        host_id = lease.grantor.host_id
+        if host_id not in self._directory.dead:
+            deadline = self._soon(self.timers.heartbeat_s)
+            if self._link.probe(lease.grantor, deadline) is Liveness.DEAD:
+                self._directory.dead.add(host_id)
+        return host_id in self._directory.dead
+
+    def _adopt_heir(self, named, lease):
+        """Get the lease from the host that acts for the dead grantor."""
+        grantor_id = lease.grantor.host_id
+        for heir in lease.heirs:
+            if heir.host_id == self.cfg.host_id:
+                if self.acts_for(grantor_id):
+                    # The only host that could revoke this one is dead, and this
+                    # host is the only one that could act for it.
+                    lease.end = FOREVER
+                    return
+                continue
+            new = HeldLease(heir, self.timers, self._clock.now())
+            new.acting_for = grantor_id
+            if not self.hand_over(heir) or not self._ask(new):
+                continue
+            if self.required.get(named) is lease:
+                self.required[named] = new
+                self._tasks.spawn(self._ask_on, new)
+                _LOG.info("lease: an heir grants it", extra={"heir": heir.host_id})
+            return
+
+    # Another successor, by a change of the record.
+
+    def _steer(self):
+        """Name another successor when the present one is no use."""
+        if self.revoked:
+            return
+        self._heed_news()
+        now = self._clock.now()
+        if not self.valid_at(now) and now > self._read_at + READ_PERIOD_S:
+            self._read_own_record()
+        if self._pending is not None:
+            self._settle()
+        elif self.required and not self._in_trouble():
+            self._isolated_since = None
+        elif now > self._next_change:
+            self._next_change = self._soon(CHANGE_PAUSE_S)
+            self._replace_successor()
+
+    def _heed_news(self):
+        record = self._directory.get(self.cfg.host_id)
+        if record is not None and record.revoked:
+            self._lose()
+
+    def _lose(self):
+        self.revoked = True
+        _LOG.warning("lease: this run is revoked and has no authority any more")
+
+    def _in_trouble(self):
+        """Return whether the named successor should be replaced."""
+        lease = self.required.get(self.record.successor)
+        if lease is None or lease.acting_for != NOBODY or lease.dead:
+            return True
+        record = self._directory.get(self.record.successor)
+        if record is not None and record.revoked:
+            # A revoked host holds no lease, so it cannot act for this one.
+            lease.released = True
+            return True
+        return lease.silent(self._clock.now()) or lease.verdict is not Verdict.GRANTED
+
+    def _replace_successor(self):
+        now = self._clock.now()
+        if self._isolated_since is None:
+            self._isolated_since = now
+        if self._name_one_of(self._directory.candidates()):
+            self._isolated_since = None
+        elif self.required and self._may_stand_alone(now):
+            self._name(None)
+
+    def _may_stand_alone(self, now):
+        """Return whether this host, which reaches nobody, may do without successor.
+
+        Only one host of a fleet in pieces may, and only after a successor that
+        still works had the time to revoke it.
+        """
+        ids = {record.host_id for record in self._directory.unrevoked()}
+        if not ids - {self.cfg.host_id}:
+            return True
+        if now < self._isolated_since + ALONE_AFTER_S:
+            return False
+        return min(ids) == self.cfg.host_id
+
+    def _name_one_of(self, candidates):
+        """Name the first candidate that agrees; return whether one is named."""
+        named = self.record.successor if self.record else NOBODY
+        leases = [
+            HeldLease(record.address, self.timers, self._clock.now())
+            for record in candidates
+            if record.host_id != named
+        ][:ASKED_AT_ONCE]
+        agreed = self._tasks.gather(self._ask, leases)
+        for lease, granted in zip(leases, agreed, strict=True):
+            if not granted or lease.verdict is Verdict.LEAVING:
+                continue
+            if self.hand_over(lease.grantor):
+                return self._name(lease)
+        return False
+
+    def _name(self, lease):
+        """Write the record with the grantor of `lease`, or with no successor."""
+        if self.record is not None and not self._store_answers():
+            return False
+        if not self._exclude_present():
+            return False
+        successor = lease.grantor.host_id if lease else NOBODY
+        if self.record is None:
+            record = HostRecord.of(self.cfg, successor)
+        else:
+            record = self.record.following(successor)
+        self._before = dict(self.required)
+        if lease:
+            self.required[successor] = lease
+            self._tasks.spawn(self._ask_on, lease)
+        return self._write(record)
+
+    def _exclude_present(self):
+        """Wait until the present successor can surely not act for this host."""
+        for lease in list(self.required.values()):
+            while not lease.excluded(self._clock.now()):
+                if not lease.silent(self._clock.now()):
+                    if lease.verdict is Verdict.GRANTED and not lease.acting_for:
+                        return False
+                    self._release(lease)
+                self._clock.sleep_until(self._soon(STEP_S))
+        return True
+
+    def _release(self, lease):
+        deadline = self._soon(self.timers.heartbeat_s)
+        req = ReleaseRequest(self.cfg.host_id)
+        try:
+            self._link.call(lease.grantor, req, deadline)
+        except PeerError:
+            return
+        lease.released = True
+
+    # The record.
+
+    def _write(self, record):
+        """Write the record; return whether it is known to have taken effect."""
+        self._pending = record
+        self._pending_value = record.to_value(new_write_id())
+        self._unresolved = False
+        return self._settle()
+
+    def _settle(self):
+        """Go on with the pending write of the record until its outcome is known."""
+        record, value = self._pending, self._pending_value
+        deadline = self._soon(WRITE_S)
+        version = self._stored.version
+        try:
+            stored = write(
+                self._store, self._clock, record.path, value, version, deadline
+            )
+        except StoreConflict:
+            self._adopt_found()
+            return False
+        except StoreOutcomeUnknown:
+            self._unresolved = True
+            return False
+        except StoreError:
+            if not self._unresolved:
+                self._give_up_pending()
+            return False
+        self._news.observe(stored)
+        self._in_force(stored, record)
+        return True
+
+    def _in_force(self, stored, record):
+        self._stored = stored
+        self.record = record
+        self._pending = None
+        successor = record.successor
+        if successor == NOBODY:
+            self.required = {}
+        elif successor in self.required:
+            self.required = {successor: self.required[successor]}
+        else:
+            # Nobody has granted under this name: the lease begins with nothing.
+            known = self._directory.get(successor)
+            address = known.address if known else PeerAddress(successor, "", 0)
+            lease = HeldLease(address, self.timers, self._clock.now())
+            self.required = {successor: lease}
+            self._tasks.spawn(self._ask_on, lease)
+
+    def _give_up_pending(self):
+        """Return to the old successor; the change certainly did not happen."""
+        self._pending = None
+        self.required = dict(self._before) if self.record else {}
+        for lease in self.required.values():
+            if lease.released and not self.hand_over(lease.grantor):
+                continue
+            lease.released = False
+
+    def _adopt_found(self):
+        """Take over what the store holds after another writer won."""
+        try:
+            found = self._store.get(self._pending.path, self._soon(WRITE_S))
+        except StoreMissing:
+            self._lose()
+            return
+        except StoreError:
+            return
+        self._news.observe(found)
+        record = HostRecord.from_value(found.value)
+        if record.revoked:
+            self._lose()
+            return
+        self._in_force(found, record)
+
+    def _store_answers(self):
+        """Read this host's record; a change is not begun while the store is silent.
+
+        Its outcome would stay unknown, and until it is known two leases must run.
+        """
+        self._read_own_record()
+        return self._sure_at >= self._read_at and not self.revoked
+
+    def _read_own_record(self):
+        """Learn whether this host is revoked, and for how long it surely was not."""
+        self._read_at = before = self._clock.now()
+        if self.record is None:
+            return
+        try:
+            found = self._store.get(self.record.path, self._soon(WRITE_S))
+        except StoreMissing:
+            self._lose()
+            return
+        except StoreError:
+            return
+        self._news.observe(found)
+        if HostRecord.from_value(found.value).revoked:
+            self._lose()
+        else:
+            self._sure_at = max(self._sure_at, before)
--- /dev/null
+++ b/src/persimmonspoke/internal/membership/member.py
@@ -0,0 +1,116 @@
+"""One host's membership: its record, its lease, and its duty towards others."""
+
+from typing import Protocol
+
+from persimmonspoke.ids import HostId, Instant
+from persimmonspoke.internal.clock import Clock
+from persimmonspoke.internal.membership.directory import Directory
+from persimmonspoke.internal.membership.grantor import Grantor
+from persimmonspoke.internal.membership.holder import Holder
+from persimmonspoke.internal.membership.record import HostState
+from persimmonspoke.internal.membership.settings import NodeSettings
+from persimmonspoke.internal.membership.tasks import Tasks
+from persimmonspoke.internal.news.api import News
+from persimmonspoke.internal.peers.api import PeerLink
+from persimmonspoke.internal.store.api import Store
+
+STEP_S = 0.05
+
+
+class HostList(Protocol):
+    """The platform's list of hosts, which lags."""
+
+    def gone(self, name: str) -> bool:
+        """Return whether the platform says that the host called `name` is no more."""
+
+
+class Member:
+    """This host as one of the fleet.
+
+    Attributes
+    ----------
+    directory : Directory
+        All entry hosts that this one knows.
+    holder : Holder
+        This host's own lease.
+    grantor : Grantor
+        The leases that this host grants.
+    """
+
+    def __init__(
+        self,
+        cfg: NodeSettings,
+        clock: Clock,
+        store: Store,
+        link: PeerLink,
+        news: News,
+        host_list: HostList,
+        tasks: Tasks,
+    ):
+        self.cfg = cfg
+        self._clock = clock
+        self.directory = Directory(news, cfg.host_id)
+        self.holder = Holder(cfg, clock, store, link, news, self.directory, tasks)
+        self.grantor = Grantor(
+            clock, store, link, news, host_list, self.directory, self.holder, tasks
+        )
+
+    @property
+    def host_id(self) -> HostId:
+        """The id of this run."""
+        return self.cfg.host_id
+
+    @property
+    def revoked(self) -> bool:
+        """Whether this run has lost its authority for good."""
+        return self.holder.revoked
+
+    @property
+    def leaving(self) -> bool:
+        """Whether this run hands over what it keeps, to stop afterwards."""
+        record = self.holder.record
+        return record is not None and record.state is HostState.LEAVING
+
+    def holds_lease(self) -> bool:
+        """Return whether this host may act now."""
+        return self.holder.valid_at(self._clock.now())
+
+    def join(self) -> None:
+        """Become a member; returns once the record is in the store."""
+        self.holder.join()
+        self.grantor.start()
+        self.holder.start()
+
+    def announce_leaving(self, deadline: Instant) -> bool:
+        """Tell all others to give this host nothing new; return whether it is known."""
+        record = self.holder.record
+        return self._write_until(deadline, record.leaving, lambda: self.leaving)
+
+    def resign(self, deadline: Instant) -> bool:
+        """Give up all authority, once no other host names this one as successor."""
+        while self._named_by_others() and self._clock.now() < deadline:
+            self._pause()
+        holder = self.holder
+        done = self._write_until(
+            deadline,
+            lambda: holder.record.revoke(self.host_id),
+            lambda: holder.record.revoked,
+        )
+        holder.revoked = holder.revoked or done
+        return done
+
+    def _write_until(self, deadline, make, done):
+        while not done() and not self.revoked and self._clock.now() < deadline:
+            if not self.holder.write_record(make()):
+                self._pause()
+        return done()
+
+    def _named_by_others(self):
+        return any(
+            record.successor == self.host_id
+            for record in self.directory.unrevoked()
+            if record.host_id != self.host_id
+        )
+
+    def _pause(self):
+        self._clock.sleep_until(Instant(self._clock.now() + STEP_S))
--- /dev/null
+++ b/src/persimmonspoke/internal/membership/tasks.py
@@ -0,0 +1,71 @@
+"""The green threads of one node, so that all of them can be ended together."""
+
+import logging
+from collections.abc import Callable
+
+import eventlet
+import greenlet
+
+from persimmonspoke.errors import PersimmonspokeError
+from persimmonspoke.ids import Instant
+from persimmonspoke.internal.clock import Clock
+
+_LOG = logging.getLogger(__name__)
+
+
+class Tasks:
+    """Starts tasks, keeps count of them, and ends them."""
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._running: set = set()
+        self._killed = False
+
+    def spawn(self, func: Callable, *args) -> None:
+        """Run `func` in a task of its own; a failure is logged."""
+        if self._killed:
+            return
+        task = eventlet.spawn(self._run, func, *args)
+        self._running.add(task)
+        task.link(lambda ended: self._running.discard(ended))
+
+    def every(self, period_s: float, func: Callable[[], None]) -> None:
+        """Run `func` each `period_s`, counted from the start of one run to the next."""
+        self.spawn(self._repeat, period_s, func)
+
+    def gather(self, func: Callable, items) -> list:
+        """Run `func` on each item at the same time and return the results in order."""
+        tasks = [eventlet.spawn(func, item) for item in items]
+        self._running.update(tasks)
+        try:
+            return [task.wait() for task in tasks]
+        finally:
+            self._running.difference_update(tasks)
+            for task in tasks:
+                task.kill()
+
+    def kill(self) -> None:
+        """End all tasks where they stand."""
+        self._killed = True
+        for task in list(self._running):
+            task.kill()
+
+    def __len__(self):
+        return len(self._running)
+
+    def _repeat(self, period_s, func):
+        while True:
+            due = Instant(self._clock.now() + period_s)
+            self._run(func)
+            self._clock.sleep_until(due)
+
+    @staticmethod
+    def _run(func, *args):
+        try:
+            func(*args)
+        except greenlet.GreenletExit:
+            raise
+        except PersimmonspokeError as exc:
+            _LOG.info("tasks: a step failed", extra={"cause": repr(exc)})
+        except Exception:
+            _LOG.exception("tasks: a step failed for a reason that nobody expects")
--- /dev/null
+++ b/src/persimmonspoke/internal/node.py
@@ -0,0 +1,163 @@
+"""One entry host's control plane, put together."""
+
+import logging
+
+from persimmonspoke.ids import Instant
+from persimmonspoke.internal.clock import Clock
+from persimmonspoke.internal.membership.member import HostList, Member
+from persimmonspoke.internal.membership.settings import NodeSettings, new_host_id
+from persimmonspoke.internal.membership.tasks import Tasks
+from persimmonspoke.internal.news.api import News
+from persimmonspoke.internal.ownership.configs import Configs
+from persimmonspoke.internal.ownership.granters import Granters
+from persimmonspoke.internal.ownership.handover import Handover
+from persimmonspoke.internal.ownership.keeper import Keeper
+from persimmonspoke.internal.ownership.lender import Lender
+from persimmonspoke.internal.ownership.mover import Mover
+from persimmonspoke.internal.ownership.routes import RouteTable
+from persimmonspoke.internal.ownership.spread import LeastOwned, Placement
+from persimmonspoke.internal.ownership.takeover import Takeover
+from persimmonspoke.internal.peers.api import PeerLink
+from persimmonspoke.internal.store.api import Store
+from persimmonspoke.internal.targets.api import TargetOrders
+
+_LOG = logging.getLogger(__name__)
+
+__all__ = ["HostList", "Node", "NodeSettings", "new_host_id"]
+
+
+class Node:
+    """Membership, pages and routes of one run of the daemon.
+
+    The caller runs what feeds `news`, and starts `link` listening.
+
+    Parameters
+    ----------
+    cfg : NodeSettings
+        Where this run listens, and its timers.
+    placement : Placement, optional
+        Which target gets a shard that has lost its owner.
+
+    Attributes
+    ----------
+    routes : RouteTable
+        The routes that this host holds.
+    """
+
+    def __init__(
+        self,
+        cfg: NodeSettings,
+        clock: Clock,
+        store: Store,
+        link: PeerLink,
+        orders: TargetOrders,
+        news: News,
+        host_list: HostList,
+        placement: Placement | None = None,
+    ):
+        self.cfg = cfg
+        self._clock = clock
+        self.tasks = Tasks(clock)
+        self.configs = Configs(news)
+        self.member = Member(cfg, clock, store, link, news, host_list, self.tasks)
+        self.keeper = Keeper(self.member, clock, store, link, news, self.tasks)
+        self.lender = Lender(self.keeper, clock, link, self.tasks)
+        self.takeover = Takeover(
+            self.keeper, self.configs, clock, store, link, news, self.tasks
+        )
+        self.granters = Granters(self.keeper, self.configs, clock, orders, self.tasks)
+        self.mover = Mover(
+            self.keeper,
+            self.granters,
+            self.lender,
+            placement or LeastOwned(),
+            clock,
+            self.tasks,
+        )
+        self.handover = Handover(self.keeper, clock, link, news, self.tasks)
+        self.routes = RouteTable(
+            self.member, self.lender, self.takeover, clock, link, self.tasks
+        )
+
+    def start(self) -> None:
+        """Join the fleet in a task of its own, then begin all work."""
+        self.tasks.spawn(self._run)
+
+    def _run(self):
+        self.keeper.start()
+        self.member.join()
+        parts = (
+            self.lender,
+            self.takeover,
+            self.granters,
+            self.mover,
+            self.handover,
+            self.routes,
+        )
+        for part in parts:
+            part.start()
+        _LOG.info("node: joined", extra={"host": self.cfg.host_id})
+
+    def stop(self, deadline: Instant) -> bool:
+        """Leave in an orderly way; return whether all was handed over in time.
+
+        Routes go on to serve this host's requests in hand until the last step.
+        """
+        handed = (
+            self.member.announce_leaving(deadline)
+            and self.handover.give_all(deadline)
+            and self.member.resign(deadline)
+        )
+        self.kill()
+        return handed
+
+    def kill(self) -> None:
+        """End all tasks where they stand, as the end of the process would."""
+        self.tasks.kill()
+
+    def ready(self) -> bool:
+        """Return whether this host may take new requests."""
+        return self.holds_lease() and not self.member.leaving
+
+    def holds_lease(self) -> bool:
+        """Return whether this host may act."""
+        return self.member.holds_lease()
+
+    def revoked(self) -> bool:
+        """Return whether this run has lost its authority for good and should end."""
+        return self.member.revoked
+
+    def dump(self) -> dict:
+        """Return the state of the control plane as plain data."""
+        now = self._clock.now()
+        holder = self.member.holder
+        return {
+            "host_id": self.cfg.host_id,
+            "ready": self.ready(),
+            "revoked": holder.revoked,
+            "lease_s": min(max(0.0, holder.lease_end() - now), 3600.0),
+            "successor": holder.record.successor if holder.record else None,
+            "grantors": [address.host_id for address in holder.grantors()],
+            "promises": {
+                host_id: promise.until - now
+                for host_id, promise in self.member.grantor.promises.items()
+                if promise.until > now
+            },
+            "acting_for": sorted(self.member.grantor.acting),
+            "pages": {key.path(): _page(kept) for key, kept in self._kept()},
+            "tasks": len(self.tasks),
+        }
+
+    def _kept(self):
+        return sorted(self.keeper.pages.items(), key=lambda item: item[0].path())
+
+
+def _page(kept):
+    """Return one kept page as plain data."""
+    return {
+        "epoch": kept.page.epoch,
+        "stored_epoch": kept.stored_epoch,
+        "closed": kept.closed,
+        "held": sorted(kept.held),
+        "owners": [entry.owner for entry in kept.page.assignments],
+    }
--- /dev/null
+++ b/src/persimmonspoke/internal/ownership/granter.py
@@ -0,0 +1,217 @@
+"""One task a target: renewing its grants, and judging whether it lives."""
+
+import logging
+from enum import Enum
+
+from persimmonspoke.errors import (
+    AuthorityLapsed,
+    TargetError,
+    TargetFenced,
+    TargetRefusedConnection,
+)
+from persimmonspoke.ids import Instant, ShardId, TargetInstant
+from persimmonspoke.internal.clock import Clock
+from persimmonspoke.internal.ownership.configs import ServiceKey
+from persimmonspoke.internal.ownership.keeper import Keeper
+from persimmonspoke.internal.ownership.kept import NEVER, KeptPage
+from persimmonspoke.internal.questionnaire.configuration import TargetConfig
+from persimmonspoke.internal.targets.api import (
+    GrantOrder,
+    ReleaseOrder,
+    TargetAddress,
+    TargetOrders,
+)
+
+_LOG = logging.getLogger(__name__)
+
+ORDER_S = 0.15
+STEP_S = 0.02
+
+
+class TargetState(Enum):
+    """What this host knows about a target."""
+
+    UNKNOWN = "unknown"
+    """It has not answered yet."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    """It has been silent for too long; its grants are not renewed."""
+
+    DEAD = "dead"
+    """Its process is over, and with it all grants that it had."""
+
+
+class Granter:
+    """Orders grants to one target, for all pages that this host keeps.
+
+    Attributes
+    ----------
+    cfg : TargetConfig
+        The target, as last configured.
+    state : TargetState
+        What is known about it.
+    """
+
+    def __init__(
+        self,
+        service: ServiceKey,
+        cfg: TargetConfig,
+        keeper: Keeper,
+        clock: Clock,
+        orders: TargetOrders,
+    ):
+        self.service = service
+        self.cfg = cfg
+        self.state = TargetState.UNKNOWN
+        self.fenced: set = set()
+        self._keeper = keeper
+        self._timers = keeper.member.cfg.timers
+        self._clock = clock
+        self._orders = orders
+        self._answered_at = clock.now()
+        self._reported = TargetInstant(0.0)
+        self._received_at = NEVER
+        self._kicked = False
+
+    def run(self, wanted) -> None:
+        """Renew grants for as long as `wanted()`."""
+        while wanted():
+            due = Instant(self._clock.now() + self._timers.renew_s)
+            self._kicked = False
+            self._round()
+            while self._clock.now() < due and not self._kicked:
+                self._clock.sleep_until(Instant(self._clock.now() + STEP_S))
+
+    def kick(self) -> None:
+        """Send the next orders soon."""
+        self._kicked = True
+
+    def grant(self, kept: KeptPage) -> bool:
+        """Grant the target its shards of one page now; return whether it answered."""
+        try:
+            if self._received_at == NEVER:
+                self._order(kept, ())
+            self._order(kept, kept.grantable(self.cfg.target_id))
+        except TargetError:
+            return False
+        return True
+
+    def release(self, kept: KeptPage, shards: tuple[ShardId, ...], until: Instant):
+        """Take shards back; raises `TargetError`.
+
+        Returns once no work on them goes on, as far as the target says.
+        """
+        order = ReleaseOrder(
+            team=kept.page.key.team,
+            service=kept.page.key.service,
+            page=kept.page.key.page,
+            fence=kept.page.epoch,
+            shards=shards,
+        )
+        self._check_lease()
+        self._send(self._orders.release, order, until)
+
+    # Rounds.
+
+    def _round(self):
+        """Renew all grants, or find out whether the target answers again."""
+        pages = [
+            kept
+            for kept in self._keeper.open_pages()
+            if (kept.page.key.team, kept.page.key.service) == self.service
+        ]
+        if not pages:
+            self._forget()
+            return
+        try:
+            self._renew(pages)
+        except AuthorityLapsed:
+            self._received_at = NEVER
+        except TargetError as exc:
+            self._judge(exc)
+
+    def _renew(self, pages):
+        if self._received_at == NEVER:
+            self._order(pages[0], ())
+        asked = False
+        for kept in pages:
+            shards = kept.grantable(self.cfg.target_id)
+            if not shards or kept.closed or self._clock.now() < kept.quiet_until:
+                continue
+            asked = True
+            self._renew_page(kept, shards)
+        if not asked:
+            self._order(pages[0], ())
+
+    def _renew_page(self, kept, shards):
+        try:
+            self._order(kept, shards)
+        except TargetFenced:
+            # The target has seen a later state of this page than ours.
+            self.fenced.add(kept.page.key)
+
+    def _forget(self):
+        """Know nothing; the target was not asked for a while."""
+        self.state = TargetState.UNKNOWN
+        self._answered_at = self._clock.now()
+        self._received_at = NEVER
+
+    def _judge(self, exc):
+        now = self._clock.now()
+        before = self.state
+        if isinstance(exc, TargetRefusedConnection):
+            self.state = TargetState.DEAD
+            self._received_at = NEVER
+        elif now - self._answered_at > self._timers.suspect_s:
+            if self.state is not TargetState.DEAD:
+                self.state = TargetState.SUSPECT
+            self._received_at = NEVER
+        if self.state is not before:
+            _LOG.warning(
+                "grants: target %s",
+                self.state.value,
+                extra={"target": self.cfg.target_id},
+            )
+
+    # Orders.
+
+    def _order(self, kept, shards):
+        """Send one order: compute its end, check the lease, then send."""
+        now = self._clock.now()
+        order = GrantOrder(
+            team=kept.page.key.team,
+            service=kept.page.key.service,
+            page=kept.page.key.page,
+            fence=kept.page.epoch,
+            shards=shards,
+            not_after=self._not_after(now) if shards else TargetInstant(0.0),
+        )
+        lapse = Instant(now + self._timers.longest(self._timers.grant_s))
+        number = kept.ordered(self.cfg.target_id, lapse) if shards else 0
+        self._check_lease()
+        self._send(self._orders.grant, order, Instant(now + ORDER_S))
+        if shards:
+            kept.answered(self.cfg.target_id, number)
+
+    def _not_after(self, now):
+        """Return the end of a grant on the target's clock, if given at `now`.
+
+        The target's clock had reached `_reported` when the answer arrived, and has
+        run at the slowest since, so the grant never ends later than it should.
+        """
+        passed_s = (now - self._received_at) / (1 + self._timers.clock_drift)
+        return TargetInstant(self._reported + passed_s + self._timers.grant_s)
+
+    def _check_lease(self):
+        if not self._keeper.member.holds_lease():
+            raise AuthorityLapsed("no orders without a lease")
+
+    def _send(self, call, order, deadline):
+        address = TargetAddress(self.cfg.target_id, self.cfg.ip, self.cfg.port)
+        reply = call(address, order, deadline)
+        self._answered_at = self._received_at = self._clock.now()
+        self._reported = reply.clock
+        if self.state is not TargetState.ALIVE:
+            self.state = TargetState.ALIVE
+            _LOG.info("grants: target answers", extra={"target": self.cfg.target_id})
--- /dev/null
+++ b/src/persimmonspoke/internal/ownership/granters.py
@@ -0,0 +1,103 @@
+"""The granters of all targets of the services whose pages this host keeps."""
+
+from persimmonspoke.ids import TargetId
+from persimmonspoke.internal.clock import Clock
+from persimmonspoke.internal.membership.tasks import Tasks
+from persimmonspoke.internal.ownership.configs import Configs, ServiceKey
+from persimmonspoke.internal.ownership.granter import Granter, TargetState
+from persimmonspoke.internal.ownership.keeper import Keeper
+from persimmonspoke.internal.ownership.kept import KeptPage
+from persimmonspoke.internal.questionnaire.configuration import TargetConfig
+from persimmonspoke.internal.targets.api import TargetOrders
+
+STEP_S = 0.05
+
+
+class Granters:
+    """Keeps one granter for each target, also for one that was just removed."""
+
+    def __init__(
+        self,
+        keeper: Keeper,
+        configs: Configs,
+        clock: Clock,
+        orders: TargetOrders,
+        tasks: Tasks,
+    ):
+        self._keeper = keeper
+        self._configs = configs
+        self._clock = clock
+        self._orders = orders
+        self._tasks = tasks
+        self._granters: dict[ServiceKey, dict[TargetId, Granter]] = {}
+
+    def start(self) -> None:
+        """Begin to follow the configuration."""
+        self._tasks.every(STEP_S, self.refresh)
+
+    def refresh(self) -> None:
+        """Start and end granters as the configuration says."""
+        for key, service in self._configs.divided().items():
+            known = self._granters.setdefault(key, {})
+            for target in service.targets:
+                granter = known.get(target.target_id)
+                if granter is None:
+                    self._start(key, target)
+                elif granter.cfg != target:
+                    granter.cfg = target
+        for key, known in self._granters.items():
+            for target_id in [item for item in known if not self._wanted(key, item)]:
+                del known[target_id]
+
+    def get(self, service: ServiceKey, target: TargetId) -> Granter | None:
+        """Return the granter of one target, if it is known."""
+        return self._granters.get(service, {}).get(target)
+
+    def of(self, service: ServiceKey) -> dict[TargetId, Granter]:
+        """Return the granters of a service."""
+        return self._granters.get(service, {})
+
+    def leaving(self, service: ServiceKey) -> frozenset[TargetId]:
+        """Return the targets that are to lose their shards."""
+        drained = self._configs.leaving(service)
+        return drained | (set(self.of(service)) - self._configured(service))
+
+    def candidates(self, service: ServiceKey) -> tuple[TargetConfig, ...]:
+        """Return the targets that may be given shards now."""
+        leaving = self.leaving(service)
+        return tuple(
+            granter.cfg
+            for target_id, granter in sorted(self.of(service).items())
+            if granter.state is TargetState.ALIVE and target_id not in leaving
+        )
+
+    def grant_owners(self, kept: KeptPage, targets) -> None:
+        """Grant their shards of one page to some targets at once."""
+        service = service_of(kept)
+        granters = [self.get(service, target) for target in targets]
+        self._tasks.gather(
+            lambda granter: granter.grant(kept), [item for item in granters if item]
+        )
+
+    def _start(self, key, target):
+        granter = Granter(key, target, self._keeper, self._clock, self._orders)
+        self._granters[key][target.target_id] = granter
+        target_id = target.target_id
+        self._tasks.spawn(granter.run, lambda: self.get(key, target_id) is granter)
+
+    def _configured(self, key):
+        service = self._configs.divided().get(key)
+        return {target.target_id for target in service.targets} if service else set()
+
+    def _wanted(self, key, target_id):
+        """Return whether a target is configured or still owns shards."""
+        return target_id in self._configured(key) or any(
+            target_id in kept.owners()
+            for kept in self._keeper.open_pages()
+            if service_of(kept) == key
+        )
+
+
+def service_of(kept: KeptPage) -> ServiceKey:
+    """Return the service to which a page belongs."""
+    return kept.page.key.team, kept.page.key.service
--- /dev/null
+++ b/src/persimmonspoke/internal/ownership/kept.py
@@ -0,0 +1,130 @@
+"""One page as its keeper holds it."""
+
+from collections.abc import Container
+
+import eventlet.semaphore
+
+from persimmonspoke.ids import Instant, ShardId, TargetId, Version
+from persimmonspoke.internal.ownership.page import Page
+from persimmonspoke.internal.targets.api import GrantedShard
+
+NEVER = Instant(float("-inf"))
+
+
+class KeptPage:
+    """A page that this host keeps, and what it has ordered for it.
+
+    Attributes
+    ----------
+    page : Page
+        The state in force; its owners may be granted their shards.
+    latest : Page
+        The state that is on its way to the store; `page` or its next state.
+    version : Version
+        Version of the object that the next write replaces.
+    stored_epoch : int
+        Epoch of the newest state that is known to be in the store.
+    quiet_until : Instant
+        No grant before it; the last keeper's grants may run, to unknown owners.
+    inherited_until : Instant
+        End of the last grant that an earlier keeper may have ordered.
+    routes_until : Instant
+        End of the last route that an earlier keeper may have lent.
+    moving : set of ShardId
+        Shards whose grants are not renewed because they are being moved.
+    held : set of ShardId
+        Shards for which hosts hold new requests.
+    busy : bool
+        A task is at work on the page.
+    closed : bool
+        This host has stopped to keep the page.
+    change : int
+        The keeper's change counter when the page last changed.
+    """
+
+    def __init__(self, page: Page, version: Version, stored_epoch: int):
+        self.page = page
+        self.latest = page
+        self.version = version
+        self.stored_epoch = stored_epoch
+        self.quiet_until = NEVER
+        self.inherited_until = NEVER
+        self.routes_until = NEVER
+        self.moving: set[ShardId] = set()
+        self.held: set[ShardId] = set()
+        self.closed = False
+        self.storing = False
+        self.change = 0
+        self.lock = eventlet.semaphore.Semaphore()
+        self.busy = False
+        self._orders = 0
+        self._lapse: dict[TargetId, Instant] = {}
+        self._open: dict[TargetId, dict[int, Instant]] = {}
+
+    def ordered(self, target: TargetId, lapse: Instant) -> int:
+        """Note, before it is sent, a grant that surely has lapsed at `lapse`.
+
+        Returns the number under which the order is open until it is `answered`.
+        """
+        self._lapse[target] = max(lapse, self._lapse.get(target, NEVER))
+        self._orders += 1
+        self._open.setdefault(target, {})[self._orders] = lapse
+        return self._orders
+
+    def answered(self, target: TargetId, order: int) -> None:
+        """Note that an order has arrived, so that it cannot arrive later."""
+        self._open[target].pop(order, None)
+
+    def open_orders(self, target: TargetId) -> dict[int, Instant]:
+        """Return the orders that may still arrive, with the ends of their grants."""
+        return dict(self._open.get(target, {}))
+
+    def may_arrive(self, target: TargetId, orders: dict[int, Instant], now: Instant):
+        """Return whether one of `orders` may still arrive and be of effect."""
+        unanswered = self._open.get(target, {})
+        return any(
+            order in unanswered and now <= lapse for order, lapse in orders.items()
+        )
+
+    def lapsed(self, target: TargetId, now: Instant) -> bool:
+        """Return whether no grant of this page can still run at `target`."""
+        return now > max(self.inherited_until, self._lapse.get(target, NEVER))
+
+    def grantable(self, target: TargetId) -> tuple[GrantedShard, ...]:
+        """Return the shards that may be granted to `target` now.
+
+        A shard whose next owner is already decided belongs to nobody until that
+        state is in force: the successor may act on it at any moment.
+        """
+        rows = zip(
+            self.page.shards(),
+            self.page.assignments,
+            self.latest.assignments,
+            strict=True,
+        )
+        return tuple(
+            GrantedShard(ShardId(shard), now.epoch)
+            for shard, now, after in rows
+            if now.owner == target and now == after and shard not in self.moving
+        )
+
+    def settled(self) -> bool:
+        """Return whether the latest state is in force."""
+        return self.latest is self.page
+
+    def owners(self) -> frozenset[TargetId]:
+        """Return all targets that own shards of the page."""
+        return frozenset(entry.owner for entry in self.page.assignments)
+
+    def owned_by(self, targets: Container[TargetId]) -> tuple[ShardId, ...]:
+        """Return the shards that the state in force gives to one of `targets`."""
+        rows = zip(self.page.shards(), self.page.assignments, strict=True)
+        return tuple(ShardId(shard) for shard, now in rows if now.owner in targets)
+
+    def stored(self) -> bool:
+        """Return whether the store has the latest state."""
+        return self.stored_epoch >= self.latest.epoch
+
+    def acknowledged(self) -> bool:
+        """Return whether the state in force survives any single loss."""
+        return self.stored_epoch >= self.page.epoch
--- /dev/null
+++ b/src/persimmonspoke/internal/ownership/routes.py
@@ -0,0 +1,275 @@
+"""The routes that this host holds, learned from all keepers."""
+
+import logging
+from collections import Counter
+from contextlib import contextmanager
+
+import eventlet
+import eventlet.event
+import xxhash
+
+from persimmonspoke.errors import NoOwnerYet, PeerError
+from persimmonspoke.ids import (
+    Epoch,
+    HostId,
+    Instant,
+    KeyText,
+    PageId,
+    ShardId,
+    TeamId,
+)
+from persimmonspoke.internal.clock import Clock
+from persimmonspoke.internal.membership.member import Member
+from persimmonspoke.internal.membership.tasks import Tasks
+from persimmonspoke.internal.ownership.api import Route
+from persimmonspoke.internal.ownership.lender import Lender
+from persimmonspoke.internal.ownership.messages import (
+    HoldReply,
+    HoldRequest,
+    RouteNotice,
+    RouteNoticeReply,
+    RoutePage,
+    RouteRequest,
+)
+from persimmonspoke.internal.ownership.page import PageKey
+from persimmonspoke.internal.ownership.takeover import Takeover
+from persimmonspoke.internal.peers.api import PeerLink
+from persimmonspoke.internal.questionnaire.configuration import ServiceConfig
+
+_LOG = logging.getLogger(__name__)
+
+NEVER = Instant(float("-inf"))
+STEP_S = 0.02
+ASK_S = 0.2
+
+
+def shard_of(service: ServiceConfig, key: KeyText) -> ShardId:
+    """Return the shard of `key`."""
+    return ShardId(xxhash.xxh64_intdigest(key) % service.shard_count)
+
+
+class _KeeperView:
+    """What this host knows of one keeper: how far it has read, and its lease."""
+
+    def __init__(self):
+        self.change = 0
+        self.lease_end = NEVER
+        self.asked_at = NEVER
+        self.answered_at = NEVER
+        self.asking = False
+
+
+class RouteTable:
+    """Implements `persimmonspoke.internal.ownership.api.Routes`."""
+
+    def __init__(
+        self,
+        member: Member,
+        lender: Lender,
+        takeover: Takeover,
+        clock: Clock,
+        link: PeerLink,
+        tasks: Tasks,
+    ):
+        self._member = member
+        self._lender = lender
+        self._takeover = takeover
+        self._timers = member.cfg.timers
+        self._clock = clock
+        self._link = link
+        self._tasks = tasks
+        self._pages: dict[PageKey, RoutePage] = {}
+        self._keepers: dict[HostId, _KeeperView] = {}
+        self._refused: dict[tuple[PageKey, ShardId], tuple[Epoch, Instant]] = {}
+        self._in_flight: Counter = Counter()
+        self._changed = eventlet.event.Event()
+        lender.notice_here = self._noticed
+        lender.hold_here = self._hold
+
+    def start(self) -> None:
+        """Begin to ask keepers and to listen to them."""
+        self._link.serve(RouteNotice, self._noticed)
+        self._link.serve(HoldRequest, self._hold)
+        self._tasks.every(STEP_S, self._refresh)
+
+    # Routes for requests.
+
+    def find(self, team: TeamId, service: ServiceConfig, key: KeyText) -> Route:
+        """Return the route of `key`, or raise `NoOwnerYet`."""
+        shard = shard_of(service, key)
+        page_key = PageKey(
+            team, service.service, PageId(shard // service.shards_per_page)
+        )
+        entry = self._entry(page_key)
+        if entry is None or shard not in entry.page.shards():
+            raise NoOwnerYet(f"{page_key.path()} is not known yet")
+        assignment = entry.page.assignment(shard)
+        for target in service.targets:
+            if target.target_id == assignment.owner:
+                route = Route(page_key, shard, assignment.epoch, target)
+                self._check(route, entry)
+                return route
+        raise NoOwnerYet(f"shard {shard} of {page_key.path()} has no owner")
+
+    def wait(
+        self, team: TeamId, service: ServiceConfig, key: KeyText, deadline: Instant
+    ) -> Route:
+        """Return the route of `key` as soon as there is one, or raise `NoOwnerYet`."""
+        while True:
+            try:
+                return self.find(team, service, key)
+            except NoOwnerYet:
+                remaining_s = deadline - self._clock.now()
+                if remaining_s <= 0:
+                    raise
+                with eventlet.Timeout(min(remaining_s, STEP_S), False):
+                    self._changed.wait()
+
+    def may_send(self, route: Route) -> bool:
+        """Return whether `route` still holds; asked just before the first byte."""
+        entry = self._entry(route.page)
+        if entry is None or entry.page.assignment(route.shard).epoch != route.epoch:
+            return False
+        try:
+            self._check(route, entry)
+        except NoOwnerYet:
+            return False
+        return True
+
+    def refused(self, route: Route) -> None:
+        """Take note that the target does not own the route's shard; ask the keeper."""
+        place = (route.page, route.shard)
+        self._refused[place] = (route.epoch, self._clock.now())
+        entry = self._entry(route.page)
+        if entry is not None:
+            self._view(entry.page.keeper).asked_at = NEVER
+
+    @contextmanager
+    def in_flight(self, route: Route):
+        """Count one request on the route's shard for as long as the context lasts."""
+        place = (route.page, route.shard)
+        self._in_flight[place] += 1
+        try:
+            yield
+        finally:
+            self._in_flight[place] -= 1
+            if not self._in_flight[place]:
+                del self._in_flight[place]
+
+    def _check(self, route, entry):
+        """Raise `NoOwnerYet` if no request may be sent on `route` now."""
+        if not self._member.holds_lease():
+            raise NoOwnerYet("this host has no lease")
+        if route.shard in entry.held:
+            raise NoOwnerYet(f"shard {route.shard} is being moved")
+        if self._is_refused(route, entry):
+            raise NoOwnerYet(f"the owner of shard {route.shard} has not got it yet")
+        if not route.target.checks_fence and not self._is_lent(entry):
+            raise NoOwnerYet("the routes to this target are not confirmed")
+
+    def _is_lent(self, entry):
+        return self._clock.now() < self._view(entry.page.keeper).lease_end
+
+    def _is_refused(self, route, entry):
+        """Return whether the keeper has not been heard since the target refused."""
+        epoch, at = self._refused.get((route.page, route.shard), (Epoch(-1), NEVER))
+        return epoch == route.epoch and self._view(entry.page.keeper).answered_at <= at
+
+    def _entry(self, key) -> RoutePage | None:
+        """Return the newest state of a page, from its keeper or from the store."""
+        entry = self._pages.get(key)
+        stored = self._takeover.stored_pages().get(key)
+        if stored is not None and (entry is None or entry.page.epoch < stored[0].epoch):
+            return RoutePage(stored[0], 0, ())
+        return entry
+
+    # Learning from keepers.
+
+    def _view(self, keeper) -> _KeeperView:
+        return self._keepers.setdefault(keeper, _KeeperView())
+
+    def _refresh(self):
+        """Ask each keeper whose turn it is."""
+        now = self._clock.now()
+        for keeper in self._all_keepers():
+            view = self._view(keeper)
+            if view.asking or now < view.asked_at + self._timers.route_refresh_s:
+                continue
+            view.asking = True
+            view.asked_at = now
+            self._tasks.spawn(self._ask, keeper, view)
+
+    def _all_keepers(self):
+        """Return all hosts that may keep pages, with the successors of silent ones."""
+        keepers = {entry.page.keeper for entry in self._pages.values()}
+        keepers.update(
+            page.keeper for page, _ in self._takeover.stored_pages().values()
+        )
+        keepers.add(self._member.host_id)
+        now = self._clock.now()
+        for keeper in list(keepers):
+            record = self._member.directory.get(keeper)
+            silent = now - self._view(keeper).answered_at > self._timers.route_lease_s
+            if record is not None and silent and record.successor:
+                keepers.add(record.successor)
+        return keepers
+
+    def _ask(self, keeper, view):
+        asked_at = self._clock.now()
+        req = RouteRequest(self._member.host_id, view.change)
+        deadline = Instant(asked_at + ASK_S)
+        try:
+            if keeper == self._member.host_id:
+                reply = self._lender.lend(req)
+            else:
+                record = self._member.directory.get(keeper)
+                if record is None or record.revoked:
+                    return
+                reply = self._link.call(record.address, req, deadline)
+        except PeerError:
+            return
+        finally:
+            view.asking = False
+        for entry in reply.pages:
+            self._learn(entry)
+        view.change = max(view.change, reply.change)
+        view.lease_end = max(view.lease_end, asked_at + self._timers.route_lease_s)
+        view.answered_at = asked_at
+        self._wake()
+
+    def _noticed(self, notice: RouteNotice) -> RouteNoticeReply:
+        self._view(notice.keeper)
+        for entry in notice.pages:
+            self._learn(entry)
+        self._wake()
+        return RouteNoticeReply()
+
+    def _learn(self, entry):
+        """Take in a page, unless what is known is newer."""
+        known = self._pages.get(entry.page.key)
+        if known is not None and _age(known) >= _age(entry):
+            return
+        self._pages[entry.page.key] = entry
+
+    def _wake(self):
+        changed, self._changed = self._changed, eventlet.event.Event()
+        changed.send()
+
+    # Stopping for a move.
+
+    def _hold(self, req: HoldRequest) -> HoldReply:
+        """Stop sending on the shards, and wait for what is in hand."""
+        self._learn(req.page)
+        until = Instant(self._clock.now() + req.wait_s)
+        places = [(req.page.page.key, shard) for shard in req.shards]
+        while self._clock.now() < until and self._any_in_flight(places):
+            self._clock.sleep_until(Instant(self._clock.now() + STEP_S / 4))
+        return HoldReply(not self._any_in_flight(places))
+
+    def _any_in_flight(self, places):
+        return any(place in self._in_flight for place in places)
+
+
+def _age(entry):
+    """Order the states of one page; one keeper may change it within an epoch."""
+    return entry.page.epoch, entry.change
--- /dev/null
+++ b/src/persimmonspoke/internal/ownership/spread.py
@@ -0,0 +1,54 @@
+"""Which target gets a shard that has lost its owner."""
+
+from collections.abc import Iterable
+from typing import Protocol
+
+from persimmonspoke.ids import ShardId, TargetId
+from persimmonspoke.internal.questionnaire.configuration import TargetConfig
+
+
+class Placement(Protocol):
+    """Chooses owners for shards that need one at once."""
+
+    def choose(
+        self,
+        shards: Iterable[ShardId],
+        targets: tuple[TargetConfig, ...],
+        owned: dict[TargetId, int],
+    ) -> dict[ShardId, TargetId]:
+        """Return an owner out of `targets` for each shard.
+
+        Parameters
+        ----------
+        owned : dict of TargetId to int
+            Number of shards that each target owns already.
+        """
+
+
+class LeastOwned:
+    """Gives each shard to the target with the fewest shards a slot."""
+
+    def choose(
+        self,
+        shards: Iterable[ShardId],
+        targets: tuple[TargetConfig, ...],
+        owned: dict[TargetId, int],
+    ) -> dict[ShardId, TargetId]:
+        """Return an owner out of `targets` for each shard; nothing if there is none."""
+        if not targets:
+            return {}
+        counts = {
+            target.target_id: owned.get(target.target_id, 0) for target in targets
+        }
+        chosen = {}
+        for shard in shards:
+            best = min(
+                targets,
+                key=lambda target: (
+                    counts[target.target_id] / target.slots,
+                    target.target_id,
+                ),
+            )
+            chosen[shard] = best.target_id
+            counts[best.target_id] += 1
+        return chosen
--- a/src/persimmonspoke/internal/timers.py
+++ b/src/persimmonspoke/internal/timers.py
@@ -16,6 +16,10 @@
         How often a host asks its successor to renew its lease.
     lease_s : float
         Length of a host's lease.
+    act_s : float
+        How long after its last confirmed answer a successor may act for a dead
+        host without the store; a host that loses its successor waits as long
+        before it names another.
     clock_drift : float
         Largest relative difference between the rates of two machines' clocks.
     probe_after_s : float
@@ -40,10 +44,11 @@
 
     model_config = ConfigDict(extra="forbid", frozen=True)
 
-    heartbeat_s: Seconds = 0.15
-    lease_s: Seconds = 0.6
+    heartbeat_s: Seconds = 0.1
+    lease_s: Seconds = 0.8
+    act_s: Seconds = 0.6
     clock_drift: Annotated[float, Field(ge=0, lt=0.1)] = 0.01
-    probe_after_s: Seconds = 0.3
+    probe_after_s: Seconds = 0.2
     grant_s: Seconds = 0.8
     renew_s: Seconds = 0.2
     suspect_s: Seconds = 0.4
@@ -57,6 +62,7 @@
     def _leases_outlast_two_renewals(self):
         pairs = (
             ("heartbeat_s", "lease_s"),
+            ("heartbeat_s", "act_s"),
             ("renew_s", "grant_s"),
             ("route_refresh_s", "route_lease_s"),
         )
@@ -68,6 +74,15 @@
                 )
         return self
 
+    @model_validator(mode="after")
+    def _another_successor_can_be_named_in_time(self):
+        if self.longest(self.act_s) >= self.lease_s:
+            raise ValueError(
+                f"act_s={self.act_s} must be shorter than lease_s={self.lease_s}, "
+                "or a host loses its lease whenever it loses its successor"
+            )
+        return self
+
     def longest(self, lease_s: float) -> float:
         """Return how long a lease of `lease_s` may last on the slowest clock."""
         return lease_s * (1 + self.clock_drift)
