Run the whole path: daemon, targets, platform, command line

Cause: the parts stood apart. Change: the daemon joins control plane, scheduler, callers' and operators' servers; the target stand-in serves all targets of a configuration; drained targets and configurations are read in one place.

--- /dev/null
+++ b/src/persimmonspoke/daemon/control.py
@@ -0,0 +1,96 @@
+"""The control plane of one daemon: store, news, peers, membership, ownership."""
+
+import eventlet
+
+from persimmonspoke.daemon.fleet import Fleet
+from persimmonspoke.daemon.settings import Settings
+from persimmonspoke.ids import DataCentreId, HostId, Instant
+from persimmonspoke.internal.clock import Clock
+from persimmonspoke.internal.membership.http_host_list import HttpHostList
+from persimmonspoke.internal.membership.record import NOBODY, HostRecord
+from persimmonspoke.internal.news.board import NewsBoard
+from persimmonspoke.internal.news.relay import RelayReader, serve_news
+from persimmonspoke.internal.news.watcher import StoreWatcher
+from persimmonspoke.internal.node import Node, NodeSettings
+from persimmonspoke.internal.peers.api import PeerAddress
+from persimmonspoke.internal.peers.zmq_link import ZmqLink
+from persimmonspoke.internal.questionnaire.in_force import InForce
+from persimmonspoke.internal.store.http_store import HttpStore
+from persimmonspoke.internal.targets.http_orders import HttpTargetOrders
+
+MISSED_WATCHES = 2
+
+
+class ControlPlane:
+    """Everything that keeps this host in step with the fleet.
+
+    Parameters
+    ----------
+    caller_port, admin_port : int
+        The ports that this daemon listens on, once they are known.
+    """
+
+    def __init__(
+        self,
+        cfg: Settings,
+        host_id: HostId,
+        clock: Clock,
+        caller_port: int,
+        admin_port: int,
+    ):
+        self._cfg = cfg
+        self._clock = clock
+        self.store = HttpStore(cfg.platform_url, clock)
+        self.link = ZmqLink(PeerAddress(host_id, cfg.ip, cfg.peer_port), clock)
+        self.board = NewsBoard(clock)
+        self.in_force = InForce(self.board)
+        self.watcher = StoreWatcher(self.store, self.board, clock, cfg.timers)
+        self.host_list = HttpHostList(cfg.platform_url, clock)
+        settings = NodeSettings(
+            host_id=host_id,
+            ip=cfg.ip,
+            peer_port=self.link.address.port,
+            caller_port=caller_port,
+            admin_port=admin_port,
+            data_centre=DataCentreId(cfg.data_centre),
+            timers=cfg.timers,
+        )
+        self.node = Node(
+            settings,
+            clock,
+            self.store,
+            self.link,
+            HttpTargetOrders(cfg.targets, clock),
+            self.board,
+            self.host_list,
+        )
+        me = HostRecord.of(settings, NOBODY)
+        self.fleet = Fleet(me, self.node.member.directory)
+        self.relay_reader = RelayReader(
+            host_id, self.link, self.board, clock, self.fleet.relays, self._needs_relay
+        )
+
+    def start(self) -> None:
+        """Begin to follow the store, and join the fleet."""
+        serve_news(self.link, self.board, self.watcher, self._clock)
+        eventlet.spawn(self.watcher.run, self.fleet.watches)
+        eventlet.spawn(self.relay_reader.run)
+        eventlet.spawn(self.host_list.run)
+        self.node.start()
+
+    def news_age_s(self) -> float | None:
+        """Return the time since this host was certainly up to date, or None."""
+        confirmed = [
+            at
+            for at in (self.watcher.confirmed_at, self.relay_reader.confirmed_at)
+            if at is not None
+        ]
+        return self._clock.now() - max(confirmed) if confirmed else None
+
+    def _needs_relay(self):
+        """Return whether this host has to learn the news from others."""
+        if not self.fleet.watches():
+            return True
+        confirmed = self.watcher.confirmed_at
+        limit = Instant(self._clock.now() - MISSED_WATCHES * self._cfg.timers.watch_s)
+        return confirmed is not None and confirmed < limit
--- /dev/null
+++ b/src/persimmonspoke/daemon/main.py
@@ -0,0 +1,92 @@
+"""The command ``persimmonspoked``."""
+
+import warnings
+
+# The users chose this library; its advice to new projects says nothing to operators.
+warnings.filterwarnings("ignore", message="\\s*Eventlet is deprecated")
+
+import eventlet
+
+# All that opens sockets has to be imported after this line.
+eventlet.monkey_patch()
+
+import argparse
+import json
+import logging
+import pathlib
+import signal
+import sys
+
+from persimmonspoke.daemon.daemon import Daemon, ExitStatus
+from persimmonspoke.daemon.settings import Settings
+from persimmonspoke.errors import InvalidSettings
+from persimmonspoke.internal.checked_yaml import load_checked
+from persimmonspoke.internal.observe.logs import start_logs
+
+EPILOG = """\
+exit status: 0 stopped in an orderly way; 1 failed; 2 the settings are invalid;
+3 another host took over while this one was silent: start it again.
+signals: SIGTERM and SIGINT stop gracefully; SIGUSR1 writes the state as JSON to
+standard output."""
+
+log = logging.getLogger(__name__)
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the daemon; return its exit status."""
+    args = _parser().parse_args(argv)
+    try:
+        text = args.settings.read_text()
+        settings = load_checked(Settings, text, str(args.settings))
+    except (InvalidSettings, OSError, UnicodeDecodeError) as exc:
+        print(exc, file=sys.stderr)
+        return ExitStatus.INVALID_SETTINGS
+    if args.check:
+        print(f"{args.settings}: the settings are valid")
+        return ExitStatus.STOPPED
+    return _run(settings)
+
+
+def _run(settings):
+    """Run one daemon until it ends."""
+    try:
+        daemon = Daemon(settings)
+    except OSError as exc:
+        print(f"cannot listen: {exc}", file=sys.stderr)
+        return ExitStatus.FAILED
+    start_logs(settings.observe.log_level, daemon.host_id)
+    # A handler runs between two steps of any task, so it only starts a new one.
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: eventlet.spawn(daemon.stop))
+    signal.signal(signal.SIGUSR1, lambda *_: eventlet.spawn(_print_dump, daemon))
+    return daemon.run()
+
+
+def _print_dump(daemon):
+    """Write the state of the process to standard output."""
+    print(json.dumps(daemon.dump()), flush=True)
+
+
+def _parser():
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog="persimmonspoked",
+        description="Route requests to the targets that own their keys.",
+        epilog=EPILOG,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument(
+        "--settings",
+        type=pathlib.Path,
+        required=True,
+        metavar="FILE",
+        help="settings in YAML",
+    )
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings and end"
+    )
+    return parser
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/persimmonspoke/daemon/settings.py
+++ b/src/persimmonspoke/daemon/settings.py
@@ -9,7 +9,7 @@
 from persimmonspoke.internal.admin.settings import AdminSettings
 from persimmonspoke.internal.callers.settings import CallerSettings
 from persimmonspoke.internal.checked_yaml import CheckedModel, CrossFault
-from persimmonspoke.internal.questionnaire.questions import Address, Name
+from persimmonspoke.internal.questionnaire.fields import Address, Name
 from persimmonspoke.internal.scheduling.settings import SchedulingSettings
 from persimmonspoke.internal.targets.settings import TargetSettings
 from persimmonspoke.internal.timers import Timers
--- a/src/persimmonspoke/internal/questionnaire/in_force.py
+++ b/src/persimmonspoke/internal/questionnaire/in_force.py
@@ -2,11 +2,11 @@
 
 import logging
 
-from pydantic import ValidationError
-
+from persimmonspoke.errors import ConfigurationEdited
 from persimmonspoke.ids import Generation, TeamId
 from persimmonspoke.internal.news.api import News
 from persimmonspoke.internal.questionnaire.configuration import TeamConfig
+from persimmonspoke.internal.questionnaire.team_record import read_config
 
 TEAMS = "teams/"
 
@@ -55,10 +55,10 @@
     def _take_in(self, stored):
         """Put one team's configuration in force, unless a later one is."""
         try:
-            config = TeamConfig.model_validate(stored.value["config"])
-        except (KeyError, ValidationError) as exc:
+            config = read_config(stored)
+        except ConfigurationEdited as exc:
             log.error(
-                "configuration: one in the store is malformed; the last one stays",
+                "configuration: one in the store is not ours; the last one stays",
                 extra={"object": stored.key, "cause": str(exc)},
             )
             return
--- a/src/persimmonspoke/standins/target.py
+++ b/src/persimmonspoke/standins/target.py
@@ -7,12 +7,14 @@
 
 import argparse
 import json
+import pathlib
 import time
 from dataclasses import dataclass, field
 
 import eventlet
 import eventlet.wsgi
 
+from persimmonspoke.internal.questionnaire.canonical import from_text
 from persimmonspoke.internal.targets import protocol
 
 JSON = ("Content-Type", "application/json")
@@ -187,8 +189,28 @@
     return [data]
 
 
+def serve_target(ip: str, port: int, state: TargetState) -> None:
+    """Serve one target until the process ends."""
+    listener = eventlet.listen((ip, port))
+    print(f"{state.name} on {ip}:{listener.getsockname()[1]}", flush=True)
+    eventlet.wsgi.server(listener, make_target_app(state), log_output=False)
+
+
+def serve_configured(path: pathlib.Path, work_ms: float) -> None:
+    """Serve all targets of a generated configuration in this one process."""
+    config = from_text(path.read_text(), str(path))
+    pool = eventlet.GreenPool()
+    for service in config.services:
+        for target in service.targets:
+            state = TargetState(
+                target.target_id, target.slots, work_ms, target.checks_fence
+            )
+            pool.spawn(serve_target, target.ip, target.port, state)
+    pool.waitall()
+
+
 def main(argv=None):
-    """Serve the stand-in until it is stopped."""
+    """Serve one target, or all of a configuration, until the process is stopped."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--ip", default="127.0.0.1")
     parser.add_argument("--port", type=int, default=9000)
@@ -196,13 +218,19 @@
     parser.add_argument("--slots", type=int, default=3)
     parser.add_argument("--work-ms", type=float, default=1.0)
     parser.add_argument("--no-fence", action="store_true")
+    parser.add_argument(
+        "--configuration",
+        type=pathlib.Path,
+        help="serve all targets of this generated configuration instead",
+    )
     args = parser.parse_args(argv)
+    if args.configuration is not None:
+        serve_configured(args.configuration, args.work_ms)
+        return
     state = TargetState(
         args.name, args.slots, args.work_ms, checks_fence=not args.no_fence
     )
-    listener = eventlet.listen((args.ip, args.port))
-    print(f"{args.name} on {args.ip}:{listener.getsockname()[1]}", flush=True)
-    eventlet.wsgi.server(listener, make_target_app(state), log_output=False)
+    serve_target(args.ip, args.port, state)
 
 
 if __name__ == "__main__":
--- a/tests/cover/small_fleet.py
+++ b/tests/cover/small_fleet.py
@@ -18,9 +18,11 @@
 from persimmonspoke.internal.node import Node
 from persimmonspoke.internal.peers.api import Liveness
 from persimmonspoke.internal.peers.codec import decode, encode
+from persimmonspoke.internal.questionnaire.configuration import TeamConfig
 from persimmonspoke.internal.store.api import Listing, Stored
 from persimmonspoke.internal.targets.api import OrderReply
 from tests.fakes import virtual_hub
+from tests.fakes.teams import team_value
 
 
 class Gate:
@@ -316,7 +318,7 @@
             f"t{number}": Target(f"t{number}", checks) for number in range(targets)
         }
         self.shards = shards
-        self.store.apply("teams/a", {"config": self.config(per_page, checks)}, 0)
+        self.store.apply("teams/a", self.config(per_page, checks), 0)
         self.hosts = {}
         self.two_owners = []
         self.unowned = {}
@@ -354,13 +356,14 @@
             "max_body_bytes": 10,
             "targets": rows,
         }
-        return {
+        team = {
             "team": "a",
             "generation": 1,
             "questionnaire_hash": "x",
             "measure": "churn",
             "services": [service],
         }
+        return team_value(TeamConfig.model_validate(team))
 
     def _watch(self):
         while True:
--- /dev/null
+++ b/tests/fakes/teams.py
@@ -0,0 +1,17 @@
+"""Team objects as the store would hold them after an accepted apply."""
+
+from persimmonspoke.internal.questionnaire.canonical import seal
+from persimmonspoke.internal.questionnaire.configuration import TeamConfig
+from persimmonspoke.internal.questionnaire.questions import digest
+
+
+def team_value(config: TeamConfig) -> dict:
+    """Return the store's value for `config`, with an empty questionnaire."""
+    sealed = config.model_copy(update={"questionnaire_hash": digest({})})
+    return {
+        "team": config.team,
+        "generation": config.generation,
+        "questionnaire": {},
+        "config": seal(sealed),
+        "write_id": f"generation-{config.generation}",
+    }
