--- a/tests/cover/small_fleet.py
+++ b/tests/cover/small_fleet.py
@@ -202,6 +202,7 @@
         self.frozen = False
         self.fences = {}
         self.grants = {}
+        self.orders = 0
 
     def clock(self):
         return self.offset + virtual_hub.now() * self.rate
@@ -220,6 +221,7 @@
         self.fences[page] = max(order.fence, self.fences.get(page, 0))
 
     def grant(self, order):
+        self.orders += 1
         self._fence(order)
         for item in order.shards:
             key = (order.service, item.shard)
