--- a/src/persimmonspoke/errors.py
+++ b/src/persimmonspoke/errors.py
@@ -245,6 +245,10 @@
     """The caller's deadline passed before the request was written to a target."""
 
 
+class GroupsChanged(NotRun):
+    """The group of targets that the request waited for no longer exists."""
+
+
 class HostClosed(NotRun):
     """This host takes no new requests: it has no lease, or it is being stopped."""
 
