Let control loops wake less often and routes be asked for only when needed

Change: caches by the news count, event-driven renewals, 10 s between requests for routes whose targets all check the fence; a host named gone by the platform's list counts as dead only after its lease has lapsed.

--- a/src/persimmonspoke/internal/membership/directory.py
+++ b/src/persimmonspoke/internal/membership/directory.py
@@ -40,6 +40,10 @@
             self._count = count
         return self._records
 
+    def version(self) -> tuple[int, int]:
+        """Return a value that differs whenever anything known here has changed."""
+        return self._news.count(), len(self.dead)
+
     def get(self, host_id: HostId) -> HostRecord | None:
         """Return the record of one host, if it is known."""
         return self.records().get(host_id)
--- a/src/persimmonspoke/internal/membership/grantor.py
+++ b/src/persimmonspoke/internal/membership/grantor.py
@@ -30,14 +30,14 @@
 from persimmonspoke.internal.membership.settings import host_name
 from persimmonspoke.internal.membership.tasks import Tasks
 from persimmonspoke.internal.news.api import News
-from persimmonspoke.internal.peers.api import PeerLink
+from persimmonspoke.internal.peers.api import Liveness, PeerLink
 from persimmonspoke.internal.store.api import Store
 from persimmonspoke.internal.store.writes import new_write_id, write
 
 _LOG = logging.getLogger(__name__)
 
-WATCH_S = 0.02
-AUDIT_S = 0.1
+WATCH_S = 0.05
+AUDIT_S = 0.2
 STORE_S = 1.0
 
 
@@ -82,6 +82,8 @@
         self._holder = holder
         self._tasks = tasks
         self._audited = 0
+        self._mine_at: tuple[int, int] = (-1, -1)
+        self._mine: frozenset[HostId] = frozenset()
         holder.acts_for = self.acting.__contains__
 
     def start(self) -> None:
@@ -164,13 +166,16 @@
     def _watched(self):
         """Return the hosts that this one answers for."""
         named = {host for host, promise in self.promises.items() if promise.named}
-        mine = {
-            record.host_id
-            for record in self._directory.records().values()
-            if not record.revoked
-            and self._directory.responsible(record.host_id) == self._me
-        }
-        return [host for host in sorted(named | mine) if not self._is_revoked(host)]
+        known_at = self._directory.version()
+        if known_at != self._mine_at:
+            self._mine_at = known_at
+            self._mine = frozenset(
+                host_id
+                for host_id in self._directory.records()
+                if self._directory.responsible(host_id) == self._me
+            )
+        found = sorted(named | self._mine)
+        return [host for host in found if not self._is_revoked(host)]
 
     def _is_revoked(self, host_id):
         record = self._directory.get(host_id)
@@ -183,18 +188,22 @@
                 self._act_if_allowed(promise, self._clock.now())
                 self._revoke(promise, dead=True)
             elif promise.lapsed(self._clock.now()):
+                self._heed_list(promise.holder)
                 self._revoke(promise, dead=False)
         finally:
             promise.checking = False
 
     def _proven_dead(self, host_id):
         record = self._directory.get(host_id)
-        if self._host_list.gone(host_name(host_id)):
-            self._directory.dead.add(host_id)
         if record is not None:
             self._holder.prove(record)
         return host_id in self._directory.dead
 
+    def _heed_list(self, host_id):
+        """Take the platform's word that a host which is silent here is no more."""
+        if self._host_list.gone(host_name(host_id)):
+            self._directory.dead.add(host_id)
+
     def _act_if_allowed(self, promise, now):
         """Take the dead holder's place at once, without waiting for the store."""
         if promise.refusing:
@@ -281,8 +290,9 @@
             return
         self._audited = (self._audited + 1) % len(others)
         record = self._directory.get(others[self._audited])
-        self._holder.prove(record)
         host_id = record.host_id
+        if self._holder.prove(record) is Liveness.SILENT:
+            self._heed_list(host_id)
         if not self._directory.orphaned(host_id) or not self._is_auditor(host_id):
             return
         if not self._holder.valid_at(self._clock.now()):
--- a/src/persimmonspoke/internal/membership/holder.py
+++ b/src/persimmonspoke/internal/membership/holder.py
@@ -29,7 +29,8 @@
 
 _LOG = logging.getLogger(__name__)
 
-STEP_S = 0.02
+STEP_S = 0.05
+WAIT_S = 0.02
 WRITE_S = 0.5
 READ_PERIOD_S = 0.5
 CHANGE_PAUSE_S = 0.1
@@ -122,7 +123,7 @@
                 others = self._directory.unrevoked()
                 if not others or self._clock.now() > since + ALONE_AFTER_S:
                     self._name(None)
-            self._clock.sleep_until(Instant(self._clock.now() + STEP_S))
+            self._clock.sleep_until(self._soon(WAIT_S))
 
     def write_record(self, record: HostRecord) -> bool:
         """Replace this host's record without a change of successor."""
@@ -142,18 +143,19 @@
         self._tasks.gather(self.prove, self._directory.unrevoked())
         return True
 
-    def prove(self, record: HostRecord) -> bool:
-        """Return whether the run behind `record` is proven dead; probe it if need be.
-
-        Some time passes if it neither answers nor refuses the connection.
-        """
+    def prove(self, record: HostRecord) -> Liveness:
+        """Find out whether the run behind `record` is dead; note it if it is."""
         if record.host_id == self.cfg.host_id:
-            return False
-        if record.host_id not in self._directory.dead:
-            deadline = self._soon(self.timers.heartbeat_s)
-            if self._link.probe(record.address, deadline) is Liveness.DEAD:
-                self._directory.dead.add(record.host_id)
-        return record.host_id in self._directory.dead
+            return Liveness.ANSWERS
+        return self._probe(record.address)
+
+    def _probe(self, peer):
+        if peer.host_id in self._directory.dead:
+            return Liveness.DEAD
+        liveness = self._link.probe(peer, self._soon(self.timers.heartbeat_s))
+        if liveness is Liveness.DEAD:
+            self._directory.dead.add(peer.host_id)
+        return liveness
 
     def _soon(self, period_s):
         return Instant(self._clock.now() + period_s)
@@ -194,18 +196,10 @@
         """Prove silent grantors dead, and put their heirs in their place."""
         for named, lease in list(self.required.items()):
             if not lease.dead and lease.silent(self._clock.now()):
-                lease.dead = self._is_dead(lease)
+                lease.dead = self._probe(lease.grantor) is Liveness.DEAD
             if lease.dead:
                 self._adopt_heir(named, lease)
 
-    def _is_dead(self, lease):
-        host_id = lease.grantor.host_id
-        if host_id not in self._directory.dead:
-            deadline = self._soon(self.timers.heartbeat_s)
-            if self._link.probe(lease.grantor, deadline) is Liveness.DEAD:
-                self._directory.dead.add(host_id)
-        return host_id in self._directory.dead
-
     def _adopt_heir(self, named, lease):
         """Get the lease from the host that acts for the dead grantor."""
         grantor_id = lease.grantor.host_id
@@ -329,7 +323,7 @@
                     if lease.verdict is Verdict.GRANTED and not lease.acting_for:
                         return False
                     self._release(lease)
-                self._clock.sleep_until(self._soon(STEP_S))
+                self._clock.sleep_until(self._soon(WAIT_S))
         return True
 
     def _release(self, lease):
--- a/src/persimmonspoke/internal/node.py
+++ b/src/persimmonspoke/internal/node.py
@@ -76,7 +76,13 @@
         )
         self.handover = Handover(self.keeper, clock, link, news, self.tasks)
         self.routes = RouteTable(
-            self.member, self.lender, self.takeover, clock, link, self.tasks
+            self.member,
+            self.lender,
+            self.takeover,
+            self.configs,
+            clock,
+            link,
+            self.tasks,
         )
 
     def start(self) -> None:
--- a/src/persimmonspoke/internal/ownership/copies.py
+++ b/src/persimmonspoke/internal/ownership/copies.py
@@ -45,6 +45,10 @@
         if holding is not None:
             self._dropped[holder] = holding.generation
 
+    def holders(self) -> tuple[HostId, ...]:
+        """Return the hosts of which copies are here."""
+        return tuple(sorted(self._holdings))
+
     def complete(self, holder: HostId) -> bool:
         """Return whether all that `holder` keeps is here."""
         return holder in self._holdings
--- a/src/persimmonspoke/internal/ownership/granter.py
+++ b/src/persimmonspoke/internal/ownership/granter.py
@@ -3,6 +3,9 @@
 import logging
 from enum import Enum
 
+import eventlet
+import eventlet.event
+
 from persimmonspoke.errors import (
     AuthorityLapsed,
     TargetError,
@@ -25,7 +28,6 @@
 _LOG = logging.getLogger(__name__)
 
 ORDER_S = 0.15
-STEP_S = 0.02
 
 
 class TargetState(Enum):
@@ -72,20 +74,21 @@
         self._answered_at = clock.now()
         self._reported = TargetInstant(0.0)
         self._received_at = NEVER
-        self._kicked = False
+        self._kick = eventlet.event.Event()
 
     def run(self, wanted) -> None:
         """Renew grants for as long as `wanted()`."""
         while wanted():
             due = Instant(self._clock.now() + self._timers.renew_s)
-            self._kicked = False
+            self._kick = eventlet.event.Event()
             self._round()
-            while self._clock.now() < due and not self._kicked:
-                self._clock.sleep_until(Instant(self._clock.now() + STEP_S))
+            with eventlet.Timeout(max(0.0, due - self._clock.now()), False):
+                self._kick.wait()
 
     def kick(self) -> None:
         """Send the next orders soon."""
-        self._kicked = True
+        if not self._kick.ready():
+            self._kick.send()
 
     def grant(self, kept: KeptPage) -> bool:
         """Grant the target its shards of one page now; return whether it answered."""
--- a/src/persimmonspoke/internal/ownership/mover.py
+++ b/src/persimmonspoke/internal/ownership/mover.py
@@ -17,8 +17,8 @@
 
 _LOG = logging.getLogger(__name__)
 
+PERIOD_S = 0.05
 STEP_S = 0.02
-STOP_S = 0.5
 FENCED_EPOCH_STEP = 1000
 SHARDS_AT_ONCE = 64
 
@@ -45,7 +45,7 @@
 
     def start(self) -> None:
         """Begin to look after the pages."""
-        self._tasks.every(STEP_S, self._look_after_all)
+        self._tasks.every(PERIOD_S, self._look_after_all)
 
     def _look_after_all(self):
         if not self._keeper.member.holds_lease():
--- a/src/persimmonspoke/internal/ownership/routes.py
+++ b/src/persimmonspoke/internal/ownership/routes.py
@@ -22,6 +22,7 @@
 from persimmonspoke.internal.membership.member import Member
 from persimmonspoke.internal.membership.tasks import Tasks
 from persimmonspoke.internal.ownership.api import Route
+from persimmonspoke.internal.ownership.configs import Configs
 from persimmonspoke.internal.ownership.lender import Lender
 from persimmonspoke.internal.ownership.messages import (
     HoldReply,
@@ -40,6 +41,8 @@
 
 NEVER = Instant(float("-inf"))
 STEP_S = 0.02
+REFRESH_STEP_S = 0.05
+IDLE_REFRESH_S = 10.0
 ASK_S = 0.2
 
 
@@ -57,6 +60,7 @@
         self.asked_at = NEVER
         self.answered_at = NEVER
         self.asking = False
+        self.silent = False
 
 
 class RouteTable:
@@ -67,6 +71,7 @@
         member: Member,
         lender: Lender,
         takeover: Takeover,
+        configs: Configs,
         clock: Clock,
         link: PeerLink,
         tasks: Tasks,
@@ -74,6 +79,7 @@
         self._member = member
         self._lender = lender
         self._takeover = takeover
+        self._configs = configs
         self._timers = member.cfg.timers
         self._clock = clock
         self._link = link
@@ -82,6 +88,10 @@
         self._keepers: dict[HostId, _KeeperView] = {}
         self._refused: dict[tuple[PageKey, ShardId], tuple[Epoch, Instant]] = {}
         self._in_flight: Counter = Counter()
+        self._learned = 0
+        self._known_at: tuple = ()
+        self._keeper_ids: set[HostId] = set()
+        self._urgent: set[HostId] = set()
         self._changed = eventlet.event.Event()
         lender.notice_here = self._noticed
         lender.hold_here = self._hold
@@ -90,7 +100,7 @@
         """Begin to ask keepers and to listen to them."""
         self._link.serve(RouteNotice, self._noticed)
         self._link.serve(HoldRequest, self._hold)
-        self._tasks.every(STEP_S, self._refresh)
+        self._tasks.every(REFRESH_STEP_S, self._refresh)
 
     # Routes for requests.
 
@@ -193,27 +203,61 @@
         now = self._clock.now()
         for keeper in self._all_keepers():
             view = self._view(keeper)
-            if view.asking or now < view.asked_at + self._timers.route_refresh_s:
+            if view.asking or now < view.asked_at + self._period_s(keeper, view):
                 continue
             view.asking = True
             view.asked_at = now
             self._tasks.spawn(self._ask, keeper, view)
 
+    def _period_s(self, keeper, view):
+        """Return how often to ask a keeper.
+
+        Where all targets check the fence, routes need no lease: keepers tell about
+        changes by themselves, and a target refuses what a host has missed.
+        """
+        if view.silent or keeper in self._urgent:
+            return self._timers.route_refresh_s
+        return IDLE_REFRESH_S
+
     def _all_keepers(self):
         """Return all hosts that may keep pages, with the successors of silent ones."""
-        keepers = {entry.page.keeper for entry in self._pages.values()}
-        keepers.update(
-            page.keeper for page, _ in self._takeover.stored_pages().values()
-        )
-        keepers.add(self._member.host_id)
-        now = self._clock.now()
-        for keeper in list(keepers):
-            record = self._member.directory.get(keeper)
-            silent = now - self._view(keeper).answered_at > self._timers.route_lease_s
-            if record is not None and silent and record.successor:
-                keepers.add(record.successor)
+        known_at = (self._learned, *self._member.directory.version())
+        if known_at != self._known_at:
+            self._known_at = known_at
+            self._survey()
+        keepers = set(self._keeper_ids)
+        for keeper in self._keeper_ids:
+            if self._view(keeper).silent:
+                record = self._member.directory.get(keeper)
+                if record is not None and record.successor:
+                    keepers.add(record.successor)
         return keepers
 
+    def _survey(self):
+        """Find all keepers, and those whose routes are needed fresh."""
+        pages = {key: page for key, (page, _) in self._takeover.stored_pages().items()}
+        urgent = set()
+        for key, entry in self._pages.items():
+            if key not in pages or pages[key].epoch <= entry.page.epoch:
+                pages[key] = entry.page
+                if entry.held:
+                    urgent.add(entry.page.keeper)
+        strict = self._strict_services()
+        for key, page in pages.items():
+            if (key.team, key.service) in strict:
+                urgent.add(page.keeper)
+        self._urgent = urgent
+        self._keeper_ids = {page.keeper for page in pages.values()}
+        self._keeper_ids.add(self._member.host_id)
+
+    def _strict_services(self):
+        """Return the services that have a target which does not check the fence."""
+        return {
+            key
+            for key, service in self._configs.divided().items()
+            if not all(target.checks_fence for target in service.targets)
+        }
+
     def _ask(self, keeper, view):
         asked_at = self._clock.now()
         req = RouteRequest(self._member.host_id, view.change)
@@ -224,12 +268,15 @@
             else:
                 record = self._member.directory.get(keeper)
                 if record is None or record.revoked:
+                    view.silent = True
                     return
                 reply = self._link.call(record.address, req, deadline)
         except PeerError:
+            view.silent = True
             return
         finally:
             view.asking = False
+        view.silent = False
         for entry in reply.pages:
             self._learn(entry)
         view.change = max(view.change, reply.change)
@@ -250,6 +297,7 @@
         if known is not None and _age(known) >= _age(entry):
             return
         self._pages[entry.page.key] = entry
+        self._learned += 1
 
     def _wake(self):
         changed, self._changed = self._changed, eventlet.event.Event()
--- a/src/persimmonspoke/internal/ownership/takeover.py
+++ b/src/persimmonspoke/internal/ownership/takeover.py
@@ -25,6 +25,7 @@
 _LOG = logging.getLogger(__name__)
 
 STEP_S = 0.02
+AGAIN_S = 0.5
 STORE_S = 1.0
 BLIND_EPOCH_STEP = 1000
 PAGES = "pages/"
@@ -56,6 +57,8 @@
         self._count = -1
         self._stored: dict[PageKey, tuple[Page, Stored]] = {}
         self._under_way: set[PageKey] = set()
+        self._looked_at: tuple[int, int] = (-1, -1)
+        self._look_again_at = Instant(0.0)
 
     def start(self) -> None:
         """Begin to look for pages."""
@@ -93,6 +96,14 @@
         if not self._member.holds_lease():
             return
         self._take_handed()
+        # All pages are gone through only when something has changed, and now and
+        # then in case a step failed.
+        known_at = self._directory.version()
+        now = self._clock.now()
+        if known_at == self._looked_at and now < self._look_again_at:
+            return
+        self._looked_at = known_at
+        self._look_again_at = Instant(now + AGAIN_S)
         for key, (page, item) in stored.items():
             if key not in self._keeper.pages and key not in self._under_way:
                 self._consider(page, item)
@@ -125,13 +136,18 @@
 
     def _succeeded(self):
         """Return hosts whose pages this one takes over, knowing all their changes."""
-        hosts = set(self._member.grantor.acting)
-        for record in self._directory.records().values():
-            named_me = record.successor == self._member.host_id
-            by_me = record.revoked_by == self._member.host_id
-            if record.revoked and named_me and by_me:
-                hosts.add(record.host_id)
-        return sorted(host for host in hosts if self._keeper.copies.complete(host))
+        return [
+            host_id
+            for host_id in self._keeper.copies.holders()
+            if host_id in self._member.grantor.acting or self._revoked_here(host_id)
+        ]
+
+    def _revoked_here(self, host_id):
+        """Return whether this host, as the named successor, has revoked another."""
+        record = self._directory.get(host_id)
+        if record is None or not record.revoked:
+            return False
+        return record.successor == record.revoked_by == self._member.host_id
 
     def _take_copy(self, copy):
         """Keep a page in the state that its last keeper handed over."""
--- a/tests/cover/small_fleet.py
+++ b/tests/cover/small_fleet.py
@@ -242,6 +242,7 @@
         self.targets = targets
         self.gate = gate
         self.cut = set()
+        self.pause_at = None
 
     def grant(self, address, order, deadline):
         return self._send("grant", address, order, deadline)
@@ -251,6 +252,9 @@
 
     def _send(self, name, address, order, deadline):
         # The pause between the check of the lease and the send falls here.
+        if name == "grant" and order.shards and self.pause_at == address.target_id:
+            self.pause_at = None
+            self.gate.paused = True
         self.gate.check()
         eventlet.sleep(0.001)
         target = self.targets[address.target_id]
--- a/tests/cover/test_ownership.py
+++ b/tests/cover/test_ownership.py
@@ -79,7 +79,9 @@
     def test_an_order_sent_after_a_pause_grants_nothing(self):
         victim = self.keeper()
         target = self.fleet.targets["t0"]
-        victim.gate.paused = True
+        victim.orders.pause_at = "t0"
+        while not victim.gate.paused:
+            self.fleet.run(0.01)
         for host in self.fleet.hosts.values():
             if host is not victim:
                 # The target is never fenced: only the order's end protects it.
