Let requests in hand end before a silent, unfenced target loses its shards

Change: hosts must have nothing in hand there, unless the target is proven dead; the shards stay held meanwhile.

--- a/src/persimmonspoke/internal/ownership/mover.py
+++ b/src/persimmonspoke/internal/ownership/mover.py
@@ -132,11 +132,8 @@
             return
         try:
             kept.held.update(shards)
-            if any(not self._checks(kept, owner) for owner in lost):
-                self._keeper.hold(kept, shards)
-                until = Instant(self._clock.now() + self._timers.hold_s)
-                if not self._lender.stop(kept, shards, until, drain=False):
-                    return
+            if not self._cut_off(kept, lost, shards):
+                return
             # Time has passed; a target may have come back, and then keeps its own.
             moves = self._choose(kept, kept.owned_by(lost & self._lost(kept)))
             if moves:
@@ -144,6 +141,28 @@
         finally:
             self._keeper.unhold(kept, shards)
 
+    def _cut_off(self, kept, lost, shards):
+        """Return whether no host sends requests to lost targets any more.
+
+        A target that checks the fence refuses them by itself.  What is in hand at a
+        silent target that does not check has to end first; a dead one has nothing
+        in hand.
+        """
+        while lost & self._lost(kept) == lost:
+            loose = [owner for owner in lost if not self._checks(kept, owner)]
+            if not loose:
+                return True
+            self._keeper.hold(kept, shards)
+            until = Instant(self._clock.now() + self._timers.hold_s)
+            drain = any(not self._is_dead(kept, owner) for owner in loose)
+            if self._lender.stop(kept, shards, until, drain):
+                return True
+        return False
+
+    def _is_dead(self, kept, owner):
+        granter = self._granters.get(service_of(kept), owner)
+        return granter is not None and granter.state is TargetState.DEAD
+
     def _checks(self, kept, owner):
         granter = self._granters.get(service_of(kept), owner)
         return granter is None or granter.cfg.checks_fence
