Check that no page has two keepers, and that inherited grants are waited for

Change: a check of two keepers at every step; tests for inherited grants and for a host killed while it changes its successor. An inherited right is waited for one lease, which is enough: the last promise was given before the revocation.

--- a/tests/cover/small_fleet.py
+++ b/tests/cover/small_fleet.py
@@ -327,6 +327,7 @@
         self.store.apply("teams/a", self.config(per_page, checks), 0)
         self.hosts = {}
         self.two_owners = []
+        self.two_keepers = []
         self.unowned = {}
         self.longest_unowned = {}
         self.watching = eventlet.spawn(self._watch)
@@ -382,6 +383,12 @@
             for key in target.owned():
                 owners.setdefault(key, []).append(target.target_id)
         now = virtual_hub.now()
+        keepers = {}
+        for host in self.hosts.values():
+            if host.link.alive and host.node.holds_lease():
+                for kept in host.node.keeper.open_pages():
+                    keepers.setdefault(kept.page.key.page, []).append(host.host_id)
+        self.two_keepers += [(now, *row) for row in keepers.items() if len(row[1]) > 1]
         for shard in range(self.shards):
             found = owners.get(("s", shard), [])
             if len(found) > 1:
--- a/tests/cover/test_ownership.py
+++ b/tests/cover/test_ownership.py
@@ -20,6 +20,7 @@
 
     def tearDown(self):
         self.assertEqual(self.fleet.two_owners, [])
+        self.assertEqual(self.fleet.two_keepers, [])
 
     def keeper(self):
         """Return a host that keeps pages."""
@@ -94,6 +95,44 @@
         self.assertGreater(target.orders, orders_before)
         self.assertEqual(target.owned(), {})
 
+    def test_a_new_keeper_waits_for_the_last_grants_of_the_one_before(self):
+        victim = self.keeper()
+        keys = list(victim.node.keeper.pages)
+        victim.kill()
+        taken = []
+        while len(taken) < len(keys):
+            self.fleet.run(0.005)
+            taken = [
+                host.node.keeper.pages[key]
+                for host in self.fleet.hosts.values()
+                for key in keys
+                if host is not victim and key in host.node.keeper.pages
+            ]
+        for kept in taken:
+            for target in self.fleet.targets.values():
+                ends = [
+                    target.grants[("s", shard)][1]
+                    for shard in kept.page.shards()
+                    if ("s", shard) in target.grants
+                ]
+                left_s = max(ends, default=0.0) - target.clock()
+                self.assertGreaterEqual(
+                    kept.inherited_until, virtual_hub.now() + left_s
+                )
+
+    def test_a_host_killed_while_it_changes_its_successor_has_one_heir(self):
+        for pause_s in (0.3, 0.4, 0.5, 0.6, 0.65, 0.7, 0.8):
+            victim = self.keeper()
+            before = self.fleet.successor(victim)
+            self.fleet.network.separate(victim.host_id, before.host_id)
+            self.fleet.run(pause_s)
+            victim.kill()
+            self.fleet.network.cut.clear()
+            self.fleet.run(5)
+            self.fleet.add(f"n{pause_s}")
+            self.fleet.run(5)
+        self.assertEqual(self.fleet.unowned, {})
+
     def test_an_orderly_stop_leaves_no_gap(self):
         host = self.keeper()
         self.assertTrue(host.node.stop(virtual_hub.now() + 10))
