Let a host stand alone when only leaving hosts are left beside it

Cause: the stop of one of two hosts waited its whole 30 s; the other had nobody else to name as successor, so it never let go.

--- a/src/persimmonspoke/internal/membership/holder.py
+++ b/src/persimmonspoke/internal/membership/holder.py
@@ -275,9 +275,10 @@
         Only one host of a fleet in pieces may, and only after a successor that
         still works had the time to revoke it.
         """
-        ids = {record.host_id for record in self._directory.unrevoked()}
-        if not ids - {self.cfg.host_id}:
+        # A leaving host is no use as a successor and waits to be named by nobody.
+        if not self._directory.candidates():
             return True
+        ids = {record.host_id for record in self._directory.unrevoked()}
         if now < self._isolated_since + ALONE_AFTER_S:
             return False
         return min(ids) == self.cfg.host_id
