--- a/tests/cover/test_ownership.py
+++ b/tests/cover/test_ownership.py
@@ -125,10 +125,12 @@
             victim = self.keeper()
             before = self.fleet.successor(victim)
             self.fleet.network.separate(victim.host_id, before.host_id)
+            before.store.cut = True
             self.fleet.run(pause_s)
             victim.kill()
             self.fleet.network.cut.clear()
             self.fleet.run(5)
+            before.store.cut = False
             self.fleet.add(f"n{pause_s}")
             self.fleet.run(5)
         self.assertEqual(self.fleet.unowned, {})
