Plan moves, move stubborn shards off leaving targets, delete old host records

Cause: targets that came back got no shards; work that outlasts the hold kept a leaving target busy for ever; records of ended hosts were never deleted. Change: a planner interface with an even spread as default; holds that grow with each failure; one record deleted at a time once nothing refers to it.

--- a/src/persimmonspoke/internal/membership/grantor.py
+++ b/src/persimmonspoke/internal/membership/grantor.py
@@ -9,7 +9,7 @@
     StoreError,
     StoreOutcomeUnknown,
 )
-from persimmonspoke.ids import HostId, Instant
+from persimmonspoke.ids import HostId, Instant, Version
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.membership.directory import Directory
 from persimmonspoke.internal.membership.holder import Holder
@@ -31,7 +31,7 @@
 from persimmonspoke.internal.membership.tasks import Tasks
 from persimmonspoke.internal.news.api import News
 from persimmonspoke.internal.peers.api import Liveness, PeerLink
-from persimmonspoke.internal.store.api import Store
+from persimmonspoke.internal.store.api import Store, Stored
 from persimmonspoke.internal.store.writes import new_write_id, write
 
 _LOG = logging.getLogger(__name__)
@@ -39,6 +39,8 @@
 WATCH_S = 0.05
 AUDIT_S = 0.2
 STORE_S = 1.0
+TIDY_S = 5.0
+RECORD_KEPT_S = 60.0
 
 
 class Grantor:
@@ -54,6 +56,8 @@
         Whether all that a host keeps was handed to this one.
     drop_copies : callable
         Forget what a host has handed over.
+    keeps_pages : callable
+        Whether the store still names a host as keeper of some page.
     """
 
     def __init__(
@@ -71,6 +75,7 @@
         self.acting: set[HostId] = set()
         self.has_copies: Callable[[HostId], bool] = lambda host_id: True
         self.drop_copies: Callable[[HostId], None] = lambda host_id: None
+        self.keeps_pages: Callable[[HostId], bool] = lambda host_id: False
         self._me = holder.cfg.host_id
         self._timers = holder.timers
         self._clock = clock
@@ -82,6 +87,7 @@
         self._holder = holder
         self._tasks = tasks
         self._audited = 0
+        self._revoked_since: dict[HostId, Instant] = {}
         self._mine_at: tuple[int, int] = (-1, -1)
         self._mine: frozenset[HostId] = frozenset()
         holder.acts_for = self.acting.__contains__
@@ -92,6 +98,7 @@
         self._link.serve(ReleaseRequest, self._release)
         self._tasks.every(WATCH_S, self._watch)
         self._tasks.every(AUDIT_S, self._audit)
+        self._tasks.every(TIDY_S, self._tidy)
 
     def accepts_from(self, holder_id: HostId) -> bool:
         """Return whether `holder_id` may still hand its changes to this host."""
@@ -304,6 +311,32 @@
         if not record.revoked:
             self._write_revocation(record, found.version)
 
+    # Records of hosts that ended long ago.
+
+    def _tidy(self):
+        """Delete one record that nothing refers to any more."""
+        now = self._clock.now()
+        records = self._directory.records()
+        named = {record.successor for record in records.values() if not record.revoked}
+        for host_id, record in records.items():
+            if not record.revoked:
+                continue
+            since = self._revoked_since.setdefault(host_id, now)
+            if now < since + RECORD_KEPT_S or host_id in named:
+                continue
+            if not self.keeps_pages(host_id) and self._is_auditor(host_id):
+                self._delete(record)
+                return
+
+    def _delete(self, record):
+        known = self._news.get(record.path)
+        deadline = Instant(self._clock.now() + STORE_S)
+        if known is not None:
+            self._store.delete(record.path, known.version, deadline)
+            self._news.observe(Stored(record.path, {}, Version(known.version + 1)))
+            self._revoked_since.pop(record.host_id, None)
+            self.promises.pop(record.host_id, None)
+
     def _is_auditor(self, host_id):
         hosts = (record.host_id for record in self._directory.active())
         return highest(f"orphan|{host_id}", hosts) == self._me
--- a/src/persimmonspoke/internal/node.py
+++ b/src/persimmonspoke/internal/node.py
@@ -8,6 +8,7 @@
 from persimmonspoke.internal.membership.settings import NodeSettings, new_host_id
 from persimmonspoke.internal.membership.tasks import Tasks
 from persimmonspoke.internal.news.api import News
+from persimmonspoke.internal.ownership.balancer import Balancer
 from persimmonspoke.internal.ownership.configs import Configs
 from persimmonspoke.internal.ownership.granters import Granters
 from persimmonspoke.internal.ownership.handover import Handover
@@ -15,7 +16,12 @@
 from persimmonspoke.internal.ownership.lender import Lender
 from persimmonspoke.internal.ownership.mover import Mover
 from persimmonspoke.internal.ownership.routes import RouteTable
-from persimmonspoke.internal.ownership.spread import LeastOwned, Placement
+from persimmonspoke.internal.ownership.spread import (
+    EvenSpread,
+    LeastOwned,
+    Placement,
+    Planner,
+)
 from persimmonspoke.internal.ownership.takeover import Takeover
 from persimmonspoke.internal.peers.api import PeerLink
 from persimmonspoke.internal.store.api import Store
@@ -37,6 +43,8 @@
         Where this run listens, and its timers.
     placement : Placement, optional
         Which target gets a shard that has lost its owner.
+    planner : Planner, optional
+        Which shards should move although their owners live.
 
     Attributes
     ----------
@@ -54,6 +62,7 @@
         news: News,
         host_list: HostList,
         placement: Placement | None = None,
+        planner: Planner | None = None,
     ):
         self.cfg = cfg
         self._clock = clock
@@ -84,6 +93,16 @@
             link,
             self.tasks,
         )
+        self.balancer = Balancer(
+            self.keeper,
+            self.configs,
+            self.granters,
+            self.mover,
+            self.routes,
+            planner or EvenSpread(),
+            clock,
+            self.tasks,
+        )
 
     def start(self) -> None:
         """Join the fleet in a task of its own, then begin all work."""
@@ -99,6 +118,7 @@
             self.mover,
             self.handover,
             self.routes,
+            self.balancer,
         )
         for part in parts:
             part.start()
--- a/src/persimmonspoke/internal/ownership/kept.py
+++ b/src/persimmonspoke/internal/ownership/kept.py
@@ -36,6 +36,8 @@
         Shards for which hosts hold new requests.
     busy : bool
         A task is at work on the page.
+    failures : int
+        Planned moves off a leaving target that have failed in a row.
     closed : bool
         This host has stopped to keep the page.
     change : int
@@ -57,6 +59,7 @@
         self.change = 0
         self.lock = eventlet.semaphore.Semaphore()
         self.busy = False
+        self.failures = 0
         self._orders = 0
         self._lapse: dict[TargetId, Instant] = {}
         self._open: dict[TargetId, dict[int, Instant]] = {}
--- a/src/persimmonspoke/internal/ownership/mover.py
+++ b/src/persimmonspoke/internal/ownership/mover.py
@@ -7,6 +7,7 @@
 from persimmonspoke.ids import Instant, ShardId, TargetId
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.membership.tasks import Tasks
+from persimmonspoke.internal.ownership.configs import ServiceKey
 from persimmonspoke.internal.ownership.granter import Granter, TargetState
 from persimmonspoke.internal.ownership.granters import Granters, service_of
 from persimmonspoke.internal.ownership.keeper import Keeper
@@ -21,6 +22,7 @@
 STEP_S = 0.02
 FENCED_EPOCH_STEP = 1000
 SHARDS_AT_ONCE = 64
+LONGEST_HOLD_S = 16.0
 
 
 class Mover:
@@ -42,6 +44,14 @@
         self._timers = keeper.member.cfg.timers
         self._clock = clock
         self._tasks = tasks
+        self._wishes: dict[ServiceKey, dict[ShardId, TargetId]] = {}
+
+    def wish(self, service: ServiceKey, moves: dict[ShardId, TargetId]) -> None:
+        """Plan these moves of a service's shards, in place of what was planned.
+
+        Shards on pages of other keepers are left to those.
+        """
+        self._wishes[service] = dict(moves)
 
     def start(self) -> None:
         """Begin to look after the pages."""
@@ -79,17 +89,57 @@
             return
         leaving = self._leaving(kept)
         if leaving:
-            source = min(leaving)
-            shards = kept.owned_by((source,))[:SHARDS_AT_ONCE]
-            moves = self._choose(kept, shards)
-            self.move(kept, source, moves)
+            self._vacate(kept, min(leaving))
+        else:
+            self._fulfil(kept)
+
+    def _vacate(self, kept, source):
+        """Move shards away from a leaving target: fewer, and longer, if that fails."""
+        shards = kept.owned_by((source,))
+        batch = max(1, SHARDS_AT_ONCE >> (2 * kept.failures))
+        first = kept.failures % len(shards)
+        moves = self._choose(kept, (shards[first:] + shards[:first])[:batch])
+        hold_s = min(LONGEST_HOLD_S, self._timers.hold_s * 2**kept.failures)
+        done = self.move(kept, source, moves, Instant(self._clock.now() + hold_s))
+        kept.failures = 0 if done else kept.failures + 1
+
+    def _fulfil(self, kept):
+        """Make the planned moves from one target, if there are any."""
+        wished = self._wished(kept)
+        if not wished:
+            return
+        source = kept.page.assignment(min(wished)).owner
+        moves = {
+            shard: target
+            for shard, target in wished.items()
+            if kept.page.assignment(shard).owner == source
+        }
+        until = Instant(self._clock.now() + self._timers.hold_s)
+        if not self.move(kept, source, moves, until):
+            for shard in moves:
+                self._wishes[service_of(kept)].pop(shard, None)
+
+    def _wished(self, kept) -> dict[ShardId, TargetId]:
+        """Return the planned moves that can be made on one page now."""
+        service = service_of(kept)
+        wishes = self._wishes.get(service)
+        if not wishes:
+            return {}
+        able = {target.target_id for target in self._granters.candidates(service)}
+        found = {}
+        for shard in kept.page.shards():
+            target = wishes.get(shard)
+            owner = kept.page.assignment(shard).owner
+            if target in able and target != owner and owner in able:
+                found[shard] = target
+        return found
 
     def _unfit(self, kept):
         """Return whether an owner should lose its shards, and another can have them."""
         service = service_of(kept)
         if not self._granters.candidates(service):
             return False
-        return bool(self._lost(kept) or self._leaving(kept))
+        return bool(self._lost(kept) or self._leaving(kept) or self._wished(kept))
 
     # Targets that have seen a later state.
 
@@ -180,18 +230,21 @@
         )
 
     def move(
-        self, kept: KeptPage, source: TargetId, moves: dict[ShardId, TargetId]
+        self,
+        kept: KeptPage,
+        source: TargetId,
+        moves: dict[ShardId, TargetId],
+        until: Instant,
     ) -> bool:
         """Move shards away from `source`, which lives, without failing a request.
 
-        The caller holds the page's lock.  Returns whether the shards moved; if not,
-        `source` still owns them.
+        The caller holds the page's lock.  Requests wait until `until` at most.
+        Returns whether the shards moved; if not, `source` still owns them.
         """
         granter = self._granters.get(service_of(kept), source)
         shards = tuple(moves)
         if not moves or granter is None:
             return False
-        until = Instant(self._clock.now() + self._timers.hold_s)
         kept.moving.update(shards)
         earlier = kept.open_orders(source)
         self._keeper.hold(kept, shards)
@@ -241,6 +294,7 @@
         if not self._keeper.member.holds_lease():
             raise AuthorityLapsed("no moves without a lease")
         self._keeper.commit(kept, kept.page.moved(moves))
+        kept.moving.difference_update(moves)
         self._granters.grant_owners(kept, sorted(set(moves.values())))
         _LOG.info(
             "moves: owners changed",
--- a/src/persimmonspoke/internal/ownership/routes.py
+++ b/src/persimmonspoke/internal/ownership/routes.py
@@ -15,7 +15,9 @@
     Instant,
     KeyText,
     PageId,
+    ServiceId,
     ShardId,
+    TargetId,
     TeamId,
 )
 from persimmonspoke.internal.clock import Clock
@@ -193,6 +195,18 @@
             return RoutePage(stored[0], 0, ())
         return entry
 
+    def owners(self, team: TeamId, service: ServiceId) -> dict[ShardId, TargetId]:
+        """Return the owner of each shard of a service, as far as it is known."""
+        stored = self._takeover.stored_pages()
+        found = {}
+        for key in {*self._pages, *stored}:
+            if (key.team, key.service) != (team, service):
+                continue
+            page = self._entry(key).page
+            for shard, entry in zip(page.shards(), page.assignments, strict=True):
+                found[ShardId(shard)] = entry.owner
+        return found
+
     # Learning from keepers.
 
     def _view(self, keeper) -> _KeeperView:
--- a/src/persimmonspoke/internal/ownership/takeover.py
+++ b/src/persimmonspoke/internal/ownership/takeover.py
@@ -62,6 +62,7 @@
 
     def start(self) -> None:
         """Begin to look for pages."""
+        self._member.grantor.keeps_pages = self._keeps_pages
         self._link.serve(KeeperNotice, self._noticed)
         self._tasks.every(STEP_S, self._look)
 
@@ -86,6 +87,10 @@
             self._stored = pages
         return self._stored
 
+    def _keeps_pages(self, host_id):
+        pages = self.stored_pages().values()
+        return any(page.keeper == host_id for page, _ in pages)
+
     def _look(self):
         stored = self.stored_pages()
         if self._member.revoked:
--- a/tests/cover/small_fleet.py
+++ b/tests/cover/small_fleet.py
@@ -86,6 +86,12 @@
             raise StoreOutcomeUnknown(key)
         return stored
 
+    def delete(self, key, version, deadline):
+        self._call(deadline)
+        if self.objects[key].version != version:
+            raise StoreConflict(key)
+        del self.objects[key]
+
     def apply(self, key, value, version):
         found = self.objects.get(key)
         if (found.version if found else 0) != version:
@@ -205,6 +211,7 @@
         self.fences = {}
         self.grants = {}
         self.orders = 0
+        self.release_s = 0.0
 
     def clock(self):
         return self.offset + virtual_hub.now() * self.rate
@@ -266,6 +273,11 @@
             eventlet.sleep(max(0.0, deadline - virtual_hub.now()))
             raise OrderOutcomeUnknown(address.target_id)
         reply = getattr(target, name)(order)
+        if name == "release" and target.release_s:
+            if virtual_hub.now() + target.release_s > deadline:
+                eventlet.sleep(max(0.0, deadline - virtual_hub.now()))
+                raise OrderOutcomeUnknown(address.target_id)
+            eventlet.sleep(target.release_s)
         eventlet.sleep(0.001)
         self.gate.check()
         return reply
--- a/tests/cover/test_membership.py
+++ b/tests/cover/test_membership.py
@@ -246,6 +246,16 @@
         )
         self.assertLess(took_s, 5.0)
 
+    def test_the_record_of_a_host_that_ended_is_deleted_after_a_while(self):
+        victim = self.host()
+        victim.kill()
+        self.fleet.run(80)
+        self.assertNotIn("hosts/" + victim.host_id, self.fleet.store.objects)
+        self.assertTrue(all(h.node.holds_lease() for h in self.living()))
+
+    def living(self):
+        return [host for host in self.fleet.hosts.values() if host.link.alive]
+
     def test_a_host_that_leaves_resigns_and_its_predecessors_move_on(self):
         host = self.fleet.successor(self.host())
         done = host.node.stop(virtual_hub.now() + 10)
--- a/tests/cover/test_ownership.py
+++ b/tests/cover/test_ownership.py
@@ -40,7 +40,7 @@
 
     def drain(self, *targets):
         known = self.fleet.store.objects.get("drains/a")
-        value = {"targets": {"s": list(targets)}}
+        value = {"targets": list(targets)}
         self.fleet.store.apply("drains/a", value, known.version if known else 0)
 
 
@@ -193,7 +193,7 @@
         self.drain("t0")
         self.fleet.run(3)
         self.assertEqual(self.owned("t0"), 0)
-        self.assertLess(self.fleet.worst_gap(), 0.5)
+        self.assertLess(self.fleet.worst_gap(), 0.1)
 
     def test_a_grant_that_is_on_its_way_cannot_arrive_after_the_release(self):
         keeper = self.keeper()
@@ -207,6 +207,22 @@
         self.assertGreater(virtual_hub.now() - began, 0.5)
         kept.answered(owner, number)
 
+    def test_a_target_that_comes_back_gets_its_share_again(self):
+        self.fleet.targets["t0"].alive = False
+        self.fleet.run(4)
+        self.fleet.targets["t0"].alive = True
+        self.fleet.reset()
+        self.fleet.run(10)
+        self.assertEqual(self.owned("t0"), 3)
+        self.assertLess(self.fleet.worst_gap(), 0.1)
+
+    def test_a_shard_with_long_work_in_hand_leaves_in_the_end(self):
+        target = self.fleet.targets["t0"]
+        target.release_s = 3.0
+        self.drain("t0")
+        self.fleet.run(40)
+        self.assertEqual(self.owned("t0"), 0)
+
 
 class TestStoreFaults(FleetCase):
     def test_ten_minutes_without_the_store_leave_no_gap(self):
