--- a/src/persimmonspoke/internal/membership/grantor.py
+++ b/src/persimmonspoke/internal/membership/grantor.py
@@ -104,6 +104,13 @@
         """Return whether `holder_id` may still hand its changes to this host."""
         return not self._holder.revoked and not self._promise(holder_id).refusing
 
+    def promised(self, holder_id: HostId) -> bool:
+        """Return whether `holder_id` may still hold a lease of this host."""
+        promise = self.promises.get(holder_id)
+        if promise is None or holder_id in self._directory.dead:
+            return False
+        return self._clock.now() <= promise.until
+
     def _promise(self, holder_id) -> Promise:
         if holder_id not in self.promises:
             now = self._clock.now()
--- a/src/persimmonspoke/internal/ownership/takeover.py
+++ b/src/persimmonspoke/internal/ownership/takeover.py
@@ -175,7 +175,11 @@
         record = self._directory.get(keeper)
         if record is not None and not record.revoked:
             return False
-        return self._directory.heir_is_me(keeper)
+        if not self._directory.heir_is_me(keeper):
+            return False
+        # A dead successor's late write may have revoked a host that lives on with
+        # a lease of this one.
+        return not self._member.grantor.promised(keeper)
 
     def _take_named(self, page, item):
         """Keep a page that names this host; its last keeper had stopped before."""
--- a/tests/cover/test_ownership.py
+++ b/tests/cover/test_ownership.py
@@ -1,8 +1,11 @@
 """Keepers, grants, moves and takeover, under the faults that they are made for."""
 
 import unittest
+from unittest import mock
 
 from persimmonspoke.errors import StoreConflict
+from persimmonspoke.internal.membership.holder import Holder
+from persimmonspoke.internal.ownership.kept import KeptPage
 from persimmonspoke.internal.ownership.page import Page
 from tests.cover.small_fleet import Fleet
 from tests.fakes import virtual_hub
@@ -314,6 +317,36 @@
         self.assertFalse(host.node.routes.may_send(route))
 
 
+class TestTheChecks(unittest.TestCase):
+    """Rules left out on purpose are seen by the checks that run at every step."""
+
+    def setUp(self):
+        self.fleet = Fleet(hosts=4, targets=4)
+        self.addCleanup(self.fleet.close)
+        self.fleet.run(12)
+
+    def test_moving_shards_before_grants_lapse_is_seen(self):
+        with mock.patch.object(KeptPage, "lapsed", lambda *args: True):
+            self.fleet.targets["t0"].frozen = True
+            self.fleet.run(3)
+        self.assertNotEqual(self.fleet.two_owners, [])
+
+    def test_two_hosts_that_act_for_one_page_are_seen(self):
+        host = next(
+            item for item in self.fleet.hosts.values() if item.node.keeper.open_pages()
+        )
+        with mock.patch.object(Holder, "valid_at", lambda *args: True):
+            host.gate.paused = True
+            self.fleet.run(3)
+        self.assertNotEqual(self.fleet.two_keepers, [])
+
+    def test_a_shard_that_nobody_owns_is_seen(self):
+        for target in self.fleet.targets.values():
+            target.alive = False
+        self.fleet.run(3)
+        self.assertGreater(self.fleet.worst_gap(), 2.0)
+
+
 class TestRoutes(FleetCase):
     def test_a_request_waits_for_the_new_owner(self):
         host = next(iter(self.fleet.hosts.values()))
