Ask further candidates when the first ones are out of reach

Cause: a host whose three best candidates lay in the other half of a cut fleet never tried the others; a join probed every known host at once. Change: each attempt asks the next few; a join probes only when nobody agrees.

--- a/src/persimmonspoke/internal/membership/holder.py
+++ b/src/persimmonspoke/internal/membership/holder.py
@@ -84,6 +84,7 @@
         self._sure_at = NEVER
         self._read_at = NEVER
         self._next_change = NEVER
+        self._asked = 0
         self._isolated_since: Instant | None = None
 
     def start(self) -> None:
@@ -120,6 +121,7 @@
             elif self._list_hosts() and not self._name_one_of(
                 self._directory.candidates()
             ):
+                self._tasks.gather(self.prove, self._directory.unrevoked())
                 others = self._directory.unrevoked()
                 if not others or self._clock.now() > since + ALONE_AFTER_S:
                     self._name(None)
@@ -133,14 +135,13 @@
         return self._write(record)
 
     def _list_hosts(self):
-        """Read all host records; prove the ones that are dead."""
+        """Read all host records; return whether the store answered."""
         try:
             listing = self._store.list("hosts/", self._soon(WRITE_S))
         except StoreError:
             return False
         for item in listing.items:
             self._news.observe(item)
-        self._tasks.gather(self.prove, self._directory.unrevoked())
         return True
 
     def prove(self, record: HostRecord) -> Liveness:
@@ -283,18 +284,25 @@
         return min(ids) == self.cfg.host_id
 
     def _name_one_of(self, candidates):
-        """Name the first candidate that agrees; return whether one is named."""
+        """Name the first candidate that agrees; return whether one is named.
+
+        Each call asks the next few, since those before may be out of reach.
+        """
         named = self.record.successor if self.record else NOBODY
+        others = [record for record in candidates if record.host_id != named]
+        if self._asked >= len(others):
+            self._asked = 0
         leases = [
             HeldLease(record.address, self.timers, self._clock.now())
-            for record in candidates
-            if record.host_id != named
-        ][:ASKED_AT_ONCE]
+            for record in others[self._asked : self._asked + ASKED_AT_ONCE]
+        ]
+        self._asked += ASKED_AT_ONCE
         agreed = self._tasks.gather(self._ask, leases)
         for lease, granted in zip(leases, agreed, strict=True):
             if not granted or lease.verdict is Verdict.LEAVING:
                 continue
             if self.hand_over(lease.grantor):
+                self._asked = 0
                 return self._name(lease)
         return False
 
--- a/src/persimmonspoke/internal/node.py
+++ b/src/persimmonspoke/internal/node.py
@@ -129,6 +129,9 @@
 
         Routes go on to serve this host's requests in hand until the last step.
         """
+        if self.member.holder.record is None:
+            self.kill()
+            return True
         handed = (
             self.member.announce_leaving(deadline)
             and self.handover.give_all(deadline)
--- a/tests/cover/test_membership.py
+++ b/tests/cover/test_membership.py
@@ -266,6 +266,26 @@
         self.assertIsNot(self.fleet.successor(self.host()), host)
 
 
+class TestHalves(FleetCase):
+    hosts = 6
+
+    def test_two_halves_cut_apart_both_go_on_while_the_store_answers(self):
+        hosts = list(self.fleet.hosts.values())
+        for one in hosts[::2]:
+            for other in hosts[1::2]:
+                self.fleet.network.separate(one.host_id, other.host_id)
+        lapsed_s = 0.0
+        for _ in range(800):
+            self.fleet.run(0.005)
+            holding = all(host.node.holds_lease() for host in hosts)
+            lapsed_s += 0 if holding else 0.005
+        self.assertLess(lapsed_s, 0.3)
+        self.fleet.network.cut.clear()
+        self.fleet.run(5)
+        self.assertTrue(all(host.node.holds_lease() for host in hosts))
+        self.assertEqual(self.fleet.two_keepers, [])
+
+
 class TestTwoHosts(FleetCase):
     hosts = 2
 
