--- /dev/null
+++ b/tests/fakes/network.py
@@ -0,0 +1,193 @@
+"""A network with latency and cuts, and the link between processes over it."""
+
+from dataclasses import dataclass, field
+
+import eventlet
+import eventlet.event
+
+from persimmonspoke.errors import PeerRefused, PeerTimeout, PersimmonspokeError
+from persimmonspoke.internal.peers import codec
+from persimmonspoke.internal.peers.api import Liveness, PeerAddress
+from tests.fakes import virtual_hub
+from tests.fakes.process import GateKind
+
+LATENCY_S = 0.0005
+
+
+class ConnectionRefused(Exception):
+    """The machine is there and the process is not."""
+
+
+class NotSent(Exception):
+    """No connection came about before the deadline."""
+
+
+class AnswerLost(Exception):
+    """The message was sent; no answer arrived before the deadline."""
+
+
+@dataclass
+class FakeNetwork:
+    """Machines, the directions in which they cannot reach each other, and links.
+
+    Attributes
+    ----------
+    cuts : set of (str, str)
+        Pairs of machines; nothing gets from the first to the second.
+    vanished : set of str
+        Machines without power: nothing on them answers or refuses anything.
+    crashes : list of Exception
+        Failures that escaped from a handler; a test that ends with any is red.
+    """
+
+    cuts: set = field(default_factory=set)
+    vanished: set = field(default_factory=set)
+    links: dict = field(default_factory=dict)
+    crashes: list = field(default_factory=list)
+
+    def cut(self, sources, destinations, both=True):
+        """Cut all paths from `sources` to `destinations`, and back if `both`."""
+        for source in sources:
+            for destination in destinations:
+                self.cuts.add((source, destination))
+                if both:
+                    self.cuts.add((destination, source))
+
+    def heal(self):
+        """Undo all cuts."""
+        self.cuts.clear()
+
+    def reaches(self, source, destination):
+        """Return whether a packet sent now arrives."""
+        gone = source.machine in self.vanished or destination.machine in self.vanished
+        return not gone and (source.machine, destination.machine) not in self.cuts
+
+    def exchange(self, source, destination, work, deadline, kind):
+        """Run `work` in `destination` on behalf of `source` and return its outcome.
+
+        Parameters
+        ----------
+        work : callable
+            Runs in a task of `destination` once that process is not paused.
+        deadline : float
+            On the clock of `source`.
+        kind : GateKind
+            Where `source` may be made to pause.
+        """
+        source.gate(kind, sending=True)
+        ends = source.virtual(deadline)
+        if not (
+            self.reaches(source, destination) and self.reaches(destination, source)
+        ):
+            _sleep_to(ends)
+            source.gate(kind)
+            raise NotSent
+        if destination.killed:
+            eventlet.sleep(LATENCY_S)
+            source.gate(kind)
+            raise ConnectionRefused
+        answer = eventlet.event.Event()
+        eventlet.spawn_n(self._carry, source, destination, work, answer, kind)
+        outcome = answer.wait(timeout=max(0.0, ends - virtual_hub.now()))
+        source.gate(kind)
+        if outcome is None:
+            raise AnswerLost
+        returned, raised = outcome
+        if raised is not None:
+            raise raised
+        return returned
+
+    def _carry(self, source, destination, work, answer, kind):
+        """Take one message to its destination and the answer back."""
+        eventlet.sleep(LATENCY_S)
+        if not self.reaches(source, destination):
+            return
+        destination.gate(kind)
+        returned = raised = None
+        try:
+            returned = work()
+        except PersimmonspokeError as exc:
+            raised = exc
+        except Exception as exc:
+            self.crashes.append(exc)
+            raise
+        destination.gate(kind)
+        if self.reaches(destination, source):
+            eventlet.sleep(LATENCY_S)
+            if not answer.ready():
+                answer.send((returned, raised))
+
+
+class FakeLink:
+    """One process's end of the peer link; implements `PeerLink`.
+
+    Attributes
+    ----------
+    bytes_sent : int
+        Size of all messages and answers that this process sent.
+    """
+
+    def __init__(self, network, process, address: PeerAddress):
+        self.network = network
+        self.process = process
+        self.address = address
+        self.bytes_sent = 0
+        self._handlers = {}
+        network.links[address.ip, address.port] = self
+
+    def call(self, peer, message, deadline):
+        """Send `message` and return the answer, or raise `PeerError`."""
+        data = codec.encode(message)
+        self.bytes_sent += len(data)
+        there = self.network.links[peer.ip, peer.port]
+
+        def work():
+            return there.answer(peer, data)
+
+        try:
+            answer = self.network.exchange(
+                self.process, there.process, work, deadline, GateKind.PEER
+            )
+        except ConnectionRefused:
+            _sleep_to(self.process.virtual(deadline))
+            raise PeerTimeout(f"{peer.host_id} is not there") from None
+        except (NotSent, AnswerLost):
+            raise PeerTimeout(f"{peer.host_id} is silent") from None
+        except PersimmonspokeError as exc:
+            raise PeerRefused(f"{type(exc).__name__}: {exc}") from exc
+        return codec.decode(answer)
+
+    def answer(self, peer, data):
+        """Answer one message that was sent to the run `peer`."""
+        if peer.host_id != self.address.host_id:
+            raise PeerRefused("another run answers at this address")
+        message = codec.decode(data)
+        answer = codec.encode(self._handlers[type(message)](message))
+        self.bytes_sent += len(answer)
+        return answer
+
+    def probe(self, peer, deadline):
+        """Find out whether that run of the peer can still be alive."""
+        there = self.network.links[peer.ip, peer.port]
+        try:
+            found = self.network.exchange(
+                self.process,
+                there.process,
+                lambda: there.address.host_id,
+                deadline,
+                GateKind.PEER,
+            )
+        except ConnectionRefused:
+            return Liveness.DEAD
+        except (NotSent, AnswerLost):
+            return Liveness.SILENT
+        return Liveness.ANSWERS if found == peer.host_id else Liveness.DEAD
+
+    def serve(self, kind, handler):
+        """Answer messages of type `kind` by `handler`, one task a message."""
+        self._handlers[kind] = handler
+
+
+def _sleep_to(virtual):
+    """Sleep to a virtual time."""
+    eventlet.sleep(max(0.0, virtual - virtual_hub.now()))
--- /dev/null
+++ b/tests/fakes/store.py
@@ -0,0 +1,247 @@
+"""The platform's object API, with every way in which it is known to fail."""
+
+import json
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum
+
+import eventlet
+import eventlet.event
+
+from persimmonspoke.errors import (
+    StoreCompacted,
+    StoreConflict,
+    StoreError,
+    StoreMissing,
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+)
+from persimmonspoke.internal.store.api import Listing, Stored
+from tests.fakes import virtual_hub
+from tests.fakes.process import GateKind
+
+LATENCY_S = 0.003
+MAX_VALUE_BYTES = 1_000_000
+
+
+class Lost(Enum):
+    """What became of a write whose answer was lost."""
+
+    AFTER_EFFECT = "took effect"
+    BEFORE_EFFECT = "did not take effect"
+    LATE_EFFECT = "takes effect later"
+
+
+@dataclass
+class StoreFaults:
+    """What goes wrong at present, for one process or for all.
+
+    Attributes
+    ----------
+    down : bool
+        Connections are refused, and open calls break.
+    silent : bool
+        Calls are taken and neither carried out nor answered.
+    extra_s : float
+        Added to the time that each call takes.
+    lost : deque of Lost
+        Fates of the next writes, in order.
+    late_s : float
+        When a write of fate `LATE_EFFECT` takes effect.
+    """
+
+    down: bool = False
+    silent: bool = False
+    extra_s: float = 0.0
+    lost: deque = field(default_factory=deque)
+    late_s: float = 60.0
+
+
+class FakePlatformStore:
+    """The objects, shared by all processes.
+
+    Attributes
+    ----------
+    calls : list of (float, str)
+        Virtual time and kind of each call that reached the store.
+    """
+
+    def __init__(self):
+        self.faults = StoreFaults()
+        self.revision = 0
+        self.calls = []
+        self._objects = {}
+        self._log = []
+        self._compacted = 0
+        self._changed = eventlet.event.Event()
+
+    def get(self, key):
+        """Return the object under `key`."""
+        if key not in self._objects:
+            raise StoreMissing(key)
+        return self._read(key, *self._objects[key])
+
+    def list(self, prefix):
+        """Return all objects under `prefix`."""
+        found = sorted(self._objects.items())
+        items = [self._read(key, *had) for key, had in found if key.startswith(prefix)]
+        return Listing(tuple(items), self.revision)
+
+    def put(self, key, value, version):
+        """Write `value` if the object's version is `version`; None: delete it."""
+        if self._objects.get(key, (None, 0))[1] != version:
+            raise StoreConflict(f"{key} is not at version {version}")
+        text = json.dumps(value or {})
+        if len(text) > MAX_VALUE_BYTES:
+            raise ValueError(f"{key} would hold {len(text)} bytes")
+        self.revision += 1
+        self._objects[key] = (text, self.revision)
+        if value is None:
+            del self._objects[key]
+        self._log.append((self.revision, key, text))
+        self.wake()
+        return self._read(key, text, self.revision)
+
+    def changes(self, prefix, revision):
+        """Return the changes after `revision`, each object once."""
+        if revision < self._compacted:
+            raise StoreCompacted(str(revision))
+        newest = {
+            key: self._read(key, text, at)
+            for at, key, text in self._log
+            if at > revision and key.startswith(prefix)
+        }
+        return Listing(tuple(newest.values()), self.revision)
+
+    def compact(self):
+        """Forget all past changes."""
+        self._compacted = self.revision
+        self._log.clear()
+
+    def wake(self):
+        """Let all waiting watches look again."""
+        fired, self._changed = self._changed, eventlet.event.Event()
+        fired.send()
+
+    def wait(self, timeout_s):
+        """Wait until something changed."""
+        self._changed.wait(timeout=timeout_s)
+
+    def rate(self, since, until, writes):
+        """Return the calls a second in a span of virtual time."""
+        kinds = ("write",) if writes else ("read", "watch")
+        hits = [at for at, kind in self.calls if since <= at < until and kind in kinds]
+        return len(hits) / (until - since)
+
+    @staticmethod
+    def _read(key, text, version):
+        return Stored(key, json.loads(text), version)
+
+
+class FakeStore:
+    """One process's view of the platform's store; implements `Store`."""
+
+    def __init__(self, platform, process):
+        self.platform = platform
+        self.process = process
+        self.faults = StoreFaults()
+
+    def get(self, key, deadline):
+        """Return the object under `key`, or raise `StoreMissing`."""
+        return self._call("read", lambda: self.platform.get(key), deadline)
+
+    def list(self, prefix, deadline):
+        """Return all objects whose keys start with `prefix`."""
+        return self._call("read", lambda: self.platform.list(prefix), deadline)
+
+    def create(self, key, value, deadline):
+        """Write a new object, or raise `StoreConflict` if there is one."""
+        return self.update(key, value, 0, deadline)
+
+    def update(self, key, value, version, deadline):
+        """Replace the object if its version is still `version`."""
+        work = lambda: self.platform.put(key, value, version)  # noqa: E731
+        return self._call("write", work, deadline)
+
+    def delete(self, key, version, deadline):
+        """Remove the object if its version is still `version`."""
+        self._call("write", lambda: self.platform.put(key, None, version), deadline)
+
+    def watch(self, prefix, revision, deadline):
+        """Wait for changes after `revision` and return them."""
+        ends = self.process.virtual(deadline)
+
+        def work():
+            while True:
+                self._raise_if_down()
+                found = self.platform.changes(prefix, revision)
+                left = ends - virtual_hub.now()
+                if found.items or left <= LATENCY_S:
+                    return found
+                self.platform.wait(left - LATENCY_S)
+
+        return self._call("watch", work, deadline)
+
+    def _call(self, kind, work, deadline):
+        """Carry out one call under the faults of the moment."""
+        self.process.gate(GateKind.STORE, sending=True)
+        ends = self.process.virtual(deadline)
+        fate = self._fate() if kind == "write" else None
+        answer = eventlet.event.Event()
+        eventlet.spawn_n(self._serve, kind, work, fate, answer)
+        outcome = answer.wait(timeout=max(0.0, ends - virtual_hub.now()))
+        self.process.gate(GateKind.STORE)
+        if outcome is None:
+            raise self._no_answer(kind)
+        returned, raised = outcome
+        if raised is not None:
+            raise raised
+        return returned
+
+    def _serve(self, kind, work, fate, answer):
+        """Do one call's work in the store and send the answer."""
+        extra_s = max(self.platform.faults.extra_s, self.faults.extra_s)
+        eventlet.sleep((LATENCY_S + extra_s) / 2)
+        if self.platform.faults.silent or self.faults.silent:
+            return
+        returned = raised = None
+        try:
+            self._raise_if_down()
+            self.platform.calls.append((virtual_hub.now(), kind))
+            if fate is Lost.LATE_EFFECT:
+                late_s = max(self.platform.faults.late_s, self.faults.late_s)
+                eventlet.spawn_after(late_s, _ignoring_conflict, work)
+            elif fate is not Lost.BEFORE_EFFECT:
+                returned = work()
+        except StoreError as exc:
+            raised = exc
+        eventlet.sleep((LATENCY_S + extra_s) / 2)
+        if fate is not None:
+            returned, raised = None, self._no_answer(kind)
+        if not answer.ready():
+            answer.send((returned, raised))
+
+    def _fate(self):
+        """Return what becomes of the next write, None if all is well."""
+        for faults in (self.faults, self.platform.faults):
+            if faults.lost:
+                return faults.lost.popleft()
+        return None
+
+    def _raise_if_down(self):
+        if self.platform.faults.down or self.faults.down:
+            raise StoreUnavailable("the store refuses connections")
+
+    @staticmethod
+    def _no_answer(kind):
+        if kind == "write":
+            return StoreOutcomeUnknown("no answer to a write")
+        return StoreUnavailable("no answer")
+
+
+def _ignoring_conflict(work):
+    """Carry out a write that arrives late and whose version may have passed."""
+    try:
+        work()
+    except StoreConflict:
+        return
--- /dev/null
+++ b/tests/fakes/targets.py
@@ -0,0 +1,179 @@
+"""Targets that take fenced grants and requests, and the orders given to them."""
+
+from dataclasses import dataclass
+
+import eventlet
+
+from persimmonspoke.errors import (
+    OrderOutcomeUnknown,
+    TargetFenced,
+    TargetRefusedConnection,
+    TargetUnreachable,
+)
+from persimmonspoke.internal.targets.api import OrderReply, TargetAddress
+from tests.fakes import virtual_hub
+from tests.fakes.history import Execution
+from tests.fakes.network import AnswerLost, ConnectionRefused, NotSent
+from tests.fakes.process import FakeClock, FakeProcess, GateKind
+
+DRAIN_POLL_S = 0.01
+WORK_S = 0.005
+
+
+@dataclass
+class _Held:
+    """One shard that a target owns until an instant on its own clock."""
+
+    page: tuple
+    epoch: int
+    not_after: float
+
+
+class FakeTarget:
+    """One target, over all its runs.
+
+    Parameters
+    ----------
+    checks : bool
+        Whether it refuses orders and requests whose epoch is out of date.
+
+    Attributes
+    ----------
+    work_s : float
+        How long one request takes.
+    sheds : bool
+        Whether it refuses all requests as not run.
+    """
+
+    def __init__(self, address: TargetAddress, history, checks=True, rate=1.0):
+        self.address = address
+        self.history = history
+        self.checks = checks
+        self.work_s = WORK_S
+        self.sheds = False
+        self.process = FakeProcess(address.target_id, address.ip, rate, 5000.0)
+        self._forget()
+
+    def _forget(self):
+        self.held = {}
+        self.fences = {}
+        self.busy = {}
+
+    def kill(self):
+        """End the process; its machine refuses connections from now on."""
+        self.process.kill()
+        self.history.gone(self.address.target_id)
+        self._forget()
+
+    def restart(self):
+        """Start a new run, which owns nothing, on the same machine."""
+        old = self.process
+        self.process = FakeProcess(old.name, old.machine, old.rate, old.offset)
+
+    def clock(self):
+        """Return the time on the target's clock."""
+        return FakeClock(self.process).now()
+
+    def grant(self, order):
+        """Carry out a grant order."""
+        page = (order.team, order.service, order.page)
+        self._check_fence(page, order.fence)
+        for granted in order.shards:
+            self._hold(page, granted, order.not_after)
+        return OrderReply(self.clock())
+
+    def release(self, order):
+        """Carry out a release order; return when work in hand is done."""
+        page = (order.team, order.service, order.page)
+        self._check_fence(page, order.fence)
+        shards = [(order.team, order.service, shard) for shard in order.shards]
+        for shard in shards:
+            self.held.pop(shard, None)
+            self.history.dropped(self.address.target_id, shard)
+        while any(self.busy.get(shard) for shard in shards):
+            eventlet.sleep(DRAIN_POLL_S)
+            self.process.gate(GateKind.CLOCK)
+        return OrderReply(self.clock())
+
+    def accepts(self, shard, epoch):
+        """Return whether a request on `shard` may run here now."""
+        if not self.checks or shard is None:
+            return True
+        held = self.held.get(shard)
+        return (
+            held is not None and held.epoch == epoch and self.clock() < held.not_after
+        )
+
+    def execute(self, request, protected, shard, epoch, sent):
+        """Run one request and return its answer, the request's own id."""
+        if not self.accepts(shard, epoch):
+            raise TargetFenced(f"{self.address.target_id} does not own {shard}")
+        name = self.address.target_id
+        run = Execution(
+            request, protected, name, shard, epoch, sent, virtual_hub.now(), self.checks
+        )
+        self.history.executions.append(run)
+        process = self.process
+        self.busy[shard] = self.busy.get(shard, 0) + 1
+        try:
+            eventlet.sleep(self.work_s)
+            process.gate(GateKind.CLOCK)
+        finally:
+            if process is self.process and not process.killed:
+                self.busy[shard] -= 1
+            run.ended = run.ended or virtual_hub.now()
+        return request
+
+    def _check_fence(self, page, fence):
+        if self.checks and fence < self.fences.get(page, 0):
+            raise TargetFenced(f"{self.address.target_id} knows a later epoch")
+        self.fences[page] = max(fence, self.fences.get(page, 0))
+
+    def _hold(self, page, granted, not_after):
+        """Own one shard until `not_after`, unless that has passed."""
+        if self.clock() >= not_after:
+            return
+        shard = (page[0], page[1], granted.shard)
+        self.held[shard] = _Held(page, granted.epoch, not_after)
+        until = self.process.virtual(not_after)
+        name = self.address.target_id
+        self.history.held(name, shard, granted.epoch, until, self.checks)
+
+
+class FakeOrders:
+    """Orders of one entry host; implements `TargetOrders`.
+
+    Parameters
+    ----------
+    targets : dict of TargetId to FakeTarget
+        All targets there are.
+    """
+
+    def __init__(self, network, process, targets):
+        self.network = network
+        self.process = process
+        self.targets = targets
+
+    def grant(self, target, order, deadline):
+        """Grant or renew ownership of shards."""
+        there = self.targets[target.target_id]
+        return self._order(there, lambda: there.grant(order), deadline)
+
+    def release(self, target, order, deadline):
+        """Take shards back; the answer says that no work on them goes on."""
+        there = self.targets[target.target_id]
+        return self._order(there, lambda: there.release(order), deadline)
+
+    def _order(self, there, work, deadline):
+        """Give one order and translate what the network says about it."""
+        name = there.address.target_id
+        try:
+            return self.network.exchange(
+                self.process, there.process, work, deadline, GateKind.ORDER
+            )
+        except ConnectionRefused:
+            raise TargetRefusedConnection(f"nothing listens at {name}") from None
+        except NotSent:
+            raise TargetUnreachable(f"no connection to {name}") from None
+        except AnswerLost:
+            raise OrderOutcomeUnknown(f"{name} did not answer") from None
--- a/tests/fakes/virtual_hub.py
+++ b/tests/fakes/virtual_hub.py
@@ -7,6 +7,8 @@
 import eventlet
 from eventlet.hubs import selects
 
+LEAST_STEP_S = 1e-9
+
 
 class VirtualHub(selects.Hub):
     """A hub that jumps to its next timer instead of waiting for it."""
@@ -22,8 +24,10 @@
         """Advance the clock by `seconds`; poll sockets, if any, without waiting."""
         if self.readers_watched():
             super().wait(0)
-        if seconds is not None and seconds > 0:
-            self.virtual_now += seconds
+        if seconds is not None:
+            # Time must pass in every round: a task that waits for less than the
+            # clock's precision would otherwise wait for ever.
+            self.virtual_now += max(seconds, LEAST_STEP_S)
 
     def readers_watched(self):
         """Return whether any socket is watched."""
