--- a/tests/cover/small_fleet.py
+++ b/tests/cover/small_fleet.py
@@ -204,6 +204,7 @@
         self.frozen = False
         self.fences = {}
         self.grants = {}
+        self.orders = 0
 
     def clock(self):
         return self.offset + virtual_hub.now() * self.rate
@@ -222,6 +223,7 @@
         self.fences[page] = max(order.fence, self.fences.get(page, 0))
 
     def grant(self, order):
+        self.orders += 1
         self._fence(order)
         for item in order.shards:
             key = (order.service, item.shard)
@@ -242,6 +244,7 @@
         self.targets = targets
         self.gate = gate
         self.cut = set()
+        self.pause_at = None
 
     def grant(self, address, order, deadline):
         return self._send("grant", address, order, deadline)
@@ -251,6 +254,9 @@
 
     def _send(self, name, address, order, deadline):
         # The pause between the check of the lease and the send falls here.
+        if name == "grant" and order.shards and self.pause_at == address.target_id:
+            self.pause_at = None
+            self.gate.paused = True
         self.gate.check()
         eventlet.sleep(0.001)
         target = self.targets[address.target_id]
