Serve callers: whole answers, typed refusals, callers that leave

Cause: an interrupted request closed its connection but did not cancel the target, because the caller's leaving counted as a request that did not run. Change: only NotRun and target errors end an attempt quietly; all else cancels. Loopback tests of heads, bodies and answers that break rules.

--- a/src/persimmonspoke/internal/targets/http_requests.py
+++ b/src/persimmonspoke/internal/targets/http_requests.py
@@ -14,6 +14,7 @@
 from persimmonspoke.errors import (
     AnswerLost,
     MalformedRequest,
+    NotRun,
     RequestFailure,
     RouteLapsed,
     TargetError,
@@ -161,7 +162,7 @@
         try:
             self._answer_head(exchange, until)
             return self._judged(exchange)
-        except (RequestFailure, TargetError, _Silent):
+        except (NotRun, TargetError, _Silent):
             exchange.fail()
             raise
         except BaseException:
--- /dev/null
+++ b/tests/loopback/test_callers_server.py
@@ -0,0 +1,272 @@
+"""Callers' connections: whole answers, and heads and bodies that break rules."""
+
+import json
+import socket
+import unittest
+
+import eventlet
+
+from persimmonspoke.internal.callers.app import make_caller_app
+from persimmonspoke.internal.callers.server import serve_callers
+from persimmonspoke.internal.callers.settings import CallerSettings
+from persimmonspoke.internal.clock import SystemClock
+from persimmonspoke.internal.targets.connections import TargetPools
+from persimmonspoke.internal.targets.http_requests import HttpTargetRequests
+from persimmonspoke.internal.targets.settings import TargetSettings
+from tests.fakes.caller_parts import (
+    FirstCandidate,
+    FixedConfigurations,
+    OneOwnerRoutes,
+    SimpleGate,
+    service,
+)
+from tests.fakes.raw_target import RawTarget, once, serve, silent
+
+LIMIT_S = 20.0
+
+
+class ServerCase(unittest.TestCase):
+    """Runs the caller side of a host in front of one target."""
+
+    scripts = (serve,)
+    wait_ms = 20_000
+
+    def setUp(self):
+        self.target = RawTarget(*self.scripts)
+        self.addCleanup(self.target.stop)
+        clock = SystemClock()
+        cfg = CallerSettings(head_s=0.2, gone_check_s=0.01)
+        pools = TargetPools(TargetSettings(), clock, lambda cfg: cfg.connections)
+        config = self.target.config()
+        self.gate = SimpleGate()
+        self.scheduler = FirstCandidate()
+        app = make_caller_app(
+            cfg,
+            FixedConfigurations(service(targets=(config,), wait_ms=self.wait_ms)),
+            OneOwnerRoutes(config),
+            self.scheduler,
+            HttpTargetRequests(pools, clock),
+            clock,
+            self.gate,
+        )
+        self.listener = eventlet.listen(("127.0.0.1", 0))
+        server = eventlet.spawn(serve_callers, self.listener, app, cfg)
+        self.addCleanup(server.kill)
+        limit = eventlet.Timeout(LIMIT_S, AssertionError("the test hangs"))
+        self.addCleanup(limit.cancel)
+
+    def connect(self):
+        sock = eventlet.connect(self.listener.getsockname())
+        self.addCleanup(sock.close)
+        return sock
+
+    def exchange(self, *parts):
+        """Send `parts`, read until the connection is closed; return the text."""
+        sock = self.connect()
+        for part in parts:
+            sock.sendall(part)
+        return self.read_all(sock)
+
+    def read_all(self, sock):
+        pieces = []
+        while piece := sock.recv(65536):
+            pieces.append(piece)
+        return b"".join(pieces).decode("latin-1")
+
+    def wait_for(self, condition):
+        while not condition():
+            eventlet.sleep(0.005)
+
+
+def head(line="GET /desk/lookup/k1 HTTP/1.1", *fields):
+    """Return the bytes of a head that asks for the connection to be closed."""
+    lines = (line, "Host: x", "Connection: close", *fields, "", "")
+    return "\r\n".join(lines).encode("latin-1")
+
+
+class TestAnswers(ServerCase):
+    def test_the_whole_answer_comes_back_under_the_callers_own_id(self):
+        text = self.exchange(
+            head("GET /desk/lookup/k1?a=1 HTTP/1.1", "X-Request-Id: q7")
+        )
+        self.assertTrue(text.startswith("HTTP/1.1 200 OK\r\n"), text)
+        self.assertTrue(text.endswith("\r\n\r\nok"), text)
+        self.assertIn("X-Request-Id: q7\r\n", text)
+        self.assertEqual(self.target.received[0].line, "GET /lookup/k1?a=1 HTTP/1.1")
+
+    def test_a_body_is_passed_on(self):
+        for framing, sent in (
+            ("Content-Length: 5", b"hello"),
+            ("Transfer-Encoding: chunked", b"3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n"),
+        ):
+            text = self.exchange(head("POST /desk/lookup/k HTTP/1.1", framing), sent)
+            self.assertIn(" 200 OK", text)
+            self.assertEqual(self.target.received[-1].body, b"hello")
+
+    def test_fields_of_one_connection_and_of_the_protocol_are_not_passed_on(self):
+        self.exchange(
+            head(
+                "GET /desk/lookup/k HTTP/1.1",
+                "Connection: X-Hop",
+                "X-Hop: 1",
+                "X-Shard: 99",
+                "X_Shard: 98",
+                "TE: trailers",
+                "X-Kept: 1",
+            )
+        )
+        got = self.target.received[0].headers
+        self.assertEqual(got["x-shard"], "3")
+        self.assertEqual(got["x-kept"], "1")
+        for name in ("x-hop", "te", "x_shard"):
+            self.assertNotIn(name, got)
+
+    def test_one_connection_carries_many_requests(self):
+        sock = self.connect()
+        ask = b"GET /desk/lookup/k HTTP/1.1\r\nHost: x\r\n\r\n"
+        sock.sendall(ask * 3)
+        text = ""
+        while text.count("\r\n\r\nok") < 3:
+            text += sock.recv(65536).decode()
+        self.assertEqual(text.count("200 OK"), 3)
+
+
+class TestBrokenAnswers(ServerCase):
+    @staticmethod
+    def cut(conn):
+        request = conn.receive()
+        conn.answer(request, body=bytes(200_000), length=300_000)
+        conn.sock.shutdown(socket.SHUT_RDWR)
+
+    scripts = (cut,)
+
+    def test_half_a_long_answer_is_never_taken_for_a_whole_one(self):
+        text = self.exchange(head())
+        body = text.partition("\r\n\r\n")[2]
+        self.assertIn("Content-Length: 300000", text)
+        self.assertLessEqual(len(body), 200_000)
+        self.wait_for(lambda: self.gate.inside == 0)
+        self.assertEqual(self.scheduler.outcomes[-1][1], "failed")
+
+
+class TestHalfAShortAnswer(ServerCase):
+    @staticmethod
+    def cut(conn):
+        conn.answer(conn.receive(), body=b"half", length=8)
+        conn.sock.shutdown(socket.SHUT_RDWR)
+
+    scripts = (cut, cut, serve)
+
+    def test_a_read_is_repeated_and_a_filing_is_not(self):
+        text = self.exchange(head("POST /desk/lookup/k HTTP/1.1", "Content-Length: 0"))
+        self.assertIn("502 Bad Gateway", text)
+        error = json.loads(text.partition("\r\n\r\n")[2])["error"]
+        self.assertEqual((error["type"], error["run"]), ("outcome_unknown", "unknown"))
+        self.assertIn(" 200 OK", self.exchange(head()))
+
+
+class TestCallersThatLeave(ServerCase):
+    scripts = (silent, serve)
+
+    def test_the_target_is_told_and_all_is_given_back(self):
+        sock = self.connect()
+        sock.sendall(head("POST /desk/lookup/k HTTP/1.1", "X-Request-Id: q1"))
+        self.wait_for(lambda: self.target.received)
+        sock.close()
+        self.wait_for(lambda: len(self.target.received) == 2)
+        self.assertEqual(self.target.received[1].line, "POST /cancel/q1 HTTP/1.1")
+        self.wait_for(lambda: self.gate.inside == 0)
+        self.assertEqual(self.scheduler.outcomes[0][1], "cancelled")
+
+
+class TestMalformedInput(ServerCase):
+    """Nothing of it reaches a target, and the connection is closed."""
+
+    wait_ms = 300
+
+    cases = (
+        (400, b"nonsense\r\n\r\n"),
+        (400, b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n"),
+        (400, b"GET /desk/lookup/k\r\n\r\n"),
+        (400, b"GET /desk/lookup/k HTTP/2.0\r\nHost: x\r\n\r\n"),
+        (400, b"GET /desk/lookup/k HTTP/1.1\r\n\r\n"),
+        (400, head("GET /desk/lookup/k HTTP/1.1", "Host: y")),
+        (400, b"GET /desk/lookup/k HTTP/1.1\r\nHost : x\r\n\r\n"),
+        (400, head("GET /desk/lookup/k HTTP/1.1", "A: b", " c")),
+        (400, b"GET /desk/lookup/k HTTP/1.1\r\nHost: x\r\nno colon\r\n\r\n"),
+        (400, head("GET /desk/lookup/k HTTP/1.1", "A: \x00")),
+        (400, head("GET http://x/desk/lookup/k HTTP/1.1")),
+        (400, head("GET /desk/lookup/%zz HTTP/1.1")),
+        (400, head("GET /desk/lookup/%ff HTTP/1.1")),
+        (400, head("GET /desk/lookup/a/../b HTTP/1.1")),
+        (400, head("GET /desk/lookup/a/%2E%2e/b HTTP/1.1")),
+        (400, head("GET /desk/lookup HTTP/1.1")),
+        (400, head("GET /desk/lookup/k#f HTTP/1.1")),
+        (400, head("get /desk/lookup/k HTTP/1.1")),
+        (400, head("GET /desk/lookup/k HTTP/1.1", "X-Deadline-Ms: soon")),
+        (404, head("GET /desk/nothing HTTP/1.1")),
+        (404, head("GET /desk/lookups/k HTTP/1.1")),
+        (404, head("GET / HTTP/1.1")),
+        (400, head("POST /desk/lookup/k HTTP/1.1", "Content-Length: -1")),
+        (400, head("POST /desk/lookup/k HTTP/1.1", "Content-Length: 1_0")),
+        (
+            400,
+            head(
+                "POST /desk/lookup/k HTTP/1.1", "Content-Length: 1", "Content-Length: 2"
+            ),
+        ),
+        (
+            400,
+            head(
+                "POST /desk/lookup/k HTTP/1.1",
+                "Content-Length: 1",
+                "Transfer-Encoding: chunked",
+            ),
+        ),
+        (411, head("POST /desk/lookup/k HTTP/1.1", "Transfer-Encoding: gzip")),
+        (413, head("POST /desk/lookup/k HTTP/1.1", "Content-Length: 9999999")),
+        (
+            400,
+            head("POST /desk/lookup/k HTTP/1.1", "Transfer-Encoding: chunked")
+            + b"xyz\r\n",
+        ),
+        (414, head(f"GET /desk/lookup/{'k' * 9000} HTTP/1.1")),
+        (431, head("GET /desk/lookup/k HTTP/1.1", f"A: {'b' * 9000}")),
+        (431, head("GET /desk/lookup/k HTTP/1.1", *[f"A: {'b' * 900}"] * 90)),
+        (431, head("GET /desk/lookup/k HTTP/1.1", *["A: b"] * 200)),
+        # What follows never comes.
+        (400, b"GET /desk/lookup/k HTTP/1.1\r\nHost: x\r\nA: "),
+        (408, head("POST /desk/lookup/k HTTP/1.1", "Content-Length: 5") + b"hel"),
+    )
+
+    def test_each_gets_its_status_and_a_log_line_and_no_traceback(self):
+        for status, sent in self.cases:
+            with (
+                self.subTest(sent=sent[:90]),
+                self.assertLogs("persimmonspoke", "INFO") as logs,
+            ):
+                text = self.exchange(sent)
+                self.assertRegex(text, rf"\AHTTP/1.1 {status} ")
+                error = json.loads(text.partition("\r\n\r\n")[2])["error"]
+                self.assertEqual(error["run"], "not_run")
+                self.assertNotIn("Traceback", text + "".join(logs.output))
+        self.assertEqual(self.target.received, [])
+        self.wait_for(lambda: self.gate.inside == 0)
+
+
+class TestClosedGate(ServerCase):
+    def test_a_closed_gate_refuses_and_ends_the_connection(self):
+        self.gate.is_open = False
+        text = self.exchange(b"GET /desk/lookup/k HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assertIn("503 Service Unavailable", text)
+        self.assertIn("host_closed", text)
+        self.assertIn("Connection: close", text)
+
+
+class TestChunkedAnswers(ServerCase):
+    scripts = (once(status="204 No Content", body=b""), serve)
+
+    def test_an_answer_without_a_body_stays_without_one(self):
+        text = self.exchange(head())
+        self.assertIn("204 No Content", text)
+        self.assertNotIn("chunked", text)
