--- /dev/null
+++ b/tests/fakes/wsgi_caller.py
@@ -0,0 +1,62 @@
+"""A caller that talks to a WSGI application without sockets."""
+
+import io
+import json
+
+
+class Input(io.BytesIO):
+    """A request's body as the server hands it over."""
+
+    def __init__(self, body=b"", chunked=False):
+        super().__init__(body)
+        self.content_length = None if chunked else len(body)
+        self.chunked_input = chunked
+
+    @property
+    def position(self):
+        """Return how much was read."""
+        return self.tell()
+
+    def get_socket(self):
+        """Return no socket."""
+
+
+class Reply:
+    """What the caller got."""
+
+    def __init__(self):
+        self.status = None
+        self.headers = {}
+        self.body = b""
+
+    def error(self):
+        """Return (status, type, run) of a refusal."""
+        error = json.loads(self.body)["error"]
+        return self.status, error["type"], error["run"]
+
+
+def call(app, path="/desk/lookup/k", method="GET", source=None, query="", **headers):
+    """Have `app` answer one request; headers with underscores for hyphens."""
+    source = source or Input()
+    pairs = tuple((name.replace("_", "-"), value) for name, value in headers.items())
+    environ = {
+        "REQUEST_METHOD": method,
+        "RAW_PATH_INFO": path,
+        "QUERY_STRING": query,
+        "headers_raw": (("Host", "x"), *pairs),
+        "wsgi.input": source,
+        "CONTENT_LENGTH": str(source.content_length or 0),
+    }
+    environ |= {f"HTTP_{name.upper()}": value for name, value in headers.items()}
+    reply = Reply()
+
+    def start_response(status, fields):
+        reply.status = int(status.split()[0])
+        reply.headers = dict(fields)
+
+    result = app(environ, start_response)
+    try:
+        reply.body = b"".join(result)
+    finally:
+        result.close()
+    return reply
