--- /dev/null
+++ b/src/persimmonspoke/internal/questionnaire/questions.py
@@ -0,0 +1,164 @@
+"""The questionnaire: what a team says about its services, keys and callers."""
+
+import hashlib
+import json
+from collections.abc import Iterator
+from typing import Annotated, Any
+
+from pydantic import Field
+
+from persimmonspoke.internal.checked_yaml import (
+    CheckedModel,
+    CrossFault,
+    load_checked,
+)
+from persimmonspoke.internal.questionnaire.configuration import KeySource, Measure
+from persimmonspoke.internal.questionnaire.cross_rules import (
+    prefix_faults,
+    repeated_names,
+    rows_of,
+    target_faults,
+)
+from persimmonspoke.internal.questionnaire.fields import (
+    MAX_BODY_BYTES,
+    MAX_PATH_SEGMENT,
+    MAX_WAIT_MS,
+    Count,
+    FieldName,
+    Flag,
+    Method,
+    Name,
+    NamedPrecedence,
+    Prefix,
+)
+from persimmonspoke.internal.questionnaire.target_answers import (
+    TargetAnswer,
+    TargetRange,
+)
+
+DEFAULT_PROTECTED = ("POST", "PUT", "PATCH", "DELETE")
+DEFAULT_BODY_BYTES = 1 << 20
+
+
+class KeyAnswer(CheckedModel):
+    """How a request yields its key.
+
+    Attributes
+    ----------
+    segment : int or None
+        For a key in the path: number of the segment after the prefix, from 0.
+    name : str or None
+        For a key in the query or a header: name of the parameter or header.
+    """
+
+    source: KeySource
+    segment: Annotated[int, Field(strict=True, ge=0, le=MAX_PATH_SEGMENT)] | None = None
+    name: FieldName | None = None
+
+    @classmethod
+    def cross_faults(cls, raw: dict[str, Any]) -> Iterator[CrossFault]:
+        """Yield a fault unless exactly the field that fits the source is given."""
+        by_path = raw.get("source") == KeySource.PATH.value
+        wanted, other = ("segment", "name") if by_path else ("name", "segment")
+        if raw.get(wanted) is None:
+            yield CrossFault((wanted,), None, "say where in the source the key is")
+        if raw.get(other) is not None:
+            yield CrossFault((other,), raw[other], f"remove it; {wanted} is used here")
+
+
+class ServiceAnswer(CheckedModel):
+    """One service.
+
+    Attributes
+    ----------
+    path_prefix : str
+        Starts and ends with ``/``.  Callers write the team's name before it.
+    protected_methods : tuple of str or None
+        Methods that run at most once; by default those that write.
+    treat_as_idempotent : tuple of str
+        Methods to take from the default, since the service makes them idempotent.
+    protected_precedence : Precedence or None
+        Precedence of protected requests, where it differs from the others'.
+    wait_ms : int
+        How long callers tolerate waiting for an answer.
+    weight : int
+        Share of the team's turns within one precedence.
+    """
+
+    name: Name
+    path_prefix: Prefix
+    divided_by_key: Flag
+    key: KeyAnswer | None = None
+    protected_methods: tuple[Method, ...] | None = None
+    treat_as_idempotent: tuple[Method, ...] = ()
+    precedence: NamedPrecedence
+    protected_precedence: NamedPrecedence | None = None
+    wait_ms: Annotated[int, Field(strict=True, ge=1, le=MAX_WAIT_MS)]
+    weight: Count = 1
+    max_body_bytes: Annotated[int, Field(strict=True, ge=0, le=MAX_BODY_BYTES)] = (
+        DEFAULT_BODY_BYTES
+    )
+    targets: tuple[TargetAnswer, ...] = ()
+    target_ranges: tuple[TargetRange, ...] = ()
+
+    @classmethod
+    def cross_faults(cls, raw: dict[str, Any]) -> Iterator[CrossFault]:
+        """Yield the faults between the fields of one service."""
+        divided, key = raw.get("divided_by_key"), raw.get("key")
+        if divided is True and key is None:
+            yield CrossFault(("key",), None, "say how a request yields its key")
+        if divided is False and key is not None:
+            yield CrossFault(("key",), key, "remove it, or set divided_by_key: true")
+        if not raw.get("targets") and not raw.get("target_ranges"):
+            yield CrossFault(("targets",), [], "list at least one target")
+        if raw.get("protected_methods") is not None and raw.get("treat_as_idempotent"):
+            yield CrossFault(
+                ("treat_as_idempotent",),
+                raw["treat_as_idempotent"],
+                "remove it; protected_methods lists all methods that count",
+            )
+
+    def all_targets(self) -> tuple[TargetAnswer, ...]:
+        """Return the targets listed singly, then those of the ranges."""
+        ranges = (target for entry in self.target_ranges for target in entry.targets())
+        return self.targets + tuple(ranges)
+
+    def all_protected(self) -> tuple[str, ...]:
+        """Return the methods that run at most once, sorted."""
+        if self.protected_methods is not None:
+            return tuple(sorted(set(self.protected_methods)))
+        return tuple(sorted(set(DEFAULT_PROTECTED) - set(self.treat_as_idempotent)))
+
+
+class Questionnaire(CheckedModel):
+    """All answers of one team."""
+
+    team: Name
+    weighs_most: Measure
+    weight: Count = 1
+    services: tuple[ServiceAnswer, ...]
+
+    @classmethod
+    def cross_faults(cls, raw: dict[str, Any]) -> Iterator[CrossFault]:
+        """Yield the faults between services, even if some of them are malformed."""
+        if raw.get("services") == []:
+            yield CrossFault(("services",), [], "describe at least one service")
+        rows = rows_of(raw, "services")
+        yield from repeated_names(rows)
+        yield from prefix_faults(rows)
+        yield from target_faults(rows)
+
+    def digest(self) -> str:
+        """Return a hash of the answers, whatever their layout in the file."""
+        return digest(self.model_dump(mode="json"))
+
+
+def digest(value: Any) -> str:
+    """Return the SHA-256 of a JSON value in its canonical form."""
+    text = json.dumps(value, sort_keys=True, separators=(",", ":"), default=str)
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def read_questionnaire(text: str, source_name: str) -> Questionnaire:
+    """Return the questionnaire in `text`, or raise `InvalidSettings`."""
+    return load_checked(Questionnaire, text, source_name)
--- a/tests/loopback/__init__.py
+++ b/tests/loopback/__init__.py
@@ -1,7 +1,4 @@
-"""Tests over real sockets, in a process patched as the daemon is.
-
-The patch comes first, because locks made before it would not be replaced.
-"""
+"""Tests over real sockets; patched first, because urllib3 must yield to other tasks."""
 
 import eventlet
 
