Add the benchmark: the router beside a bare pass-through

Change: tools/bench runs targets, platform, daemon, bare path and callers as processes of their own, loads the two in turn and prints one JSON line a figure.

--- /dev/null
+++ b/tools/bench/__main__.py
@@ -0,0 +1,118 @@
+"""Measure the router against a bare pass-through; one JSON object a line.
+
+``python -m tools.bench --profile`` also prints where the router spends its time.
+"""
+
+import argparse
+import json
+import pathlib
+import statistics
+import sys
+import tempfile
+
+from tools.bench.processes import Processes
+
+SIDES = ("bare", "router")
+CALLERS = 8
+ROUNDS = 5
+ROUND_S = 2.0
+WARM_UP_S = 1.0
+ONE_CALLER_S = 1.5
+TARGET_RATIO = 0.7
+
+
+class Samples:
+    """What one side did under one number of callers."""
+
+    def __init__(self):
+        self.rates = []
+        self.latencies_s = []
+        self.bad = 0
+        self.processor_s = 0.0
+
+    def percentile_ms(self, percent):
+        """Return a percentile of the latencies, in milliseconds."""
+        ordered = sorted(self.latencies_s)
+        return 1000 * ordered[min(len(ordered) - 1, len(ordered) * percent // 100)]
+
+    def processor_us(self):
+        """Return the processor time of one request, in microseconds."""
+        return 1e6 * self.processor_s / len(self.latencies_s)
+
+
+def measure(processes, callers, rounds, seconds):
+    """Load the sides in turn; return their samples."""
+    samples = {side: Samples() for side in SIDES}
+    for _ in range(rounds):
+        for side in SIDES:
+            before_s = processes.processor_s(side)
+            latencies_s, bad = processes.load(side, callers, seconds)
+            mine = samples[side]
+            mine.processor_s += processes.processor_s(side) - before_s
+            mine.rates.append(len(latencies_s) / seconds)
+            mine.latencies_s.extend(latencies_s)
+            mine.bad += bad
+    return samples
+
+
+def report(name, value, unit, **more):
+    """Print one figure."""
+    row = {"measure": name, "value": round(value, 3), "unit": unit, **more}
+    print(json.dumps(row), flush=True)
+
+
+def report_load(samples, suffix=""):
+    """Print the figures of one number of callers."""
+    bare, router = samples["bare"], samples["router"]
+    for percent in (50, 99):
+        added_ms = router.percentile_ms(percent) - bare.percentile_ms(percent)
+        report(f"p{percent}_added{suffix}", added_ms, "ms")
+    for side in SIDES:
+        report(f"bad_answers{suffix}", samples[side].bad, "answers", side=side)
+
+
+def run(processes):
+    """Measure everything and print it; return whether the target was met."""
+    processes.start()
+    measure(processes, CALLERS, 1, WARM_UP_S)
+    many = measure(processes, CALLERS, ROUNDS, ROUND_S)
+    one = measure(processes, 1, 2, ONE_CALLER_S)
+    ratios = [
+        router / bare
+        for bare, router in zip(many["bare"].rates, many["router"].rates, strict=True)
+    ]
+    for side in SIDES:
+        rate = statistics.median(many[side].rates)
+        report("throughput", rate, "requests/s", side=side, callers=CALLERS)
+    ratio = statistics.median(ratios)
+    spread = [round(min(ratios), 3), round(max(ratios), 3)]
+    report("throughput_ratio", ratio, "1", target=TARGET_RATIO, range=spread)
+    report_load(many)
+    report_load(one, "_one_caller")
+    for side in SIDES:
+        used_us = many[side].processor_us()
+        report("processor_per_request", used_us, "us", side=side)
+        report("memory", processes.memory_mb(side), "MB", side=side)
+    bad = sum(samples.bad for group in (many, one) for samples in group.values())
+    return ratio >= TARGET_RATIO and not bad
+
+
+def main():
+    """Run the benchmark; the exit status says whether its target was met."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--profile", action="store_true")
+    args = parser.parse_args()
+    with tempfile.TemporaryDirectory() as name:
+        directory = pathlib.Path(name)
+        with Processes(directory, args.profile) as processes:
+            met = run(processes)
+        if args.profile:
+            print((directory / "profile").read_text(), file=sys.stderr)
+        errors = (directory / "errors").read_text()
+        if errors and not met:
+            print(errors, file=sys.stderr)
+    return 0 if met else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tools/bench/load.py
@@ -0,0 +1,98 @@
+"""Callers that ask again as soon as they are answered, for a fixed time."""
+
+import argparse
+import itertools
+import json
+import selectors
+import socket
+import time
+
+KEYS = 997
+READS_PER_FILING = 4
+BODY = b'{"correction": "%s"}' % (b"x" * 100)
+
+
+def requests(prefix):
+    """Yield the bytes of one request after another."""
+    for number in itertools.count():
+        path = f"{prefix}/{number % KEYS}".encode()
+        if number % (READS_PER_FILING + 1):
+            yield b"GET %s HTTP/1.1\r\nHost: x\r\nAccept: */*\r\n\r\n" % path
+        else:
+            yield (
+                b"POST %s HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\n"
+                b"Content-Length: %d\r\n\r\n%s" % (path, len(BODY), BODY)
+            )
+
+
+class Caller:
+    """One caller and its connection."""
+
+    def __init__(self, port, source):
+        self.sock = socket.create_connection(("127.0.0.1", port))
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._source = source
+        self._buffer = b""
+        self._asked_at = 0.0
+
+    def ask(self):
+        """Send the next request."""
+        self._buffer = b""
+        self._asked_at = time.perf_counter()
+        self.sock.sendall(next(self._source))
+
+    def hear(self):
+        """Take in bytes; return (status, seconds) once the answer is whole."""
+        piece = self.sock.recv(65536)
+        if not piece:
+            raise ConnectionError("the answer ended early")
+        self._buffer += piece
+        head, found, body = self._buffer.partition(b"\r\n\r\n")
+        if not found or len(body) < _length(head):
+            return None
+        return int(head[9:12]), time.perf_counter() - self._asked_at
+
+
+def _length(head):
+    at = head.lower().index(b"content-length:") + len(b"content-length:")
+    return int(head[at:].split(b"\r\n", 1)[0])
+
+
+def run(port, prefix, callers, seconds):
+    """Return (latencies of good answers in seconds, number of other answers)."""
+    selector = selectors.DefaultSelector()
+    source = requests(prefix)
+    for _ in range(callers):
+        caller = Caller(port, source)
+        selector.register(caller.sock, selectors.EVENT_READ, caller)
+        caller.ask()
+    latencies, bad = [], 0
+    end = time.perf_counter() + seconds
+    while time.perf_counter() < end:
+        for key, _ in selector.select(timeout=0.1):
+            heard = key.data.hear()
+            if heard is None:
+                continue
+            status, latency_s = heard
+            if status == 200:
+                latencies.append(latency_s)
+            else:
+                bad += 1
+            key.data.ask()
+    return latencies, bad
+
+
+def main():
+    """Print the figures of one run as JSON."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--prefix", required=True)
+    parser.add_argument("--callers", type=int, required=True)
+    parser.add_argument("--seconds", type=float, required=True)
+    args = parser.parse_args()
+    latencies, bad = run(args.port, args.prefix, args.callers, args.seconds)
+    print(json.dumps({"latencies_s": latencies, "bad": bad}))
+
+
+if __name__ == "__main__":
+    main()
