--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,8 @@
+"""What holds for every scenario."""
+
+
+def after_scenario(context, scenario):
+    """End the tasks of the scenario's cluster."""
+    cluster = getattr(context, "cluster", None)
+    if cluster is not None:
+        cluster.close()
--- /dev/null
+++ b/tests/fakes/checkers.py
@@ -0,0 +1,201 @@
+"""The promises, checked from outside on what an observer saw."""
+
+from collections import defaultdict
+from dataclasses import dataclass
+from itertools import pairwise
+
+from tests.fakes import virtual_hub
+
+LEAVING_S = 3.0
+IN_FORCE_S = 17.0
+SLACK_S = 1e-6
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """One broken promise."""
+
+    promise: str
+    at: float
+    detail: str
+
+
+def two_owners(history):
+    """Find shards that two targets owned at once, or that went back to an old owner.
+
+    A target that checks owns a shard while it would accept work for it.  Of one that
+    does not, only what it runs can be seen: no two targets may run requests of one
+    shard at the same time, nor one of an earlier epoch after one of a later epoch.
+    """
+    found = []
+    for shard, holds in _by_shard(h for h in history.holds if h.checks):
+        found += _overlaps(shard, sorted(holds, key=lambda hold: hold.since))
+    runs = [run for run in history.executions if run.shard and not run.checks]
+    for shard, runs_of in _by_shard(runs):
+        found += _crossed(shard, sorted(runs_of, key=lambda run: run.started))
+    return found
+
+
+def _by_shard(records):
+    groups = defaultdict(list)
+    for record in records:
+        groups[record.shard].append(record)
+    return sorted(groups.items())
+
+
+def _overlaps(shard, holds):
+    found = []
+    for number, hold in enumerate(holds):
+        for other in holds[number + 1 :]:
+            both = min(hold.until, other.until) - other.since
+            if other.target != hold.target and both > SLACK_S:
+                detail = f"{shard}: {hold} and {other}"
+                found.append(Violation("two_owners", other.since, detail))
+    return found
+
+
+def _crossed(shard, runs):
+    found = []
+    now = virtual_hub.now()
+    latest = None
+    for run in runs:
+        if latest is not None and run.target != latest.target:
+            ended = now if latest.ended is None else latest.ended
+            if run.epoch < latest.epoch or ended - run.started > SLACK_S:
+                detail = f"{shard}: {latest} then {run}"
+                found.append(Violation("two_owners", run.started, detail))
+        if latest is None or run.epoch >= latest.epoch:
+            latest = run
+    return found
+
+
+def protected_run_twice(history):
+    """Find protected requests that ran more than once."""
+    seen, found = {}, []
+    for run in history.executions:
+        if run.protected and run.request in seen:
+            detail = f"{seen[run.request]} and {run}"
+            found.append(Violation("protected_run_twice", run.started, detail))
+        seen[run.request] = run
+    return found
+
+
+def refused_yet_run(history):
+    """Find requests that ran although the caller was told that they did not."""
+    runs = {run.request: run for run in history.executions}
+    return [
+        Violation(
+            "refused_yet_run", answer.told, f"{answer} and {runs[answer.request]}"
+        )
+        for answer in history.answers
+        if answer.run == "not_run" and answer.request in runs
+    ]
+
+
+def wrong_answer(history):
+    """Find callers that got an answer other than their own, whole."""
+    return [
+        Violation("wrong_answer", answer.told, f"{answer}")
+        for answer in history.answers
+        if answer.status == 200 and answer.body != answer.request
+    ]
+
+
+def lost_acknowledged_assignment(writes):
+    """Find stored pages that a later write took back to an earlier epoch.
+
+    Parameters
+    ----------
+    writes : iterable of Stored
+        All writes of the store, in their order.
+    """
+    last, found = {}, []
+    for stored in writes:
+        if not stored.key.startswith("pages/"):
+            continue
+        before = last.get(stored.key)
+        if before is not None and not _follows(before.value, stored.value):
+            detail = f"{before} then {stored}"
+            found.append(Violation("lost_acknowledged_assignment", 0.0, detail))
+        last[stored.key] = stored
+    return found
+
+
+def _follows(before, after):
+    """Return whether a page may replace another."""
+    if not after or after["epoch"] <= before["epoch"]:
+        return False
+    olds = zip(before["owners"], before["epochs"], strict=True)
+    news = zip(after["owners"], after["epochs"], strict=True)
+    return all(
+        new == old or new[1] > old[1] for old, new in zip(olds, news, strict=True)
+    )
+
+
+def reverted_generation(history):
+    """Find runs of hosts on which a configuration went back to an earlier one."""
+    newest, found = {}, []
+    for at, host, team, generation in history.in_force:
+        if generation < newest.get((host, team), 0):
+            detail = f"{host} went back to generation {generation} of {team}"
+            found.append(Violation("reverted_generation", at, detail))
+        newest[host, team] = generation
+    return found
+
+
+def config_in_force_s(history, hosts):
+    """Return the longest time until an accepted configuration was in force."""
+    longest = 0.0
+    for applied, team, generation in history.acknowledged:
+        for host in hosts:
+            first = min(
+                at
+                for at, name, of, number in history.in_force
+                if (name, of) == (host, team) and number >= generation
+            )
+            longest = max(longest, first - applied)
+    return longest
+
+
+def leaving_new_work(history):
+    """Find requests that began at a target long after it was to leave."""
+    return [
+        Violation("leaving_new_work", run.started, f"{run}")
+        for run in history.executions
+        if run.started > history.leaving.get(run.target, float("inf")) + LEAVING_S
+    ]
+
+
+def unavailable_s(history, since, period_s):
+    """Return the longest time for which each key got no answer, by key.
+
+    Parameters
+    ----------
+    period_s : float
+        How often each key was asked for; a gap of that length is none.
+    """
+    now = virtual_hub.now()
+    times = defaultdict(list)
+    for answer in history.answers:
+        if answer.told >= since:
+            times[answer.key] += [answer.told] if answer.status == 200 else []
+    return {
+        key: max(
+            0.0, max(b - a for a, b in pairwise([since, *sorted(told), now])) - period_s
+        )
+        for key, told in times.items()
+    }
+
+
+def all_violations(cluster):
+    """Return every broken promise that the cluster's history shows."""
+    history = cluster.history
+    return [
+        *two_owners(history),
+        *protected_run_twice(history),
+        *refused_yet_run(history),
+        *wrong_answer(history),
+        *lost_acknowledged_assignment(cluster.platform.writes()),
+        *reverted_generation(history),
+        *leaving_new_work(history),
+    ]
--- a/tests/fakes/history.py
+++ b/tests/fakes/history.py
@@ -1,7 +1,6 @@
 """What an observer outside of the system sees; the checkers read it."""
 
 from dataclasses import dataclass, field
-from typing import Any
 
 from persimmonspoke.ids import Epoch, RequestId, TargetId
 from tests.fakes import virtual_hub
@@ -44,7 +43,8 @@
     key: str
     asked: float
     told: float
-    outcome: Any
+    status: int
+    run: str | None = None
     body: str | None = None
 
 
@@ -57,6 +57,7 @@
     answers: list[Answer] = field(default_factory=list)
     in_force: list = field(default_factory=list)
     acknowledged: list = field(default_factory=list)
+    leaving: dict = field(default_factory=dict)
     _open: dict = field(default_factory=dict)
 
     def held(self, target, shard, epoch, until, checks):
--- a/tests/fakes/host_list.py
+++ b/tests/fakes/host_list.py
@@ -2,43 +2,30 @@
 
 import eventlet
 
+from tests.fakes import virtual_hub
+
 
 class FakeHostList:
-    """Live and leaving machines, by IP number, as the platform shows them.
+    """Names of the hosts that the platform runs; implements `HostList`.
 
     Attributes
     ----------
     lag_s : float
-        How long a change takes to show.
+        How long the loss of a host takes to show.
     """
 
     def __init__(self, lag_s=5.0):
         self.lag_s = lag_s
-        self._live = frozenset()
-        self._leaving = frozenset()
-
-    def live(self):
-        """Return the machines that the platform says it runs."""
-        return self._live
-
-    def leaving(self):
-        """Return the machines that the platform says are to stop."""
-        return self._leaving
-
-    def add(self, machine):
-        """Show a machine, after the lag."""
-        eventlet.spawn_after(self.lag_s, self._show, machine, True)
-
-    def drop(self, machine):
-        """Stop showing a machine, after the lag."""
-        eventlet.spawn_after(self.lag_s, self._show, machine, False)
+        self._gone_at = {}
 
-    def leave(self, machine):
-        """Show a machine as leaving, after the lag."""
-        eventlet.spawn_after(self.lag_s, self._show_leaving, machine)
+    def drop(self, name):
+        """Stop showing a host, after the lag."""
+        self._gone_at[name] = virtual_hub.now() + self.lag_s
 
-    def _show(self, machine, there):
-        self._live = self._live | {machine} if there else self._live - {machine}
+    def add(self, name):
+        """Show a host again, after the lag."""
+        eventlet.spawn_after(self.lag_s, self._gone_at.pop, name, None)
 
-    def _show_leaving(self, machine):
-        self._leaving = self._leaving | {machine}
+    def gone(self, name):
+        """Return whether the platform says that the host called `name` is no more."""
+        return virtual_hub.now() >= self._gone_at.get(name, float("inf"))
--- a/tests/fakes/network.py
+++ b/tests/fakes/network.py
@@ -1,6 +1,7 @@
 """A network with latency and cuts, and the link between processes over it."""
 
 from dataclasses import dataclass, field
+from functools import partial
 
 import eventlet
 import eventlet.event
@@ -141,12 +142,13 @@
         self.bytes_sent += len(data)
         there = self.network.links[peer.ip, peer.port]
 
-        def work():
-            return there.answer(peer, data)
-
         try:
             answer = self.network.exchange(
-                self.process, there.process, work, deadline, GateKind.PEER
+                self.process,
+                there.process,
+                partial(there.answer, peer, data),
+                deadline,
+                GateKind.PEER,
             )
         except ConnectionRefused:
             _sleep_to(self.process.virtual(deadline))
@@ -162,6 +164,8 @@
         if peer.host_id != self.address.host_id:
             raise PeerRefused("another run answers at this address")
         message = codec.decode(data)
+        if type(message) not in self._handlers:
+            raise PeerRefused("not served yet")
         answer = codec.encode(self._handlers[type(message)](message))
         self.bytes_sent += len(answer)
         return answer
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -72,6 +72,7 @@
         self.calls = []
         self._objects = {}
         self._log = []
+        self._writes = []
         self._compacted = 0
         self._changed = eventlet.event.Event()
 
@@ -99,8 +100,10 @@
         if value is None:
             del self._objects[key]
         self._log.append((self.revision, key, text))
+        stored = self._read(key, text, self.revision)
+        self._writes.append(stored)
         self.wake()
-        return self._read(key, text, self.revision)
+        return stored
 
     def changes(self, prefix, revision):
         """Return the changes after `revision`, each object once."""
@@ -118,6 +121,10 @@
         self._compacted = self.revision
         self._log.clear()
 
+    def writes(self):
+        """Return all writes since the beginning, in their order."""
+        return tuple(self._writes)
+
     def wake(self):
         """Let all waiting watches look again."""
         fired, self._changed = self._changed, eventlet.event.Event()
--- a/tests/fakes/targets.py
+++ b/tests/fakes/targets.py
@@ -1,23 +1,30 @@
 """Targets that take fenced grants and requests, and the orders given to them."""
 
 from dataclasses import dataclass
+from functools import partial
 
 import eventlet
 
+from persimmonspoke import errors
 from persimmonspoke.errors import (
     OrderOutcomeUnknown,
+    RouteLapsed,
     TargetFenced,
     TargetRefusedConnection,
+    TargetShed,
     TargetUnreachable,
 )
+from persimmonspoke.ids import TeamId
 from persimmonspoke.internal.targets.api import OrderReply, TargetAddress
 from tests.fakes import virtual_hub
 from tests.fakes.history import Execution
 from tests.fakes.network import AnswerLost, ConnectionRefused, NotSent
 from tests.fakes.process import FakeClock, FakeProcess, GateKind
+from tests.fakes.target_requests import FakeAnswer
 
 DRAIN_POLL_S = 0.01
 WORK_S = 0.005
+CONNECT_S = 0.001
 
 
 @dataclass
@@ -39,12 +46,16 @@
 
     Attributes
     ----------
+    team : TeamId
+        The team that it serves.
     work_s : float
         How long one request takes.
     sheds : bool
         Whether it refuses all requests as not run.
     """
 
+    team = TeamId("m")
+
     def __init__(self, address: TargetAddress, history, checks=True, rate=1.0):
         self.address = address
         self.history = history
@@ -106,6 +117,8 @@
 
     def execute(self, request, protected, shard, epoch, sent):
         """Run one request and return its answer, the request's own id."""
+        if self.sheds:
+            raise TargetShed(f"{self.address.target_id} is overloaded")
         if not self.accepts(shard, epoch):
             raise TargetFenced(f"{self.address.target_id} does not own {shard}")
         name = self.address.target_id
@@ -177,3 +190,51 @@
             raise TargetUnreachable(f"no connection to {name}") from None
         except AnswerLost:
             raise OrderOutcomeUnknown(f"{name} did not answer") from None
+
+
+class FakeRequests:
+    """Requests of one entry host; implements `TargetRequests`."""
+
+    def __init__(self, network, process, targets):
+        self.network = network
+        self.process = process
+        self.targets = targets
+
+    def send(self, target, req):
+        """Write the request to `target` and return its answer.
+
+        The first part of the path names the service.
+        """
+        there = self.targets[target.target_id]
+        shard = epoch = None
+        if req.shard is not None:
+            shard = (there.team, req.path.split("/")[1], req.shard.shard)
+            epoch = req.shard.epoch
+        eventlet.sleep(CONNECT_S)
+        self.process.gate(GateKind.CLOCK)
+        if not req.may_send():
+            raise RouteLapsed("the route's lease ended")
+        work = partial(
+            there.execute,
+            req.request_id,
+            req.protected,
+            shard,
+            epoch,
+            virtual_hub.now(),
+        )
+        body = self._write(there, work, req.deadline).encode()
+        return FakeAnswer(headers=(("Content-Length", str(len(body))),), body=(body,))
+
+    def _write(self, there, work, deadline):
+        """Write one request and translate what the network says about it."""
+        name = there.address.target_id
+        try:
+            return self.network.exchange(
+                self.process, there.process, work, deadline, GateKind.REQUEST
+            )
+        except ConnectionRefused:
+            raise TargetRefusedConnection(f"nothing listens at {name}") from None
+        except NotSent:
+            raise TargetUnreachable(f"no connection to {name}") from None
+        except AnswerLost:
+            raise errors.AnswerLost(f"{name} did not answer") from None
