--- /dev/null
+++ b/tools/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the policies, in virtual time; the same on every run."""
--- /dev/null
+++ b/tools/measure/imbalance.py
@@ -0,0 +1,95 @@
+"""Imbalance: the busiest owner over the best that any placement could reach."""
+
+import xxhash
+
+from persimmonspoke.internal.questionnaire.configuration import Measure
+from tools.measure.keyed_load import (
+    HOT_PERIOD_S,
+    KEYS,
+    ROUND_S,
+    SHARD_OF,
+    KeyedLoad,
+    PlannedPlacement,
+)
+from tools.measure.rows import MeasureRow
+from tools.measure.sites import SITES
+
+SEED = 11
+_TARGET = 1.10
+_PERIODS = 5
+_SETTLE_S = 40.0
+
+
+def rows():
+    """Return the rows of both sites."""
+    for site in SITES:
+        targets = site.keyed_targets
+        steady = _steady(site.measure, targets)
+        yield from _compared(f"{site.name}, load at rest", steady, targets, hot=False)
+        for measure in Measure:
+            name = f"{site.name}, 82 hot keys move, weighs {measure.value}"
+            mean, settled = _moving(measure, targets)
+            yield from _compared(name, mean, targets, hot=True)
+            yield MeasureRow(
+                name, "imbalance_20s_after_change", settled, "ratio", _TARGET
+            )
+
+
+def _steady(measure, targets):
+    """Return the imbalance once the planner has nothing left to do."""
+    placement = PlannedPlacement(measure, targets, SEED)
+    placement.load = KeyedLoad(SEED, hot_share=0.0)
+    values = []
+    for number in range(int(2 * _SETTLE_S / ROUND_S)):
+        placement.step()
+        if number * ROUND_S >= _SETTLE_S:
+            values.append(placement.imbalance())
+    return _mean(values)
+
+
+def _moving(measure, targets):
+    """Return the mean over all time, and from 20 s after each change of keys."""
+    placement = PlannedPlacement(measure, targets, SEED)
+    values, settled = [], []
+    for number in range(int(_PERIODS * HOT_PERIOD_S / ROUND_S)):
+        since_change_s = number * ROUND_S % HOT_PERIOD_S
+        if number and since_change_s == 0:
+            placement.load.heat()
+        placement.step()
+        if number * ROUND_S >= _SETTLE_S:
+            values.append(placement.imbalance())
+            if since_change_s >= 20:
+                settled.append(values[-1])
+    return _mean(values), _mean(settled)
+
+
+def _compared(scenario, value, targets, hot):
+    """Return the row of `value` against both ways to hash keys."""
+    for baseline, owner_of in (("modulo", _modulo), ("rendezvous", _rendezvous)):
+        owners = [owner_of(key, targets) for key in range(KEYS)]
+        load = KeyedLoad(SEED) if hot else KeyedLoad(SEED, hot_share=0.0)
+        values = []
+        for _ in range(_PERIODS if hot else 1):
+            values.append(load.busiest(owners.__getitem__) / load.best(targets))
+            load.heat()
+        yield MeasureRow(
+            scenario,
+            "imbalance",
+            round(value, 3),
+            "ratio",
+            _TARGET,
+            baseline,
+            round(_mean(values), 3),
+        )
+
+
+def _modulo(key, targets):
+    return SHARD_OF[key] % targets
+
+
+def _rendezvous(key, targets):
+    return max(range(targets), key=lambda n: xxhash.xxh64_intdigest(f"{key}|{n}"))
+
+
+def _mean(values):
+    return sum(values) / len(values)
--- /dev/null
+++ b/tools/measure/sites.py
@@ -0,0 +1,31 @@
+"""Sizes of the two deployments."""
+
+from dataclasses import dataclass
+
+from persimmonspoke.internal.questionnaire.configuration import Measure
+
+
+@dataclass(frozen=True, slots=True)
+class Site:
+    """One deployment.
+
+    Attributes
+    ----------
+    keyed_targets, keyed_slots : int
+        The service that is divided by key.
+    pool_targets, pool_slots : int
+        The service that takes filings or deposits.
+    """
+
+    name: str
+    measure: Measure
+    hosts: int
+    keyed_targets: int
+    keyed_slots: int
+    pool_targets: int
+    pool_slots: int
+
+
+LAURENTIDE = Site("laurentide", Measure.UNAVAILABLE_TIME, 9, 10, 3, 8, 3)
+QOYAN = Site("qoyan", Measure.IMBALANCE, 8, 12, 2, 6, 2)
+SITES = (LAURENTIDE, QOYAN)
