--- /dev/null
+++ b/src/persimmonspoke/internal/ownership/configs.py
@@ -0,0 +1,49 @@
+"""The configurations in force at this host, read from the news."""
+
+from persimmonspoke.ids import ServiceId, TargetId, TeamId
+from persimmonspoke.internal.news.api import News
+from persimmonspoke.internal.questionnaire.configuration import ServiceConfig
+from persimmonspoke.internal.questionnaire.drains import (
+    DRAINS_PREFIX,
+    drained_targets,
+)
+from persimmonspoke.internal.questionnaire.in_force import InForce
+
+ServiceKey = tuple[TeamId, ServiceId]
+
+
+class Configs:
+    """All teams' configurations, and the targets that operators drain."""
+
+    def __init__(self, news: News):
+        self._news = news
+        self._in_force = InForce(news)
+        self._count = -1
+        self._services: dict[ServiceKey, ServiceConfig] = {}
+        self._drained: dict[TeamId, frozenset[TargetId]] = {}
+
+    def divided(self) -> dict[ServiceKey, ServiceConfig]:
+        """Return the services whose keys have owners."""
+        self._refresh()
+        return self._services
+
+    def leaving(self, service: ServiceKey) -> frozenset[TargetId]:
+        """Return the targets of a service that operators have told to leave."""
+        self._refresh()
+        return self._drained.get(service[0], frozenset())
+
+    def _refresh(self):
+        count = self._news.count()
+        if count == self._count:
+            return
+        self._count = count
+        self._services = {
+            (team.team, service.service): service
+            for team in self._in_force.teams()
+            for service in team.services
+            if service.divided
+        }
+        self._drained = {
+            TeamId(item.key.removeprefix(DRAINS_PREFIX)): drained_targets(item.value)
+            for item in self._news.items(DRAINS_PREFIX)
+        }
--- a/tests/cover/test_teams.py
+++ b/tests/cover/test_teams.py
@@ -17,7 +17,8 @@
 )
 from persimmonspoke.ids import Instant
 from persimmonspoke.internal.questionnaire.drains import Drains
-from persimmonspoke.internal.questionnaire.teams import TeamRecord, Teams, read_config
+from persimmonspoke.internal.questionnaire.team_record import TeamRecord, read_config
+from persimmonspoke.internal.questionnaire.teams import Teams
 from persimmonspoke.internal.store.api import Stored
 from tests.cover.test_questionnaire import answers
 from tests.fakes.admin_api import HubClock
@@ -178,6 +179,8 @@
         self.apply(0)
         self.assertEqual(self.apply(1).generation, 1)
         self.assertEqual(self.apply(0).generation, 1)
+        with self.assertRaises(ApplyConflict):
+            self.apply(5)
         self.assertEqual(self.read().version, 1)
 
     def test_answers_of_another_team_are_refused(self):
