--- a/src/persimmonspoke/internal/scheduling/lenders.py
+++ b/src/persimmonspoke/internal/scheduling/lenders.py
@@ -77,7 +77,7 @@
             self._avoid[host_id] = Instant(self._clock.now() + self._cfg.avoid_s)
 
     def lends_from(self, group: GroupId) -> Instant:
-        """Return when this host, asked to lend, may lend what nobody reports.
+        """Return when this host, asked to lend, may lend all that nobody reports.
 
         At once, if it is the rightful lender and no other can have been of late;
         else once permits that another host lent have lapsed.
--- a/tools/measure/__main__.py
+++ b/tools/measure/__main__.py
@@ -9,6 +9,7 @@
     "tools.measure.churn",
     "tools.measure.waits",
     "tools.measure.teams",
+    "tools.measure.lender_loss",
     "tools.measure.hedging",
 )
 
--- /dev/null
+++ b/tools/measure/lender_loss.py
@@ -0,0 +1,69 @@
+"""Requests of the other hosts while the host that lends their slots is lost."""
+
+import random
+
+import eventlet
+from tests.fakes.scheduling_fleet import make_service, make_team
+
+from tools.measure.queue_model import WORK_S, Lent, Stream, Tally, Targets, send_one
+from tools.measure.rows import MeasureRow
+from tools.measure.sites import SITES
+
+SEED = 16
+_LOADS = (0.02, 0.6)
+_LOST_AT_S = 1.0
+_NOTICED_AFTER_S = 0.6
+_WATCHED_S = 2.5
+_PATIENCE_S = 1.0
+_TARGET = 0.99
+
+
+def rows():
+    """Return the rows of both sites, nearly idle and at 60% of the slots."""
+    for site in SITES:
+        for load in _LOADS:
+            tally, sheds = _run(site, load)
+            scenario = f"{site.name}, lender lost, {load:.0%} of slots"
+            served = round(tally.share_in_time(), 4)
+            wait_ms = round(tally.p99_wait_ms(), 3)
+            yield MeasureRow(scenario, "served_in_time", served, "share", _TARGET)
+            yield MeasureRow(scenario, "p99_wait", wait_ms, "ms")
+            yield MeasureRow(scenario, "sheds", round(sheds, 4), "a request")
+
+
+def _run(site, load):
+    service = make_service("pool", site.pool_targets, site.pool_slots)
+    targets = Targets(service)
+    way = Lent(site.hosts, [make_team(service)], targets, SEED)
+    fleet = way.fleet
+    capacity = site.pool_targets * site.pool_slots / WORK_S
+    stream = Stream("laurentide", service, load * capacity, _PATIENCE_S)
+    before, after = Tally(), Tally()
+    rng = random.Random(SEED)
+    everyone = list(range(site.hosts))
+    _send(way, everyone, stream, before, rng, _LOST_AT_S)
+    sheds = targets.sheds
+    lender = _lender(fleet)
+    lost = fleet.peers[lender].host_id
+    fleet.cut.add(lost)
+    eventlet.spawn_after(_NOTICED_AFTER_S, fleet.dead.add, lost)
+    others = [host for host in everyone if host != lender]
+    _send(way, others, stream, after, rng, _WATCHED_S)
+    eventlet.sleep(_PATIENCE_S + 1)
+    return after, (targets.sheds - sheds) / after.arrived
+
+
+def _lender(fleet):
+    lends = [any(state.lent for state in host.state()) for host in fleet.hosts]
+    return lends.index(True)
+
+
+def _send(way, hosts, stream, tally, rng, seconds):
+    left_s = seconds
+    while left_s > 0:
+        gap_s = rng.expovariate(stream.rate)
+        eventlet.sleep(gap_s)
+        left_s -= gap_s
+        work_s = rng.expovariate(1 / WORK_S)
+        host, key = rng.choice(hosts), rng.randrange(1000)
+        eventlet.spawn_n(send_one, way, host, stream, tally, key, work_s)
--- /dev/null
+++ b/tools/measure/teams.py
@@ -0,0 +1,81 @@
+"""Storms: of one team beside another, and of archive reads beside filings."""
+
+from tests.fakes.scheduling_fleet import make_service, make_team
+
+from persimmonspoke.internal.questionnaire.configuration import Precedence
+from tools.measure.queue_model import (
+    WORK_S,
+    FirstComeRandom,
+    Lent,
+    Stream,
+    Targets,
+    simulate,
+)
+from tools.measure.rows import MeasureRow
+from tools.measure.sites import LAURENTIDE, QOYAN
+from tools.measure.waits import services_of
+
+SEED = 14
+SECONDS = 2.0
+_STORM = 2.0
+_CALM = 0.2
+_TARGET = 0.99
+
+
+def rows():
+    """Return the rows of both storms."""
+    for site in (LAURENTIDE, QOYAN):
+        yield from _row_pair(f"{site.name}, archive reads storm", _archive, site)
+    name = "two teams on one pool, the other team storms with urgent requests"
+    yield from _row_pair(name, _teams, LAURENTIDE)
+
+
+def _row_pair(scenario, run, site):
+    mine = run(Lent, site)
+    base = run(FirstComeRandom, site)
+    yield MeasureRow(
+        scenario,
+        "p99_wait",
+        round(mine.p99_wait_ms(), 3),
+        "ms",
+        None,
+        FirstComeRandom.name,
+        round(base.p99_wait_ms(), 3),
+    )
+    yield MeasureRow(
+        scenario,
+        "served_in_time",
+        round(mine.share_in_time(), 3),
+        "share",
+        _TARGET,
+        FirstComeRandom.name,
+        round(base.share_in_time(), 3),
+    )
+
+
+def _archive(way, site):
+    """Return the tally of filings while archive reads want twice the slots."""
+    filing, _, archive = services_of(site.pool_targets, site.pool_slots)
+    capacity = site.pool_targets * site.pool_slots / WORK_S
+    streams = [
+        Stream("laurentide", filing, _CALM * capacity),
+        Stream("laurentide", archive, _STORM * capacity),
+    ]
+    targets = Targets(filing)
+    model = way(site.hosts, [make_team(filing, archive)], targets, SEED)
+    return simulate(model, site.hosts, streams, SECONDS, SEED)[0]
+
+
+def _teams(way, site):
+    """Return the tally of a calm team's ordinary requests."""
+    calm = make_service("shared", site.pool_targets, site.pool_slots)
+    storm = calm.model_copy(update={"precedence": Precedence.HIGH})
+    capacity = site.pool_targets * site.pool_slots / WORK_S
+    streams = [
+        Stream("calm", calm, _CALM * capacity),
+        Stream("storm", storm, _STORM * capacity),
+    ]
+    teams = [make_team(calm, team="calm"), make_team(storm, team="storm")]
+    targets = Targets(calm)
+    model = way(site.hosts, teams, targets, SEED)
+    return simulate(model, site.hosts, streams, SECONDS, SEED)[0]
--- /dev/null
+++ b/tools/measure/waits.py
@@ -0,0 +1,88 @@
+"""Waits, requests served in time and wasted sheds, by way of sharing slots."""
+
+from tests.fakes.scheduling_fleet import make_service, make_team
+
+from persimmonspoke.internal.questionnaire.configuration import Precedence
+from tools.measure.queue_model import (
+    WAYS,
+    WORK_S,
+    FirstComeRandom,
+    Stream,
+    Targets,
+    simulate,
+)
+from tools.measure.rows import MeasureRow
+from tools.measure.sites import SITES
+
+SEED = 13
+SECONDS = 3.0
+_MIX = {Precedence.HIGH: 0.2, Precedence.NORMAL: 0.4, Precedence.LOW: 0.4}
+_LOADS = (0.9, 1.5)
+
+
+def rows():
+    """Return the rows of both sites."""
+    for site in SITES:
+        for load in _LOADS:
+            yield from _compared(site, load)
+
+
+def services_of(targets, slots):
+    """Return one service for each precedence, all on the same targets."""
+    first = make_service("high", targets, slots, precedence=Precedence.HIGH)
+    return [
+        first.model_copy(update={"service": rank.name.lower(), "precedence": rank})
+        for rank in Precedence
+    ]
+
+
+def _compared(site, load):
+    base = _run(FirstComeRandom, site, load)
+    for way in WAYS:
+        result = _run(way, site, load)
+        scenario = f"{site.name}, {load:.0%} of slots, {way.name}"
+        pairs = zip(Precedence, result["tallies"], base["tallies"], strict=True)
+        for rank, mine, other in pairs:
+            name = f"{scenario}, {rank.name.lower()}"
+            yield _row(name, "p99_wait", mine.p99_wait_ms(), "ms", other.p99_wait_ms())
+            yield _row(
+                name,
+                "served_in_time",
+                mine.share_in_time(),
+                "share",
+                other.share_in_time(),
+                0.99 if rank is Precedence.HIGH else None,
+            )
+        yield _row(scenario, "sheds", result["sheds"], "a request", base["sheds"])
+        yield _row(scenario, "peer_messages", result["messages"], "a request", 0.0)
+
+
+def _run(way, site, load):
+    services = services_of(site.pool_targets, site.pool_slots)
+    targets = Targets(services[0])
+    model = way(site.hosts, [make_team(*services)], targets, SEED)
+    capacity = site.pool_targets * site.pool_slots / WORK_S
+    streams = [
+        Stream("laurentide", service, load * capacity * _MIX[service.precedence])
+        for service in services
+    ]
+    tallies = simulate(model, site.hosts, streams, SECONDS, SEED)
+    arrived = sum(tally.arrived for tally in tallies)
+    fleet = getattr(model, "fleet", None)
+    return {
+        "tallies": tallies,
+        "sheds": targets.sheds / arrived,
+        "messages": fleet.messages / arrived if fleet else 0.0,
+    }
+
+
+def _row(scenario, measure, value, unit, baseline, target=None):
+    return MeasureRow(
+        scenario,
+        measure,
+        round(value, 3),
+        unit,
+        target,
+        FirstComeRandom.name,
+        round(baseline, 3),
+    )
