--- /dev/null
+++ b/tools/measure/acquire_speed.py
@@ -0,0 +1,49 @@
+"""Time of one slot taken and given back while nothing waits; wall-clock time.
+
+Run as ``python -m tools.measure.acquire_speed``.
+"""
+
+import time
+
+import eventlet
+from tests.fakes.scheduling_fleet import candidates_of, make_service, make_team
+
+from persimmonspoke.internal.clock import SystemClock
+from persimmonspoke.internal.peers.api import PeerAddress
+from persimmonspoke.internal.scheduling.api import SlotOutcome, Ticket
+from persimmonspoke.internal.scheduling.settings import SchedulingSettings
+from persimmonspoke.internal.scheduling.shared import LocalScheduler
+from tools.measure.rows import MeasureRow
+
+_TIMES = 20_000
+_RUNS = 5
+_YIELD_EVERY = 100
+
+
+def rows():
+    """Yield the best of several runs, for one candidate and for ten."""
+    clock = SystemClock()
+    pool = make_service("pool", targets=10)
+    keyed = make_service("keyed", targets=10, shard_count=64)
+    me = PeerAddress("h.r", "10.1.0.1", 1)
+    scheduler = LocalScheduler(SchedulingSettings(), clock, me)
+    scheduler.configure(make_team(pool, keyed))
+    for service, names in ((pool, candidates_of(pool)), (keyed, ("keyed-0",))):
+        best = min(_timed(scheduler, clock, service, names) for _ in range(_RUNS))
+        name = f"one host, {len(names)} candidates, nothing waits"
+        yield MeasureRow(name, "acquire_and_done", round(1e6 * best, 1), "us")
+
+
+def _timed(scheduler, clock, service, names):
+    started = time.perf_counter()
+    for number in range(_TIMES):
+        ticket = Ticket("laurentide", service, None, False, clock.now() + 1)
+        scheduler.acquire(ticket, names).done(SlotOutcome.ANSWERED)
+        if number % _YIELD_EVERY == 0:
+            eventlet.sleep(0)
+    return (time.perf_counter() - started) / _TIMES
+
+
+if __name__ == "__main__":
+    for row in rows():
+        print(row.line())
--- a/tools/measure/imbalance.py
+++ b/tools/measure/imbalance.py
@@ -31,7 +31,7 @@
             mean, settled = _moving(measure, targets)
             yield from _compared(name, mean, targets, hot=True)
             yield MeasureRow(
-                name, "imbalance_20s_after_change", settled, "ratio", _TARGET
+                name, "imbalance_20s_after_change", round(settled, 3), "ratio", _TARGET
             )
 
 
