--- a/src/persimmonspoke/internal/scheduling/borrower.py
+++ b/src/persimmonspoke/internal/scheduling/borrower.py
@@ -19,56 +19,11 @@
     SlotReport,
     Want,
 )
+from persimmonspoke.internal.scheduling.permits import HeldSlot, Holding
 from persimmonspoke.internal.scheduling.queue import Entry, EntryState, WaitingQueue
 from persimmonspoke.internal.scheduling.settings import SchedulingSettings
 
 
-class _Holding:
-    """Permits of one endpoint; `lent` and `returned` count since the account."""
-
-    __slots__ = ("lent", "returned", "busy", "least_idle")
-
-    def __init__(self):
-        self.lent = 0
-        self.returned = 0
-        self.busy = 0
-        self.least_idle = 0
-
-    def idle(self):
-        return self.lent - self.returned - self.busy
-
-
-class HeldSlot:
-    """One slot in use; see `api.Slot`."""
-
-    __slots__ = ("_borrower", "_use", "_choice", "_holding", "_started_at", "_open")
-
-    def __init__(self, borrower, use, choice, holding, started_at):
-        self._borrower = borrower
-        self._use = use
-        self._choice = choice
-        self._holding = holding
-        self._started_at = started_at
-        self._open = True
-
-    @property
-    def target_id(self):
-        """The target whose slot this is."""
-        return self._choice.target_id
-
-    def done(self, outcome: SlotOutcome) -> None:
-        """Give the slot back; a second call does nothing."""
-        if self._open:
-            self._open = False
-            self._borrower.take_back(
-                self._use,
-                self._choice.endpoint,
-                self._holding,
-                outcome,
-                self._started_at,
-            )
-
-
 class Borrower:
     """Permits that this host holds in one group, and requests that wait for more.
 
@@ -92,7 +47,7 @@
         self._me = me
         self._clock = clock
         self._changed = changed
-        self._holdings: dict[Endpoint, _Holding] = {}
+        self._holdings: dict[Endpoint, Holding] = {}
         self._held = 0
         self._health = {endpoint: TargetHealth() for endpoint in group.slots}
         self._keep = 0
@@ -204,7 +159,7 @@
             return
         self._grant_serial = grant.serial
         for loan in grant.loans:
-            holding = self._holdings.setdefault(loan.endpoint, _Holding())
+            holding = self._holdings.setdefault(loan.endpoint, Holding())
             holding.lent = max(holding.lent, loan.lent)
         self._count_held()
         self._keep = grant.keep
@@ -273,8 +228,7 @@
         if len(usable) > 1:
             best = min(usable, key=lambda choice: self._rank(choice, now))
         holding = self._holdings[best.endpoint]
-        holding.busy += 1
-        holding.least_idle = min(holding.least_idle, holding.idle())
+        holding.take()
         use = self.queue.use_of(ticket)
         self.queue.started(use)
         return HeldSlot(self, use, best, holding, now)
@@ -313,8 +267,7 @@
             must = endpoint in self._give_back or endpoint in self.closed
             count = holding.idle() if must else min(holding.idle(), max(0, excess))
             if count > 0:
-                holding.returned += count
-                holding.least_idle = 0
+                holding.give_back(count)
                 excess -= count
                 returned = True
         if returned:
--- /dev/null
+++ b/src/persimmonspoke/internal/scheduling/permits.py
@@ -0,0 +1,71 @@
+"""Permits that a host holds, and slots in use under them."""
+
+from persimmonspoke.ids import TargetId
+from persimmonspoke.internal.scheduling.api import SlotOutcome
+
+
+class Holding:
+    """Permits of one endpoint.
+
+    Attributes
+    ----------
+    lent, returned : int
+        Permits received and given back since the account was opened.
+    busy : int
+        Permits in use.
+    least_idle : int
+        The fewest idle permits since the last look.
+    """
+
+    __slots__ = ("lent", "returned", "busy", "least_idle")
+
+    def __init__(self):
+        self.lent = 0
+        self.returned = 0
+        self.busy = 0
+        self.least_idle = 0
+
+    def idle(self) -> int:
+        """Return how many permits are not in use."""
+        return self.lent - self.returned - self.busy
+
+    def take(self) -> None:
+        """Use one permit."""
+        self.busy += 1
+        self.least_idle = min(self.least_idle, self.idle())
+
+    def give_back(self, count: int) -> None:
+        """Give back `count` idle permits."""
+        self.returned += count
+        self.least_idle = 0
+
+
+class HeldSlot:
+    """One slot in use; see `api.Slot`."""
+
+    __slots__ = ("_borrower", "_use", "_choice", "_holding", "_started_at", "_open")
+
+    def __init__(self, borrower, use, choice, holding, started_at):
+        self._borrower = borrower
+        self._use = use
+        self._choice = choice
+        self._holding = holding
+        self._started_at = started_at
+        self._open = True
+
+    @property
+    def target_id(self) -> TargetId:
+        """The target whose slot this is."""
+        return self._choice.target_id
+
+    def done(self, outcome: SlotOutcome) -> None:
+        """Give the slot back; a second call does nothing."""
+        if self._open:
+            self._open = False
+            self._borrower.take_back(
+                self._use,
+                self._choice.endpoint,
+                self._holding,
+                outcome,
+                self._started_at,
+            )
--- a/src/persimmonspoke/internal/scheduling/shared.py
+++ b/src/persimmonspoke/internal/scheduling/shared.py
@@ -33,6 +33,7 @@
     SlotGrant,
     SlotReport,
 )
+from persimmonspoke.internal.scheduling.pushes import GrantPushes
 from persimmonspoke.internal.scheduling.retry_budget import RetryBudget
 from persimmonspoke.internal.scheduling.settings import SchedulingSettings
 
@@ -110,7 +111,7 @@
         self._places: dict[tuple, _Place] = {}
         self._budgets: dict[ServiceKey, RetryBudget] = {}
         self._serials = itertools.count(1)
-        self._pushes: dict[tuple[GroupId, HostId], SlotGrant] = {}
+        self._pushes = GrantPushes(cfg, clock, link, members, self._on_grant)
         if link is not None:
             link.serve(SlotReport, self._on_report)
             link.serve(SlotGrant, self._on_grant)
@@ -332,7 +333,7 @@
             self._clock,
             self._lenders.lends_from(group_id),
             self._serials,
-            self._push,
+            self._pushes.push,
         )
         lender.team_weights = self._directory.weights()
         lender.close(self._attended[group_id].borrower.closed)
@@ -348,38 +349,6 @@
             attended.borrower.on_grant(grant)
         return GrantSeen(grant.group)
 
-    def _push(self, holder: HostId, grant: SlotGrant):
-        """Send a grant; only the newest counts if the last is still on its way."""
-        key = (grant.group, holder)
-        waiting = key in self._pushes
-        self._pushes[key] = grant
-        if not waiting:
-            eventlet.spawn_n(self._send_pushes, key)
-
-    def _send_pushes(self, key):
-        group_id, holder = key
-        peers = {peer.host_id: peer for peer in self._members.live()}
-        while True:
-            grant = self._pushes[key]
-            if holder == self._me:
-                self._on_grant(grant)
-            elif holder in peers:
-                self._call_with(peers[holder], grant)
-            if self._pushes[key] is grant:
-                del self._pushes[key]
-                return
-
-    def _call_with(self, peer, grant):
-        try:
-            deadline = Instant(self._clock.now() + self._cfg.call_s)
-            self._link.call(peer, grant, deadline)
-        except PeerError as exc:
-            # The holder's next report is answered with the same loans.
-            _log.debug(
-                "scheduling: grant not seen",
-                extra={"holder": peer.host_id, "reason": str(exc)},
-            )
-
 
 class LocalScheduler(SharedScheduler):
     """The scheduler of a fleet of one host."""
