Check lent slots under drawn traffic and delays

Change: a Hypothesis test, and one that shows the check can fail; the fleet's tasks end with each test. Conclusion: no slot lent twice while messages overtake each other.

--- a/src/persimmonspoke/internal/scheduling/shared.py
+++ b/src/persimmonspoke/internal/scheduling/shared.py
@@ -110,6 +110,7 @@
         self._lending: dict[GroupId, Lender] = {}
         self._places: dict[tuple, _Place] = {}
         self._budgets: dict[ServiceKey, RetryBudget] = {}
+        self._watcher = None
         self._serials = itertools.count(1)
         self._pushes = GrantPushes(cfg, clock, link, members, self._on_grant)
         if link is not None:
@@ -118,7 +119,12 @@
 
     def start(self) -> None:
         """Start the task that watches the fleet and lapsed permits."""
-        eventlet.spawn_n(self._watch)
+        self._watcher = eventlet.spawn(self._watch)
+
+    def stop(self) -> None:
+        """End that task; requests that wait go on waiting."""
+        if self._watcher is not None:
+            self._watcher.kill()
 
     def configure(self, cfg: TeamConfig) -> None:
         """Take in one team's newest configuration."""
--- a/tests/cover/test_scheduling_slots.py
+++ b/tests/cover/test_scheduling_slots.py
@@ -1,13 +1,18 @@
 """Slots shared by several entry hosts."""
 
+import random
 import unittest
+from unittest import mock
 
 import eventlet
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
 
 from persimmonspoke.errors import DeadlinePassed, NoOwnerYet, Overloaded
 from persimmonspoke.internal.peers.api import PeerAddress
 from persimmonspoke.internal.questionnaire.configuration import Precedence
 from persimmonspoke.internal.scheduling.api import SlotOutcome
+from persimmonspoke.internal.scheduling.health import SlotLimit
 from persimmonspoke.internal.scheduling.settings import SchedulingSettings
 from persimmonspoke.internal.scheduling.shared import LocalScheduler
 from tests.fakes import virtual_hub
@@ -27,7 +32,9 @@
     def fleet(self, hosts=4, targets=2, slots=3, **changes):
         self.service = make_service(targets=targets, slots=slots, **changes)
         self.anywhere = candidates_of(self.service)
-        return Fleet(hosts, make_team(self.service))
+        fleet = Fleet(hosts, make_team(self.service))
+        self.addCleanup(fleet.stop)
+        return fleet
 
     def spawn(self, fleet, host, count=1, key=None, wait_s=10.0, **changes):
         return [
@@ -99,6 +106,55 @@
         self.assertEqual(sum(held), 0)
 
 
+class TestTheCheckItself(_FleetCase):
+    def test_a_lender_that_counts_wrongly_is_seen(self):
+        def one_too_many(limit):
+            return limit.slots + 1
+
+        with mock.patch.object(SlotLimit, "now", one_too_many):
+            fleet = self.fleet()
+            tasks = [task for host in range(4) for task in self.spawn(fleet, host, 20)]
+            self.waits(tasks)
+        self.assertEqual(max(fleet.most.values()), 4)
+
+
+class TestAnyTraffic(_FleetCase):
+    request = st.tuples(
+        st.integers(0, 3),
+        st.floats(0, 0.2),
+        st.floats(0.001, 0.1),
+        st.sampled_from(SlotOutcome),
+        st.sampled_from((0.02, 0.2, 10.0)),
+    )
+
+    @seed(21)
+    @settings(max_examples=60, deadline=None, derandomize=True, database=None)
+    @given(
+        st.lists(request, min_size=1, max_size=60),
+        st.integers(1, 3),
+        st.integers(1, 3),
+        st.integers(0, 2**32),
+    )
+    def test_no_slot_is_lent_twice_and_every_request_ends(
+        self, requests, targets, slots, delays
+    ):
+        fleet = self.fleet(hosts=4, targets=targets, slots=slots)
+        fleet.jitter = random.Random(delays)
+        tasks = []
+        for host, gap_s, work_s, outcome, wait_s in requests:
+            eventlet.sleep(gap_s / 10)
+            tasks += self.spawn(
+                fleet, host, wait_s=wait_s, work_s=work_s, outcome=outcome
+            )
+        failures = {type(failure) for failure in self.waits(tasks)}
+        self.assertLessEqual(failures, {type(None), DeadlinePassed})
+        self.assertLessEqual(max(fleet.most.values(), default=0), slots)
+        eventlet.sleep(5.0)
+        held = [sum(s.permits.values()) for h in fleet.hosts for s in h.state()]
+        self.assertEqual(sum(held), 0)
+        fleet.stop()
+
+
 class TestLosses(_FleetCase):
     def test_permits_of_a_lost_holder_come_back(self):
         fleet = self.fleet(hosts=3, targets=1)
--- a/tests/fakes/scheduling_fleet.py
+++ b/tests/fakes/scheduling_fleet.py
@@ -98,14 +98,14 @@
     def call(self, peer, message, deadline):
         fleet = self._fleet
         fleet.messages += 1
-        eventlet.sleep(fleet.latency_s)
+        eventlet.sleep(fleet.delay_s())
         if fleet.cut & {peer.host_id, self._host_id}:
             eventlet.sleep(max(0.0, deadline - virtual_hub.now()))
             raise PeerTimeout(peer.host_id)
         if fleet.through_codec:
             message = codec.decode(codec.encode(message))
         answer = fleet.links[peer.host_id].handlers[type(message)](message)
-        eventlet.sleep(fleet.latency_s)
+        eventlet.sleep(fleet.delay_s())
         return answer
 
 
@@ -128,6 +128,7 @@
         self.latency_s = latency_s
         self.through_codec = through_codec
         self.messages = 0
+        self.jitter = None
         self.cut, self.dead = set(), set()
         self.peers = [
             PeerAddress(f"h{number}.r", "10.1.0.1", 7000 + number)
@@ -149,6 +150,17 @@
             host.start()
         self.running, self.most, self.order = {}, {}, []
 
+    def stop(self):
+        """End the hosts' own tasks."""
+        for host in self.hosts:
+            host.stop()
+
+    def delay_s(self):
+        """Return the time that one message takes; at random if there is `jitter`."""
+        if self.jitter is None:
+            return self.latency_s
+        return self.latency_s * 8 * self.jitter.random()
+
     def run(self, host, ticket, candidates, work_s=0.02, outcome=SlotOutcome.ANSWERED):
         """Run one request on one host; return its failure, if any."""
         try:
