--- a/src/persimmonspoke/internal/placement/planner.py
+++ b/src/persimmonspoke/internal/placement/planner.py
@@ -24,7 +24,7 @@
     TargetConfig,
 )
 
-_BASE_SHARE = 0.05
+_BASE_SHARE = 0.02
 """Part of the load that is spread evenly, so that quiet shards count as well."""
 
 _HOT_SHARE = 0.5
