--- a/src/persimmonspoke/internal/admin/handlers.py
+++ b/src/persimmonspoke/internal/admin/handlers.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from persimmonspoke.errors import UnknownService, UnknownTarget
-from persimmonspoke.ids import ServiceId, TargetId, TeamId, WriteId
+from persimmonspoke.ids import ServiceId, TeamId, WriteId
 from persimmonspoke.internal.admin.api import (
     Assignments,
     Members,
@@ -18,7 +18,7 @@
 from persimmonspoke.internal.admin.request import AdminRequest, Answer, Principal
 from persimmonspoke.internal.ownership.page import Page
 from persimmonspoke.internal.questionnaire.canonical import to_text
-from persimmonspoke.internal.questionnaire.drains import Drains
+from persimmonspoke.internal.questionnaire.drains import Drains, ServiceTarget
 from persimmonspoke.internal.questionnaire.generate import questionnaire_name
 from persimmonspoke.internal.questionnaire.questions import read_questionnaire
 from persimmonspoke.internal.questionnaire.teams import Teams
@@ -117,7 +117,7 @@
 
     def assignments(self, req: AdminRequest) -> Answer:
         """Return the pages of one service, with all shards if asked by ``shards=1``."""
-        service = self._service(req)
+        _, service = self._service(req)
         with_shards = req.flag("shards")
         pages = self._assignments.pages(_team(req), service.service, req.deadline)
         owners = Counter(entry.owner for page in pages for entry in page.assignments)
@@ -138,36 +138,33 @@
 
     def drain(self, req: AdminRequest) -> Answer:
         """Give one target no new work, on all hosts, until it is undrained."""
-        target, known = self._target(req)
-        log.info("admin: target drained", extra={"target": target})
-        return _drained(self._drains.drain(_team(req), target, known, req.deadline))
+        config, target = self._target(req)
+        drained = self._drains.drain(config, target, req.deadline)
+        log.info("admin: target drained", extra={"target": target.target})
+        return _drained(drained)
 
     def undrain(self, req: AdminRequest) -> Answer:
         """Give one target new work again."""
-        target, known = self._target(req)
-        log.info("admin: target undrained", extra={"target": target})
-        return _drained(self._drains.undrain(_team(req), target, known, req.deadline))
+        config, target = self._target(req)
+        drained = self._drains.undrain(config, target, req.deadline)
+        log.info("admin: target undrained", extra={"target": target.target})
+        return _drained(drained)
 
     def _service(self, req):
-        """Return the service that the path names, or raise `UnknownService`."""
+        """Return the team's configuration and the service that the path names."""
         config = self._teams.read(_team(req), req.deadline).config
         name = ServiceId(req.names["service"])
         for service in config.services:
             if service.service == name:
-                return service
+                return config, service
         raise UnknownService(f"team {_team(req)} has no service {name}")
 
     def _target(self, req):
-        """Return the target that the path names, and all targets of the team."""
-        config = self._teams.read(_team(req), req.deadline).config
-        known = frozenset(
-            target.target_id
-            for service in config.services
-            for target in service.targets
-        )
-        for target in self._service(req).targets:
+        """Return the team's configuration and the target that the path names."""
+        config, service = self._service(req)
+        for target in service.targets:
             if questionnaire_name(target.target_id) == req.names["target"]:
-                return target.target_id, known
+                return config, ServiceTarget(service.service, target.target_id)
         raise UnknownTarget(f"the service has no target {req.names['target']}")
 
 
@@ -217,6 +214,6 @@
     return TeamId(req.names["team"])
 
 
-def _drained(targets: frozenset[TargetId]) -> Answer:
+def _drained(targets: frozenset[ServiceTarget]) -> Answer:
     """Return the drained targets, in order."""
-    return Answer({"drained_targets": sorted(targets)})
+    return Answer({"drained_targets": [asdict(entry) for entry in sorted(targets)]})
--- a/src/persimmonspoke/internal/questionnaire/drains.py
+++ b/src/persimmonspoke/internal/questionnaire/drains.py
@@ -1,25 +1,54 @@
 """Targets that operators drain, as the store keeps them for all entry hosts."""
 
-from collections.abc import Callable
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from typing import Any
 
 from persimmonspoke.errors import StoreConflict, StoreMissing, StoreUnavailable
-from persimmonspoke.ids import Instant, TargetId, TeamId, Version
+from persimmonspoke.ids import Instant, ServiceId, TargetId, TeamId, Version
 from persimmonspoke.internal.clock import Clock
+from persimmonspoke.internal.questionnaire.configuration import TeamConfig
 from persimmonspoke.internal.store.api import Store, Stored
 from persimmonspoke.internal.store.writes import new_write_id, write
 
 DRAINS_PREFIX = "drains/"
-Targets = frozenset[TargetId]
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class ServiceTarget:
+    """One target of one service."""
+
+    service: ServiceId
+    target: TargetId
+
+
+Targets = frozenset[ServiceTarget]
 
 
 def drained_targets(value: dict[str, Any]) -> Targets:
     """Return the targets that the object of one team says are drained."""
-    return frozenset(TargetId(name) for name in value.get("targets", ()))
+    return frozenset(
+        ServiceTarget(ServiceId(service), TargetId(target))
+        for service, targets in value.get("targets", {}).items()
+        for target in targets
+    )
+
+
+def all_targets(config: TeamConfig) -> Targets:
+    """Return every target of a team."""
+    return frozenset(
+        ServiceTarget(service.service, target.target_id)
+        for service in config.services
+        for target in service.targets
+    )
 
 
 class Drains:
-    """Repository of the targets that get no new work because an operator said so."""
+    """Repository of the targets that get no new work because an operator said so.
+
+    Drained targets that a team's configuration no longer has are forgotten.
+    """
 
     def __init__(self, store: Store, clock: Clock):
         self._store = store
@@ -30,22 +59,18 @@
         return drained_targets(self._find(team, deadline).value)
 
     def drain(
-        self, team: TeamId, target: TargetId, known: Targets, deadline: Instant
+        self, config: TeamConfig, target: ServiceTarget, deadline: Instant
     ) -> Targets:
-        """Drain `target` and return all drained targets.
-
-        Parameters
-        ----------
-        known : frozenset of TargetId
-            The team's targets; drained ones that no longer exist are forgotten.
-        """
-        return self._change(team, lambda now: (now & known) | {target}, deadline)
+        """Drain `target` and return all drained targets of its team."""
+        known = all_targets(config)
+        return self._change(config.team, lambda now: (now & known) | {target}, deadline)
 
     def undrain(
-        self, team: TeamId, target: TargetId, known: Targets, deadline: Instant
+        self, config: TeamConfig, target: ServiceTarget, deadline: Instant
     ) -> Targets:
         """Give `target` new work again and return the targets still drained."""
-        return self._change(team, lambda now: (now & known) - {target}, deadline)
+        known = all_targets(config)
+        return self._change(config.team, lambda now: (now & known) - {target}, deadline)
 
     def _change(
         self, team: TeamId, change: Callable[[Targets], Targets], deadline: Instant
@@ -57,26 +82,21 @@
             after = change(before)
             if after == before:
                 return after
-            value = {
-                "team": team,
-                "targets": sorted(after),
-                "write_id": new_write_id(),
-            }
             try:
-                write(
-                    self._store,
-                    self._clock,
-                    stored.key,
-                    value,
-                    stored.version,
-                    deadline,
-                )
+                self._write(team, after, stored, deadline)
                 return after
             except StoreConflict:
                 continue  # Another operator was faster; add to what it wrote.
-        raise StoreUnavailable(
-            f"drains of {team}: too many writers before the deadline"
-        )
+        raise StoreUnavailable(f"drains of {team}: no time left to write them")
+
+    def _write(self, team, targets, stored, deadline):
+        """Replace `stored` by an object that holds `targets`."""
+        value = {
+            "team": team,
+            "targets": _by_service(targets),
+            "write_id": new_write_id(),
+        }
+        write(self._store, self._clock, stored.key, value, stored.version, deadline)
 
     def _find(self, team, deadline):
         """Return the team's object, an empty one if there is none."""
@@ -85,3 +105,11 @@
             return self._store.get(key, deadline)
         except StoreMissing:
             return Stored(key, {}, Version(0))
+
+
+def _by_service(targets: Iterable[ServiceTarget]) -> dict[ServiceId, list[TargetId]]:
+    """Return the ids of `targets`, in order, for each service."""
+    rows = defaultdict(list)
+    for entry in sorted(targets):
+        rows[entry.service].append(entry.target)
+    return dict(rows)
--- a/tests/cover/test_teams.py
+++ b/tests/cover/test_teams.py
@@ -16,11 +16,12 @@
     UnknownTeam,
 )
 from persimmonspoke.ids import Instant
-from persimmonspoke.internal.questionnaire.drains import Drains
+from persimmonspoke.internal.questionnaire.drains import Drains, all_targets
+from persimmonspoke.internal.questionnaire.generate import generate
 from persimmonspoke.internal.questionnaire.team_record import TeamRecord, read_config
 from persimmonspoke.internal.questionnaire.teams import Teams
 from persimmonspoke.internal.store.api import Stored
-from tests.cover.test_questionnaire import answers
+from tests.cover.test_questionnaire import TARGETS, answers
 from tests.fakes.admin_api import HubClock
 
 CALL_S = 5
@@ -233,6 +234,7 @@
             {"questionnaire": None},
             {"config": {**good.value["config"], "generation": 8}},
             {"config": None},
+            {"config_hash": "0" * 64},
             {"recent_write_ids": None},
         )
         for edit in edits:
@@ -251,39 +253,43 @@
         self.store = MemoryStore()
         self.clock = HubClock()
         self.drains = Drains(self.store, self.clock)
-        self.known = frozenset(("a", "b"))
+        self.config = generate(answers(), None)
+        self.a, self.b, *_ = sorted(all_targets(self.config))
 
     def deadline(self, left_s=CALL_S):
         return Instant(self.clock.now() + left_s)
 
     def test_racing_operators_drain_both_targets(self):
         tasks = [
-            eventlet.spawn(self.drains.drain, "demo", t, self.known, self.deadline())
-            for t in ("a", "b")
+            eventlet.spawn(self.drains.drain, self.config, target, self.deadline())
+            for target in (self.a, self.b)
         ]
         for task in tasks:
             task.wait()
-        self.assertEqual(self.drains.read("demo", self.deadline()), self.known)
+        drained = self.drains.read("demo", self.deadline())
+        self.assertEqual(drained, frozenset((self.a, self.b)))
 
     def test_a_lost_answer_changes_nothing_about_the_outcome(self):
         self.store.lost_answers = 1
-        self.drains.drain("demo", "a", self.known, self.deadline())
+        self.drains.drain(self.config, self.a, self.deadline())
         self.store.lost_answers = 1
-        left = self.drains.undrain("demo", "a", self.known, self.deadline())
+        left = self.drains.undrain(self.config, self.a, self.deadline())
         self.assertEqual(left, frozenset())
         self.assertEqual(self.drains.read("demo", self.deadline()), left)
 
     def test_targets_that_no_longer_exist_are_forgotten(self):
-        self.drains.drain("demo", "a", self.known, self.deadline())
-        left = self.drains.drain("demo", "b", frozenset("b"), self.deadline())
-        self.assertEqual(left, frozenset("b"))
+        self.drains.drain(self.config, self.a, self.deadline())
+        smaller = generate(answers(target_ranges=[{**TARGETS, "first_port": 1}]), None)
+        other = min(all_targets(smaller))
+        left = self.drains.drain(smaller, other, self.deadline())
+        self.assertEqual(left, frozenset((other,)))
 
     def test_draining_twice_writes_once(self):
         for _ in range(2):
-            self.drains.drain("demo", "a", self.known, self.deadline())
+            self.drains.drain(self.config, self.a, self.deadline())
         self.assertEqual(self.store.objects["drains/demo"].version, 1)
 
     def test_no_time_left_means_that_nothing_was_changed(self):
         with self.assertRaises(StoreUnavailable):
-            self.drains.drain("demo", "a", self.known, self.deadline(0))
+            self.drains.drain(self.config, self.a, self.deadline(0))
         self.assertEqual(self.store.objects, {})
