--- a/src/persimmonspoke/internal/questionnaire/canonical.py
+++ b/src/persimmonspoke/internal/questionnaire/canonical.py
@@ -33,21 +33,10 @@
     """
     if not isinstance(value, dict):
         raise ConfigurationEdited("not a generated configuration")
-    body = {name: entry for name, entry in value.items() if name != CONTENT_HASH}
-    return checked_config(body, value.get(CONTENT_HASH))
-
-
-def checked_config(body: Any, content_hash: Any) -> TeamConfig:
-    """Return the configuration in the JSON object `body`.
-
-    Raises
-    ------
-    ConfigurationEdited
-        `body` is no configuration, or `content_hash` is not its hash.
-    """
     # The hash covers what was written, so that a field that a later version adds
     # with a default does not make older configurations look edited.
-    if digest(body) != content_hash:
+    body = {name: entry for name, entry in value.items() if name != CONTENT_HASH}
+    if digest(body) != value.get(CONTENT_HASH):
         raise ConfigurationEdited(
             "the configuration does not match its hash; generate it again from "
             "the questionnaire"
--- a/src/persimmonspoke/internal/questionnaire/team_record.py
+++ b/src/persimmonspoke/internal/questionnaire/team_record.py
@@ -6,7 +6,7 @@
 
 from persimmonspoke.errors import ConfigurationEdited
 from persimmonspoke.ids import Version, WriteId
-from persimmonspoke.internal.questionnaire.canonical import checked_config
+from persimmonspoke.internal.questionnaire.canonical import seal, unseal
 from persimmonspoke.internal.questionnaire.configuration import TeamConfig
 from persimmonspoke.internal.questionnaire.questions import Questionnaire, digest
 from persimmonspoke.internal.store.api import Stored, Value
@@ -32,14 +32,12 @@
 
     def to_value(self) -> Value:
         """Return the JSON object that the store keeps."""
-        config = self.config.model_dump(mode="json")
         return {
             "team": self.config.team,
             "generation": self.config.generation,
             "questionnaire": self.questionnaire.model_dump(mode="json"),
             "questionnaire_hash": self.config.questionnaire_hash,
-            "config": config,
-            "config_hash": digest(config),
+            "config": seal(self.config),
             "write_id": self.recent_write_ids[-1],
             "recent_write_ids": list(self.recent_write_ids),
         }
@@ -73,7 +71,7 @@
         The object was changed by other means than `Teams.apply`.
     """
     value = stored.value
-    config = checked_config(value.get("config"), value.get("config_hash"))
+    config = unseal(value.get("config"))
     told = (value.get("team"), value.get("generation"))
     if told != (config.team, config.generation):
         raise ConfigurationEdited(f"{stored.key} and its configuration differ")
--- a/tests/cover/test_teams.py
+++ b/tests/cover/test_teams.py
@@ -234,7 +234,7 @@
             {"questionnaire": None},
             {"config": {**good.value["config"], "generation": 8}},
             {"config": None},
-            {"config_hash": "0" * 64},
+            {"config": {**good.value["config"], "content_hash": "0"}},
             {"recent_write_ids": None},
         )
         for edit in edits:
