--- a/tests/cover/small_fleet.py
+++ b/tests/cover/small_fleet.py
@@ -204,6 +204,7 @@
         self.frozen = False
         self.fences = {}
         self.grants = {}
+        self.orders = 0
 
     def clock(self):
         return self.offset + virtual_hub.now() * self.rate
@@ -222,6 +223,7 @@
         self.fences[page] = max(order.fence, self.fences.get(page, 0))
 
     def grant(self, order):
+        self.orders += 1
         self._fence(order)
         for item in order.shards:
             key = (order.service, item.shard)
@@ -242,6 +244,7 @@
         self.targets = targets
         self.gate = gate
         self.cut = set()
+        self.pause_at = None
 
     def grant(self, address, order, deadline):
         return self._send("grant", address, order, deadline)
@@ -251,6 +254,9 @@
 
     def _send(self, name, address, order, deadline):
         # The pause between the check of the lease and the send falls here.
+        if name == "grant" and order.shards and self.pause_at == address.target_id:
+            self.pause_at = None
+            self.gate.paused = True
         self.gate.check()
         eventlet.sleep(0.001)
         target = self.targets[address.target_id]
@@ -321,6 +327,7 @@
         self.store.apply("teams/a", self.config(per_page, checks), 0)
         self.hosts = {}
         self.two_owners = []
+        self.two_keepers = []
         self.unowned = {}
         self.longest_unowned = {}
         self.watching = eventlet.spawn(self._watch)
@@ -376,6 +383,12 @@
             for key in target.owned():
                 owners.setdefault(key, []).append(target.target_id)
         now = virtual_hub.now()
+        keepers = {}
+        for host in self.hosts.values():
+            if host.link.alive and host.node.holds_lease():
+                for kept in host.node.keeper.open_pages():
+                    keepers.setdefault(kept.page.key.page, []).append(host.host_id)
+        self.two_keepers += [(now, *row) for row in keepers.items() if len(row[1]) > 1]
         for shard in range(self.shards):
             found = owners.get(("s", shard), [])
             if len(found) > 1:
