--- a/src/persimmonspoke/internal/targets/settings.py
+++ b/src/persimmonspoke/internal/targets/settings.py
@@ -18,6 +18,8 @@
         How long after its last answer a connection counts as proved alive.
     idle_s : float
         How long an idle connection is kept.
+    tidy_s : float
+        How often idle connections and limits are looked at.
     silence_share : float
         Share of the time left after which an idempotent request that hears nothing
         on an old connection is repeated on a new one.
@@ -34,6 +36,7 @@
     connect_s: Seconds = 0.5
     proved_alive_s: Seconds = 0.05
     idle_s: Seconds = 15.0
+    tidy_s: Seconds = 1.0
     silence_share: Annotated[float, Field(gt=0, lt=1)] = 0.25
     cancel_s: Seconds = 1.0
     cancel_tasks: Annotated[int, Field(ge=1)] = 32
--- a/tests/loopback/test_targets_requests.py
+++ b/tests/loopback/test_targets_requests.py
@@ -333,6 +333,20 @@
         self.assertEqual(pool.open_count, 2)
         self.assertIsNone(conns[0].sock)
 
+    def test_a_lower_limit_is_followed(self):
+        limits = [3]
+        pools = TargetPools(self.cfg, self.clock, lambda cfg: limits[0])
+        pool = pools.of(self.target(serve).config())
+        conns = [pool.acquire_new(self.clock.now() + 1) for _ in range(3)]
+        limits[0] = 1
+        pools.tidy()
+        for conn in conns[:2]:
+            pool.discard(conn)
+        with self.assertRaises(TargetUnreachable):
+            pool.acquire_new(self.clock.now() + 0.01)
+        pool.discard(conns[2])
+        pool.acquire_new(self.clock.now() + 1)
+
 
 class TestSilentConnections(RequestCase):
     """Every idle connection goes silent while new ones work."""
--- a/tools/bench/__main__.py
+++ b/tools/bench/__main__.py
@@ -9,6 +9,7 @@
 import statistics
 import sys
 import tempfile
+import time
 
 from tools.bench.processes import Processes
 
@@ -18,6 +19,7 @@
 ROUND_S = 2.0
 WARM_UP_S = 1.0
 ONE_CALLER_S = 1.5
+IDLE_S = 2.0
 TARGET_RATIO = 0.7
 
 
@@ -71,9 +73,18 @@
         report(f"bad_answers{suffix}", samples[side].bad, "answers", side=side)
 
 
+def report_idle(processes):
+    """Print the share of a core that the router uses without any request."""
+    before_s = processes.processor_s("router")
+    time.sleep(IDLE_S)
+    used_s = processes.processor_s("router") - before_s
+    report("idle_processor", 100 * used_s / IDLE_S, "% of a core", side="router")
+
+
 def run(processes):
     """Measure everything and print it; return whether the target was met."""
     processes.start()
+    report_idle(processes)
     measure(processes, CALLERS, 1, WARM_UP_S)
     many = measure(processes, CALLERS, ROUNDS, ROUND_S)
     one = measure(processes, 1, 2, ONE_CALLER_S)
