--- a/src/persimmonspoke/internal/ownership/granters.py
+++ b/src/persimmonspoke/internal/ownership/granters.py
@@ -10,7 +10,7 @@
 from persimmonspoke.internal.questionnaire.configuration import TargetConfig
 from persimmonspoke.internal.targets.api import TargetOrders
 
-STEP_S = 0.05
+PERIOD_S = 0.2
 
 
 class Granters:
@@ -34,7 +34,7 @@
     def start(self) -> None:
         """Begin to follow the configuration."""
         self._keeper.on_install = self._kick
-        self._tasks.every(STEP_S, self.refresh)
+        self._tasks.every(PERIOD_S, self.refresh)
 
     def refresh(self) -> None:
         """Start and end granters as the configuration says."""
