--- a/src/persimmonspoke/internal/callers/attempts.py
+++ b/src/persimmonspoke/internal/callers/attempts.py
@@ -115,7 +115,11 @@
         self._closed = True
         self._answer.close()
         self._slot.done(self._outcome)
-        self._flight.__exit__(None, None, None)
+        if self._outcome is SlotOutcome.ANSWERED:
+            self._flight.__exit__(None, None, None)
+            return
+        lost = errors.AnswerLost("the answer was not read to its end")
+        self._flight.__exit__(type(lost), lost, None)
 
 
 @dataclass
@@ -184,7 +188,13 @@
             candidates = progress.candidates(req.entry)
         else:
             candidates = (route.target.target_id,)
-        slot = self._scheduler.acquire(ticket, candidates)
+        try:
+            slot = self._scheduler.acquire(ticket, candidates)
+        except errors.NoOwnerYet:
+            # The owner takes no new work, so its shards are about to move.
+            self._metrics.incr("callers.waits_for_owner")
+            self._pause(req, route, progress)
+            return None
         try:
             return self._send(req, body, route, slot)
         except (*NOT_RUN_ERRORS, errors.AnswerLost) as exc:
@@ -213,7 +223,7 @@
             return self._begun(answer, slot, flight)
         except BaseException as exc:
             slot.done(slot_outcome(exc))
-            flight.__exit__(None, None, None)
+            flight.__exit__(type(exc), exc, exc.__traceback__)
             raise
 
     def _target_request(self, req, body, route) -> TargetRequest:
@@ -279,7 +289,8 @@
 
     def _pause(self, req, route, progress) -> None:
         """Wait before another attempt at the same target."""
-        if route is None and len(progress.avoided) < len(req.entry.target_ids):
+        untried = len(progress.avoided) < len(req.entry.target_ids)
+        if route is None and progress.avoided and untried:
             return
         until = min(self._clock.now() + progress.pause_s, req.deadline)
         progress.pause_s = min(2 * progress.pause_s, self._cfg.longest_retry_pause_s)
