--- a/features/network.feature
+++ b/features/network.feature
@@ -65,3 +65,10 @@
     And 80 seconds pass
     Then every promise holds
     And all entry hosts are open
+
+  Scenario: a data centre is cut off from the others for two minutes
+    Given 6 entry hosts and 6 targets in 3 data centres
+    When data centre "x" is cut off from the others for 120 seconds
+    And 135 seconds pass
+    Then every promise holds
+    And all entry hosts are open
--- a/features/steps/cluster_steps.py
+++ b/features/steps/cluster_steps.py
@@ -264,3 +264,41 @@
 def step_all_open(context):
     shut = [name for name, host in context.cluster.hosts.items() if not host.open()]
     assert not shut, shut
+
+
+@when("the owner needs {work:g} seconds for each request for {seconds:g} seconds")
+def step_owner_slow(context, work, seconds):
+    target = context.cluster.targets[context.owner]
+    eventlet.spawn_after(seconds, setattr, target, "work_s", target.work_s)
+    target.work_s = work
+
+
+@when("the owner sheds all requests for {seconds:g} seconds")
+def step_owner_sheds(context, seconds):
+    target = context.cluster.targets[context.owner]
+    target.sheds = True
+    eventlet.spawn_after(seconds, setattr, target, "sheds", False)
+
+
+@when('data centre "{centre}" is cut off from the others for {seconds:g} seconds')
+def step_centre_cut(context, centre, seconds):
+    cluster = context.cluster
+    inside, outside = [], []
+    for host in cluster.hosts.values():
+        side = inside if host.centre == centre else outside
+        side.append(host.process.machine)
+    for row in cluster.config.services[0].targets:
+        (inside if row.data_centre == centre else outside).append(row.ip)
+    cluster.network.cut(inside, outside)
+    eventlet.spawn_after(seconds, cluster.network.heal)
+
+
+@then("callers were told that an outcome is unknown")
+def step_unknown(context):
+    assert any(answer.run == "unknown" for answer in context.cluster.history.answers)
+
+
+@then("no caller was told that an outcome is unknown")
+def step_none_unknown(context):
+    answers = context.cluster.history.answers
+    assert not any(answer.run == "unknown" for answer in answers)
