--- a/tests/slow/test_fault_schedules.py
+++ b/tests/slow/test_fault_schedules.py
@@ -1,6 +1,7 @@
 """Fault schedules drawn at random; every promise is checked after each step."""
 
 import unittest
+from collections import Counter
 
 import eventlet
 from hypothesis import HealthCheck, Phase, settings
@@ -35,13 +36,17 @@
 
     Attributes
     ----------
-    steps : int
-        Steps tried so far, by all schedules.
+    schedules, steps : int
+        Schedules and steps tried so far.
+    seen : Counter
+        Violations by promise, over all schedules.
     checks : bool
         Whether the targets check the fence.
     """
 
+    schedules = 0
     steps = 0
+    seen = Counter()
     checks = True
 
     @initialize()
@@ -145,6 +150,9 @@
         if not hasattr(self, "cluster"):
             return
         eventlet.sleep(QUIET_S)
+        FaultSchedules.schedules += 1
+        found = checkers.all_violations(self.cluster)
+        FaultSchedules.seen.update(violation.promise for violation in found)
         try:
             self.every_promise_holds()
         finally:
@@ -176,21 +184,26 @@
     checks = False
 
 
+def run_schedules(machine):
+    """Run all schedules of one machine; the first violation ends the run."""
+    cfg = settings(
+        max_examples=EXAMPLES,
+        stateful_step_count=STEPS,
+        derandomize=True,
+        database=None,
+        deadline=None,
+        suppress_health_check=list(HealthCheck),
+        print_blob=False,
+        # A shrunk schedule costs minutes; the one found is short enough to read.
+        phases=(Phase.generate,),
+    )
+    run_state_machine_as_test(machine, settings=cfg)
+
+
 class TestFaultSchedules(unittest.TestCase):
     def run_schedules(self, machine):
-        cfg = settings(
-            max_examples=EXAMPLES,
-            stateful_step_count=STEPS,
-            derandomize=True,
-            database=None,
-            deadline=None,
-            suppress_health_check=list(HealthCheck),
-            print_blob=False,
-            # A shrunk schedule costs minutes; the one found is short enough to read.
-            phases=(Phase.generate,),
-        )
         before = FaultSchedules.steps
-        run_state_machine_as_test(machine, settings=cfg)
+        run_schedules(machine)
         self.assertGreaterEqual(FaultSchedules.steps - before, LEAST_STEPS)
 
     def test_targets_that_check_the_fence(self):
--- a/tools/measure/__main__.py
+++ b/tools/measure/__main__.py
@@ -12,6 +12,7 @@
     "tools.measure.lender_loss",
     "tools.measure.hedging",
     "tools.measure.ownership",
+    "tools.measure.schedules",
 )
 
 
