Test applies on the shared fake store and over the platform's stand-in

Change: the small store of these tests is gone; new cases for a host that freezes before its write, a write that takes effect late, and a store that is down.

--- a/tests/cover/test_admin.py
+++ b/tests/cover/test_admin.py
@@ -17,8 +17,8 @@
 from persimmonspoke.internal.peers.codec import decode, encode
 from persimmonspoke.internal.questionnaire.canonical import from_text
 from tests.cover.test_questionnaire import ANSWERS, answers
-from tests.cover.test_teams import MemoryStore
-from tests.fakes.admin_api import FakeAdmin, FakeHost, host_status
+from tests.fakes.admin_api import FakeAdmin, FakeHost, Site, host_status
+from tests.fakes.store import Lost
 
 OPERATOR, DEMO, OTHER = "operator-" + "x" * 16, "demo-" + "y" * 16, "other-" + "z" * 16
 GUARDED = AdminSettings(
@@ -36,7 +36,7 @@
     def setUp(self):
         logging.disable(logging.CRITICAL)
         self.addCleanup(logging.disable, logging.NOTSET)
-        self.store = MemoryStore()
+        self.site = Site()
 
     def failure(self, answer):
         """Return the status and the type of a refusal."""
@@ -47,7 +47,7 @@
 class TestAdminTokens(_AdminCase):
     def setUp(self):
         super().setUp()
-        self.api = FakeAdmin(self.store, GUARDED)
+        self.api = FakeAdmin(self.site.store, self.site.clock, GUARDED)
 
     def ask(self, token, method, path, body=b"", **headers):
         """Send one request with a token."""
@@ -64,12 +64,12 @@
                     self.assertEqual(self.failure(got), (401, "Unauthenticated"))
         basic = self.api.request("GET", "/v1/dump", AUTHORIZATION=f"Basic {OPERATOR}")
         self.assertEqual(basic[0], 401)
-        self.assertEqual(self.store.objects, {})
+        self.assertEqual(self.site.objects(), {})
         self.assertFalse(self.api.host.own.draining)
 
     def test_a_team_acts_within_its_own_bounds(self):
         self.assertEqual(self.ask(DEMO, "PUT", ACCEPTED, BODY, IF_MATCH="0")[0], 200)
-        before = dict(self.store.objects)
+        before = self.site.objects()
         requests = (
             (OTHER, "PUT", ACCEPTED, "1"),
             (OTHER, "GET", ACCEPTED, "1"),
@@ -83,7 +83,7 @@
             with self.subTest(f"{method} {path}"):
                 got = self.ask(token, method, path, BODY, IF_MATCH=expected)
                 self.assertEqual(self.failure(got), (403, "Forbidden"))
-        self.assertEqual(self.store.objects, before)
+        self.assertEqual(self.site.objects(), before)
         self.assertEqual(self.ask(OPERATOR, "GET", ACCEPTED)[0], 200)
 
     def test_a_team_sees_its_own_generations_only(self):
@@ -113,7 +113,7 @@
 class TestAdminRequests(_AdminCase):
     def setUp(self):
         super().setUp()
-        self.api = FakeAdmin(self.store)
+        self.api = FakeAdmin(self.site.store, self.site.clock)
 
     def put(self, expected, body=BODY, path=ACCEPTED, **headers):
         """Apply a questionnaire."""
@@ -147,7 +147,7 @@
 
     def test_malformed_requests_are_refused_and_change_nothing(self):
         self.put("0")
-        before = dict(self.store.objects)
+        before = self.site.objects()
         large = b"x" * (self.api_limit() + 1)
         cases = (
             (self.api.request("PUT", ACCEPTED, BODY), 428, "GenerationRequired"),
@@ -200,7 +200,7 @@
         for number, (answer, status, name) in enumerate(cases):
             with self.subTest(f"{number}: {name}"):
                 self.assertEqual(self.failure(answer), (status, name))
-        self.assertEqual(self.store.objects, before)
+        self.assertEqual(self.site.objects(), before)
 
     def api_limit(self):
         """Return the largest body that is allowed."""
@@ -237,10 +237,10 @@
 
     def test_a_lost_answer_is_learnt_by_the_idempotency_key(self):
         key = "attempt-1"
-        self.store.dropped_writes = 10**6
+        self.site.store.faults.lost.extend([Lost.BEFORE_EFFECT] * 1000)
         got = self.put("0", IDEMPOTENCY_KEY=key)
         self.assertEqual(self.failure(got), (504, StoreOutcomeUnknown.__name__))
-        self.store.dropped_writes = 0
+        self.site.store.faults.lost.clear()
         self.put("0", IDEMPOTENCY_KEY=key)
         newer = json.dumps(answers(wait_ms=9).model_dump(mode="json")).encode()
         self.put("1", newer)
@@ -253,7 +253,8 @@
         self.put("0")
         _, drained = self.api.request("POST", f"{TARGET}/drain")
         self.assertEqual(len(drained["drained_targets"]), 1)
-        elsewhere = FakeAdmin(self.store)
+        other = self.site.beside("b")
+        elsewhere = FakeAdmin(other.store, other.clock)
         path = "/v1/teams/demo/drains"
         self.assertEqual(elsewhere.request("GET", path), (200, drained))
         elsewhere.request("POST", f"{TARGET}/undrain")
--- a/tests/cover/test_cli.py
+++ b/tests/cover/test_cli.py
@@ -15,8 +15,7 @@
 from persimmonspoke.cli.main import main
 from persimmonspoke.errors import AdminNotReached, AdminUnreachable
 from tests.cover.test_questionnaire import ANSWERS, answers
-from tests.cover.test_teams import MemoryStore
-from tests.fakes.admin_api import FakeAdmin, HubClock, host_status
+from tests.fakes.admin_api import FakeAdmin, Site, host_status
 
 
 class _CommandCase(unittest.TestCase):
@@ -27,8 +26,8 @@
         self.addCleanup(folder.cleanup)
         self.folder = Path(folder.name)
         self.file = self.write("q.yaml", json.dumps(ANSWERS))
-        self.store = MemoryStore()
-        self.api = FakeAdmin(self.store)
+        self.site = Site()
+        self.api = FakeAdmin(self.site.store, self.site.clock)
 
     def write(self, name, text):
         """Write a file and return its path."""
@@ -46,7 +45,7 @@
         out, err = io.StringIO(), io.StringIO()
         with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
             try:
-                status = main(argv, lambda url, timeout_s: self.api, HubClock())
+                status = main(argv, lambda url, timeout_s: self.api, self.site.clock)
             except SystemExit as exc:
                 status = exc.code
         return status, out.getvalue() + err.getvalue()
@@ -140,7 +139,7 @@
         self.api.lost_answers = 3
         status, text = self.apply(0, "--json")
         self.assertEqual((status, json.loads(text)["generation"]), (0, 1))
-        self.assertEqual(self.store.objects["teams/demo"].version, 1)
+        self.assertEqual(self.site.platform.revision, 1)
 
     def test_an_outcome_that_stays_unknown_can_be_learnt_later(self):
         self.api.lost_answers = 10**6
@@ -159,10 +158,10 @@
         def flaky(*args):
             calls.append(args)
             if len(calls) == 2:
-                self.store.get = lambda key, deadline: 1 / 0
+                self.site.store.faults.down = True
             answer = send(*args)
             if len(calls) == 2:
-                del self.store.get
+                self.site.store.faults.down = False
             return answer
 
         self.api.send = flaky
@@ -175,11 +174,11 @@
             raise AdminNotReached("refused")
 
         self.api.send = refuse
-        before = HubClock().now()
+        before = self.site.clock.now()
         status, text = self.apply(0)
         self.assertEqual(status, ExitStatus.UNREACHABLE)
         self.assertNotIn("unknown", text)
-        self.assertEqual(HubClock().now(), before)
+        self.assertEqual(self.site.clock.now(), before)
 
     def test_an_answer_of_something_else_is_a_failure(self):
         for data in (b"<html>", b"[]", b'{"error": 5}'):
@@ -195,20 +194,20 @@
             self.api.host.own = host_status("a.1", demo=1)
 
         eventlet.spawn_after(4, put_into_force)
-        before = HubClock().now()
+        before = self.site.clock.now()
         status, text = self.apply(0, "--wait", "17")
         self.assertEqual(status, ExitStatus.OK)
         self.assertIn("on all 2 live hosts", text)
-        self.assertLess(HubClock().now() - before, 8)
+        self.assertLess(self.site.clock.now() - before, 8)
 
     def test_hosts_that_are_behind_are_named(self):
         self.api.host.own = host_status("a.1", demo=0)
-        before = HubClock().now()
+        before = self.site.clock.now()
         status, text = self.apply(0, "--wait", "17")
         self.assertEqual(status, ExitStatus.NOT_IN_FORCE)
         self.assertIn("a.1: generation 0", text)
         self.assertIn("b.1: PeerTimeout", text)
-        self.assertLess(HubClock().now() - before, 18)
+        self.assertLess(self.site.clock.now() - before, 18)
         _, text = self.apply(0, "--wait", "1", "--json")
         self.assertEqual(len(json.loads(text)["error"]["hosts"]), 2)
 
--- a/tests/cover/test_teams.py
+++ b/tests/cover/test_teams.py
@@ -1,7 +1,6 @@
 """Accepting questionnaires while operators race and answers get lost."""
 
 import unittest
-from dataclasses import replace
 
 import eventlet
 
@@ -9,8 +8,7 @@
     ApplyConflict,
     ConfigurationEdited,
     InvalidSettings,
-    StoreConflict,
-    StoreMissing,
+    StoreError,
     StoreOutcomeUnknown,
     StoreUnavailable,
     UnknownTeam,
@@ -20,77 +18,34 @@
 from persimmonspoke.internal.questionnaire.generate import generate
 from persimmonspoke.internal.questionnaire.team_record import TeamRecord, read_config
 from persimmonspoke.internal.questionnaire.teams import Teams
-from persimmonspoke.internal.store.api import Stored
 from tests.cover.test_questionnaire import TARGETS, answers
-from tests.fakes.admin_api import HubClock
+from tests.fakes.admin_api import Site
+from tests.fakes.process import GateKind
+from tests.fakes.store import LATENCY_S, Lost
 
 CALL_S = 5
 
 
-class MemoryStore:
-    """A store whose writes pause, so that others come between, and lose answers.
-
-    Attributes
-    ----------
-    lost_answers : int
-        How many of the next writes take effect without an answer.
-    dropped_writes : int
-        How many of the next writes neither take effect nor get an answer.
-    after_write : callable or None
-        Called once after the next write took effect, before its answer is lost.
-    """
-
-    def __init__(self):
-        self.objects = {}
-        self.lost_answers = 0
-        self.dropped_writes = 0
-        self.after_write = None
-
-    def get(self, key, deadline):
-        if key not in self.objects:
-            raise StoreMissing(key)
-        return self.objects[key]
-
-    def create(self, key, value, deadline):
-        return self._write(key, value, 0)
-
-    def update(self, key, value, version, deadline):
-        return self._write(key, value, version)
-
-    def _write(self, key, value, version):
-        eventlet.sleep(0.01)
-        if self.dropped_writes:
-            self.dropped_writes -= 1
-            raise StoreOutcomeUnknown("dropped")
-        found = self.objects[key].version if key in self.objects else 0
-        if found != version:
-            raise StoreConflict(key)
-        self.objects[key] = Stored(key, value, version + 1)
-        if self.lost_answers:
-            self.lost_answers -= 1
-            call, self.after_write = self.after_write, None
-            if call is not None:
-                call()
-            raise StoreOutcomeUnknown("the answer was lost")
-        return self.objects[key]
-
-
 class TestApply(unittest.TestCase):
     def setUp(self):
-        self.store = MemoryStore()
-        self.clock = HubClock()
-        self.teams = Teams(self.store, self.clock)
-
-    def deadline(self, left_s=CALL_S):
-        return Instant(self.clock.now() + left_s)
-
-    def apply(self, expected, write_id=None, **desk):
-        return self.teams.apply(
-            "demo", answers(**desk), expected, self.deadline(), write_id
-        )
+        self.site = Site()
+        self.teams = Teams(self.site.store, self.site.clock)
+        self.lost = self.site.store.faults.lost
+        self.rival_site = self.site.beside("b")
+        self.rival = Teams(self.rival_site.store, self.rival_site.clock)
+
+    def apply(self, expected, write_id=None, teams=None, **desk):
+        """Apply a questionnaire, through `self.teams` by default."""
+        deadline = Instant(self.site.clock.now() + CALL_S)
+        teams = teams or self.teams
+        return teams.apply("demo", answers(**desk), expected, deadline, write_id)
 
     def read(self):
-        return self.teams.read("demo", self.deadline())
+        """Return the accepted state."""
+        return self.teams.read("demo", Instant(self.site.clock.now() + CALL_S))
+
+    def deadline(self, left_s=CALL_S):
+        return Instant(self.site.clock.now() + left_s)
 
     def test_generations_follow_each_other(self):
         self.assertEqual(self.apply(0).generation, 1)
@@ -99,20 +54,21 @@
         self.assertEqual(record.config.generation, 2)
         self.assertEqual(record.questionnaire, answers(wait_ms=9))
         self.assertEqual(len(record.recent_write_ids), 2)
-        stored = self.store.objects["teams/demo"]
+        stored = self.site.platform.get("teams/demo")
         self.assertEqual(read_config(stored), record.config)
 
     def test_of_two_racing_operators_one_wins_and_one_sees_the_changes(self):
         self.apply(0)
         outcomes = []
 
-        def operator(wait_ms):
+        def operator(teams, wait_ms):
             try:
-                outcomes.append(self.apply(1, wait_ms=wait_ms))
+                outcomes.append(self.apply(1, teams=teams, wait_ms=wait_ms))
             except ApplyConflict as exc:
                 outcomes.append(exc)
 
-        tasks = [eventlet.spawn(operator, wait_ms) for wait_ms in (7, 8)]
+        pairs = ((self.teams, 7), (self.rival, 8))
+        tasks = [eventlet.spawn(operator, *pair) for pair in pairs]
         for task in tasks:
             task.wait()
         accepted, conflict = sorted(
@@ -134,34 +90,74 @@
         self.assertEqual(self.read().config.generation, 2)
 
     def test_a_lost_answer_is_settled_by_reading(self):
-        self.store.lost_answers = 1
+        self.lost.append(Lost.AFTER_EFFECT)
         self.assertEqual(self.apply(0).generation, 1)
-        self.assertEqual(self.read().config.generation, 1)
+        self.assertEqual(self.site.platform.revision, 1)
 
     def test_a_dropped_write_is_repeated(self):
-        self.store.dropped_writes = 3
+        self.lost.extend([Lost.BEFORE_EFFECT] * 3)
         self.assertEqual(self.apply(0).generation, 1)
 
     def test_a_write_that_was_replaced_before_it_was_read_back_is_known(self):
-        self.store.lost_answers = 1
-        self.store.after_write = lambda: self.apply(1, wait_ms=9)
+        self.lost.append(Lost.AFTER_EFFECT)
+        rival = eventlet.spawn_after(0.01, self.apply, 1, teams=self.rival, wait_ms=9)
         done = self.apply(0)
         self.assertEqual((done.generation, done.replaced), (1, True))
-        self.assertEqual(self.read().config.generation, 2)
+        self.assertEqual(rival.wait().generation, 2)
 
     def test_a_lost_write_that_never_happened_is_a_conflict_if_another_wins(self):
-        self.store.dropped_writes = 1
-        rival = eventlet.spawn_after(0.02, self.apply, 0, wait_ms=9)
+        self.lost.append(Lost.BEFORE_EFFECT)
+        rival = eventlet.spawn_after(0.01, self.apply, 0, teams=self.rival, wait_ms=9)
         with self.assertRaises(ApplyConflict):
             self.apply(0)
         self.assertEqual(rival.wait().generation, 1)
         self.assertEqual(self.read().questionnaire, answers(wait_ms=9))
 
+    def test_a_host_that_freezes_before_its_write_changes_nothing_later(self):
+        self.apply(0)
+        outcomes = []
+
+        def operator():
+            try:
+                outcomes.append(self.apply(1, wait_ms=7))
+            except StoreError as exc:
+                outcomes.append(exc)
+
+        frozen = eventlet.spawn(operator)
+        eventlet.sleep(LATENCY_S / 2)
+        # The read is on its way, so the next gate is that of the write.
+        self.site.process.pause_at(GateKind.STORE)
+        eventlet.sleep(1)
+        self.assertTrue(self.site.process.paused)
+        self.apply(1, teams=self.rival, wait_ms=8)
+        self.apply(2, teams=self.rival, wait_ms=9)
+        eventlet.sleep(3600)
+        self.site.process.resume()
+        frozen.wait()
+        self.assertIsInstance(outcomes[0], StoreOutcomeUnknown)
+        self.assertEqual(self.read().config.generation, 3)
+
+    def test_a_write_that_takes_effect_late_reverts_nothing(self):
+        self.apply(0)
+        self.lost.extend([Lost.LATE_EFFECT] * 1000)
+        with self.assertRaises(StoreOutcomeUnknown):
+            self.apply(1, wait_ms=7)
+        self.lost.clear()
+        self.apply(1, teams=self.rival, wait_ms=8)
+        eventlet.sleep(3600)
+        self.assertEqual(self.read().config.generation, 2)
+        self.assertEqual(self.read().questionnaire, answers(wait_ms=8))
+
     def test_an_outcome_that_nobody_can_know_is_said_to_be_unknown(self):
-        self.store.dropped_writes = 10**6
+        self.lost.extend([Lost.BEFORE_EFFECT] * 1000)
         with self.assertRaises(StoreOutcomeUnknown):
             self.apply(0)
 
+    def test_a_store_that_is_down_means_that_nothing_was_changed(self):
+        self.site.platform.faults.down = True
+        with self.assertRaises(StoreUnavailable):
+            self.apply(0)
+
     def test_an_attempt_is_recognised_after_later_generations(self):
         self.apply(0, write_id="first")
         for generation in range(1, 6):
@@ -182,14 +178,14 @@
         self.assertEqual(self.apply(0).generation, 1)
         with self.assertRaises(ApplyConflict):
             self.apply(5)
-        self.assertEqual(self.read().version, 1)
+        self.assertEqual(self.site.platform.revision, 1)
 
     def test_answers_of_another_team_are_refused(self):
         with self.assertRaises(InvalidSettings):
             self.teams.apply("other", answers(), 0, self.deadline())
         with self.assertRaises(InvalidSettings):
             self.teams.diff("other", answers(), self.deadline())
-        self.assertEqual(self.store.objects, {})
+        self.assertEqual(self.site.objects(), {})
 
     def test_answers_beyond_what_the_store_holds_are_refused(self):
         many = [
@@ -221,11 +217,11 @@
 
 class TestStoredTeam(unittest.TestCase):
     def test_an_object_changed_by_other_means_is_refused(self):
-        store, clock = MemoryStore(), HubClock()
-        teams = Teams(store, clock)
-        deadline = Instant(clock.now() + CALL_S)
+        site = Site()
+        teams = Teams(site.store, site.clock)
+        deadline = Instant(site.clock.now() + CALL_S)
         teams.apply("demo", answers(), 0, deadline)
-        good = store.objects["teams/demo"]
+        good = site.platform.get("teams/demo")
         other = answers(wait_ms=9).model_dump(mode="json")
         edits = (
             {"generation": 8},
@@ -239,25 +235,24 @@
         )
         for edit in edits:
             with self.subTest(list(edit)):
-                bad = replace(good, value={**good.value, **edit})
-                store.objects["teams/demo"] = bad
+                version = site.platform.get("teams/demo").version
+                bad = site.platform.put("teams/demo", {**good.value, **edit}, version)
                 with self.assertRaises(ConfigurationEdited):
                     TeamRecord.from_stored(bad)
                 with self.assertRaises(ConfigurationEdited):
                     teams.apply("demo", answers(wait_ms=5), 1, deadline)
-                self.assertIs(store.objects["teams/demo"], bad)
+                self.assertEqual(site.platform.get("teams/demo"), bad)
 
 
 class TestDrains(unittest.TestCase):
     def setUp(self):
-        self.store = MemoryStore()
-        self.clock = HubClock()
-        self.drains = Drains(self.store, self.clock)
+        self.site = Site()
+        self.drains = Drains(self.site.store, self.site.clock)
         self.config = generate(answers(), None)
         self.a, self.b, *_ = sorted(all_targets(self.config))
 
     def deadline(self, left_s=CALL_S):
-        return Instant(self.clock.now() + left_s)
+        return Instant(self.site.clock.now() + left_s)
 
     def test_racing_operators_drain_both_targets(self):
         tasks = [
@@ -270,9 +265,9 @@
         self.assertEqual(drained, frozenset((self.a, self.b)))
 
     def test_a_lost_answer_changes_nothing_about_the_outcome(self):
-        self.store.lost_answers = 1
+        self.site.store.faults.lost.append(Lost.AFTER_EFFECT)
         self.drains.drain(self.config, self.a, self.deadline())
-        self.store.lost_answers = 1
+        self.site.store.faults.lost.append(Lost.AFTER_EFFECT)
         left = self.drains.undrain(self.config, self.a, self.deadline())
         self.assertEqual(left, frozenset())
         self.assertEqual(self.drains.read("demo", self.deadline()), left)
@@ -287,9 +282,9 @@
     def test_draining_twice_writes_once(self):
         for _ in range(2):
             self.drains.drain(self.config, self.a, self.deadline())
-        self.assertEqual(self.store.objects["drains/demo"].version, 1)
+        self.assertEqual(self.site.platform.revision, 1)
 
     def test_no_time_left_means_that_nothing_was_changed(self):
         with self.assertRaises(StoreUnavailable):
             self.drains.drain(self.config, self.a, self.deadline(0))
-        self.assertEqual(self.store.objects, {})
+        self.assertEqual(self.site.objects(), {})
--- a/tests/fakes/admin_api.py
+++ b/tests/fakes/admin_api.py
@@ -4,8 +4,6 @@
 import json
 from dataclasses import replace
 
-import eventlet
-
 from persimmonspoke.cli.client import HttpAnswer
 from persimmonspoke.errors import AdminUnreachable
 from persimmonspoke.internal.admin.api import UnreachableHost
@@ -15,19 +13,36 @@
 from persimmonspoke.internal.ownership.page import Assignment, Page, PageKey
 from persimmonspoke.internal.questionnaire.drains import Drains
 from persimmonspoke.internal.questionnaire.teams import Teams
-from tests.fakes import virtual_hub
+from tests.fakes.process import FakeClock, FakeProcess
+from tests.fakes.store import FakePlatformStore, FakeStore
 
 OPEN = AdminSettings()
 
 
-class HubClock:
-    """The virtual time of the hub."""
+class Site:
+    """A store with one process that uses it.
+
+    Attributes
+    ----------
+    platform : FakePlatformStore
+        The objects.
+    store : FakeStore
+        What the process sees of them, with faults of its own.
+    """
+
+    def __init__(self, name="a", platform=None):
+        self.platform = platform or FakePlatformStore()
+        self.process = FakeProcess(name, "10.0.0.1")
+        self.store = FakeStore(self.platform, self.process)
+        self.clock = FakeClock(self.process)
 
-    def now(self):
-        return virtual_hub.now()
+    def beside(self, name):
+        """Return another process with the same store."""
+        return Site(name, self.platform)
 
-    def sleep_until(self, deadline):
-        eventlet.sleep(max(0.0, deadline - self.now()))
+    def objects(self):
+        """Return all objects by key."""
+        return {entry.key: entry for entry in self.platform.list("").items}
 
 
 def host_status(name, **in_force):
@@ -75,8 +90,7 @@
         How many of the next answers get lost on their way back.
     """
 
-    def __init__(self, store, cfg=OPEN, clock=None):
-        clock = clock or HubClock()
+    def __init__(self, store, clock, cfg=OPEN):
         self.host = FakeHost()
         self.lost_answers = 0
         parts = (Teams(store, clock), Drains(store, clock))
--- a/tests/loopback/test_admin_http.py
+++ b/tests/loopback/test_admin_http.py
@@ -14,7 +14,8 @@
 from persimmonspoke.cli.exit_status import ExitStatus
 from persimmonspoke.internal.admin.settings import AdminSettings
 from persimmonspoke.internal.clock import SystemClock
-from tests.cover.test_teams import MemoryStore
+from persimmonspoke.internal.store.http_store import HttpStore
+from persimmonspoke.standins.platform import PlatformState, make_platform_app
 from tests.fakes.admin_api import FakeAdmin
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -26,19 +27,23 @@
     def setUp(self):
         logging.disable(logging.CRITICAL)
         self.addCleanup(logging.disable, logging.NOTSET)
+        platform = self.serve(make_platform_app(PlatformState()))
+        clock = SystemClock()
+        store = HttpStore(f"http://127.0.0.1:{platform}", clock)
         cfg = AdminSettings(operator_token=TOKEN)
-        self.api = FakeAdmin(MemoryStore(), cfg, SystemClock())
-        listener = eventlet.listen(("127.0.0.1", 0))
-        self.port = listener.getsockname()[1]
-        server = eventlet.spawn(
-            eventlet.wsgi.server, listener, self.api.app, log_output=False
-        )
-        self.addCleanup(server.kill)
+        self.port = self.serve(FakeAdmin(store, clock, cfg).app)
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.token_file = Path(folder.name) / "token"
         self.token_file.write_text(f"{TOKEN}\n")
 
+    def serve(self, app):
+        """Serve a WSGI application and return its port."""
+        listener = eventlet.listen(("127.0.0.1", 0))
+        server = eventlet.spawn(eventlet.wsgi.server, listener, app, log_output=False)
+        self.addCleanup(server.kill)
+        return listener.getsockname()[1]
+
     def run_tool(self, *argv):
         """Run the program and return its exit status and its output."""
         done = subprocess.run(
