Read a short answer under the timer of its head

Cause: each request scheduled three timers or more; the body's was one of them. Change: an answer of known length up to chunk_bytes is read whole in the exchange. Half a refusal now ends as AnswerLost, the safer reading.

--- a/src/persimmonspoke/internal/targets/http_requests.py
+++ b/src/persimmonspoke/internal/targets/http_requests.py
@@ -36,9 +36,6 @@
 BROKEN = (HTTPError, HTTPException, OSError, ValueError)
 """What the library raises for a lost connection and for an answer it can't read."""
 
-LONGEST_REFUSAL_BYTES = 4096
-"""A longer refusal is not read; closing its connection costs less."""
-
 
 class _Silent(Exception):
     """Nothing came on a connection by the time at which it had to be given up."""
@@ -54,6 +51,7 @@
         self.req: TargetRequest = req
         self.attempt: str = attempt
         self.resp: HTTPResponse | None = None
+        self.body: bytes | None = None
         self.over = False
 
     def succeed(self) -> None:
@@ -125,7 +123,11 @@
         return self._run(exchange, req.deadline)
 
     def read_body(self, exchange: _Exchange) -> Iterator[bytes]:
-        """Yield the rest of an answer."""
+        """Yield the body of an answer."""
+        if exchange.body is not None:
+            if exchange.body:
+                yield exchange.body
+            return
         while True:
             chunk = self._read(exchange)
             if not chunk:
@@ -175,6 +177,7 @@
         try:
             self._write(exchange)
             exchange.resp = exchange.conn.getresponse()
+            self._read_short(exchange)
         except eventlet.Timeout as exc:
             if exc is not timer:
                 raise
@@ -184,6 +187,12 @@
         finally:
             timer.cancel()
 
+    def _read_short(self, exchange):
+        """Read a short answer whole, under the timer of its head."""
+        left = exchange.resp.length_remaining
+        if left is not None and left <= self._cfg.chunk_bytes:
+            exchange.body = exchange.resp.read(decode_content=False)
+
     def _write(self, exchange):
         req = exchange.req
         now = self._clock.now()
@@ -210,27 +219,21 @@
             exchange.req.request_id, exchange.attempt, resp.status, resp.headers
         )
         error = protocol.refusal(resp.status, resp.headers)
+        if error is None:
+            self._check_end(resp)
+        if exchange.body is not None:
+            exchange.succeed()
         if error is not None:
-            self._read_refusal(exchange)
             raise error
+        return HttpAnswer(self, exchange)
+
+    def _check_end(self, resp):
+        """Raise unless the end of the answer differs from a lost connection."""
         original = resp._original_response
         if original.msg.defects or not (
             original.chunked or original.length is not None
         ):
             raise AnswerLost("nobody can tell where the answer ends")
-        return HttpAnswer(self, exchange)
-
-    def _read_refusal(self, exchange):
-        length = exchange.resp.length_remaining
-        if length is None or length > LONGEST_REFUSAL_BYTES:
-            exchange.fail()
-            return
-        try:
-            for _ in self.read_body(exchange):
-                pass
-        except AnswerLost:
-            # Its first line has already said that the request did not run.
-            exchange.fail()
 
     def _read(self, exchange):
         left_s = max(0.0, exchange.req.deadline - self._clock.now())
