--- a/src/persimmonspoke/internal/callers/request.py
+++ b/src/persimmonspoke/internal/callers/request.py
@@ -35,8 +35,8 @@
 _DOT_SEGMENT = re.compile(r"/(?:\.|%2e){1,2}(?:[/;]|%2f|$)", re.ASCII | re.IGNORECASE)
 _ESCAPE_FAULT = re.compile(r"%(?![0-9A-Fa-f]{2})|%00", re.ASCII)
 _QUERY = re.compile(r"[!\"$-~]*", re.ASCII)
-_FIELD_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+", re.ASCII)
-_FIELD_VALUE = re.compile(r"[\t -~\x80-\xff]*")
+_FIELD_NAMES = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]*", re.ASCII)
+_FIELD_VALUES = re.compile(r"[\t -~\x80-\xff]*")
 _MS = re.compile(r"[0-9]{1,9}", re.ASCII)
 
 
@@ -142,10 +142,13 @@
     dropped = _NOT_FORWARDED
     kept = []
     hosts = 0
+    # One search of all the text is cheaper than one for each field.
+    names = "".join([name for name, _ in pairs])
+    values = "".join([value for _, value in pairs])
+    if not _FIELD_NAMES.fullmatch(names) or not _FIELD_VALUES.fullmatch(values):
+        raise MalformedRequest("a header field holds a forbidden character")
     for name, value in pairs:
         lower = name.lower()
-        if not _FIELD_NAME.fullmatch(name) or not _FIELD_VALUE.fullmatch(value):
-            raise MalformedRequest("a header field holds a forbidden character")
         if lower == "connection":
             dropped = dropped | _tokens(value)
         elif lower == "host":
--- a/tests/loopback/test_callers_server.py
+++ b/tests/loopback/test_callers_server.py
@@ -194,6 +194,7 @@
         (400, b"GET /desk/lookup/k HTTP/1.1\r\nHost : x\r\n\r\n"),
         (400, head("GET /desk/lookup/k HTTP/1.1", "A: b", " c")),
         (400, b"GET /desk/lookup/k HTTP/1.1\r\nHost: x\r\nno colon\r\n\r\n"),
+        (400, b"GET /desk/lookup/k HTTP/1.1\r\nHost: x\r\n: no name\r\n\r\n"),
         (400, head("GET /desk/lookup/k HTTP/1.1", "A: \x00")),
         (400, head("GET http://x/desk/lookup/k HTTP/1.1")),
         (400, head("GET /desk/lookup/%zz HTTP/1.1")),
