--- a/src/persimmonspoke/internal/ownership/takeover.py
+++ b/src/persimmonspoke/internal/ownership/takeover.py
@@ -62,6 +62,7 @@
 
     def start(self) -> None:
         """Begin to look for pages."""
+        self._member.grantor.keeps_pages = self._keeps_pages
         self._link.serve(KeeperNotice, self._noticed)
         self._tasks.every(STEP_S, self._look)
 
@@ -86,6 +87,10 @@
             self._stored = pages
         return self._stored
 
+    def _keeps_pages(self, host_id):
+        pages = self.stored_pages().values()
+        return any(page.keeper == host_id for page, _ in pages)
+
     def _look(self):
         stored = self.stored_pages()
         if self._member.revoked:
@@ -170,7 +175,11 @@
         record = self._directory.get(keeper)
         if record is not None and not record.revoked:
             return False
-        return self._directory.heir_is_me(keeper)
+        if not self._directory.heir_is_me(keeper):
+            return False
+        # A dead successor's late write may have revoked a host that lives on with
+        # a lease of this one.
+        return not self._member.grantor.promised(keeper)
 
     def _take_named(self, page, item):
         """Keep a page that names this host; its last keeper had stopped before."""
