--- a/tests/loopback/test_callers_server.py
+++ b/tests/loopback/test_callers_server.py
@@ -194,6 +194,7 @@
         (400, b"GET /desk/lookup/k HTTP/1.1\r\nHost : x\r\n\r\n"),
         (400, head("GET /desk/lookup/k HTTP/1.1", "A: b", " c")),
         (400, b"GET /desk/lookup/k HTTP/1.1\r\nHost: x\r\nno colon\r\n\r\n"),
+        (400, b"GET /desk/lookup/k HTTP/1.1\r\nHost: x\r\n: no name\r\n\r\n"),
         (400, head("GET /desk/lookup/k HTTP/1.1", "A: \x00")),
         (400, head("GET http://x/desk/lookup/k HTTP/1.1")),
         (400, head("GET /desk/lookup/%zz HTTP/1.1")),
@@ -235,6 +236,7 @@
         (431, head("GET /desk/lookup/k HTTP/1.1", *[f"A: {'b' * 900}"] * 90)),
         (431, head("GET /desk/lookup/k HTTP/1.1", *["A: b"] * 200)),
         # What follows never comes.
+        (400, b"GET /desk/lo"),
         (400, b"GET /desk/lookup/k HTTP/1.1\r\nHost: x\r\nA: "),
         (408, head("POST /desk/lookup/k HTTP/1.1", "Content-Length: 5") + b"hel"),
     )
