Let protected requests queue by their own precedence; protect unknown methods

Cause: the scheduler and the request path read the service's fields, not its rules, so ledger postings waited with reports, and a method such as LOCK counted as idempotent. A slow operator could hold a task of the administration API. Change: both ask the service; the API's sockets time out.

--- a/src/persimmonspoke/daemon/daemon.py
+++ b/src/persimmonspoke/daemon/daemon.py
@@ -153,7 +153,12 @@
             AdminMembers(self),
             AdminAssignments(self.control.store),
         )
-        eventlet.wsgi.server(self._operators, app, log_output=False)
+        eventlet.wsgi.server(
+            self._operators,
+            app,
+            socket_timeout=self.settings.admin.call_s,
+            log_output=False,
+        )
 
     def _ready(self):
         """Return whether this run has its lease, and has passed the news on once."""
--- a/src/persimmonspoke/internal/callers/request.py
+++ b/src/persimmonspoke/internal/callers/request.py
@@ -99,7 +99,7 @@
             path=_joined(inner, query),
             headers=headers,
             key=_key(entry, inner, query, headers),
-            protected=method in entry.protected,
+            protected=entry.service.protects(method),
             deadline=_deadline(environ, entry, started),
         )
 
--- a/src/persimmonspoke/internal/callers/services.py
+++ b/src/persimmonspoke/internal/callers/services.py
@@ -31,7 +31,6 @@
     team: TeamId
     service: ServiceConfig
     prefix: str
-    protected: frozenset[str]
     target_ids: tuple
     targets: dict[str, TargetConfig]
 
@@ -42,7 +41,6 @@
             team=team,
             service=service,
             prefix=service.path_prefix.rstrip("/"),
-            protected=frozenset(service.protected_methods),
             target_ids=tuple(target.target_id for target in service.targets),
             targets={target.target_id: target for target in service.targets},
         )
--- a/src/persimmonspoke/internal/scheduling/api.py
+++ b/src/persimmonspoke/internal/scheduling/api.py
@@ -5,7 +5,10 @@
 from typing import Protocol
 
 from persimmonspoke.ids import Instant, KeyText, TargetId, TeamId
-from persimmonspoke.internal.questionnaire.configuration import ServiceConfig
+from persimmonspoke.internal.questionnaire.configuration import (
+    Precedence,
+    ServiceConfig,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,6 +21,11 @@
     protected: bool
     deadline: Instant
 
+    @property
+    def precedence(self) -> Precedence:
+        """Return whose turn it is to go first, by service and protection."""
+        return self.service.precedence_for(self.protected)
+
 
 class SlotOutcome(Enum):
     """What became of the request that used a slot."""
--- a/src/persimmonspoke/internal/scheduling/queue.py
+++ b/src/persimmonspoke/internal/scheduling/queue.py
@@ -49,7 +49,7 @@
     def __init__(self, ticket: Ticket, choices: tuple[Choice, ...], start_by: Instant):
         self.ticket = ticket
         self.choices = choices
-        self.rank: Rank = (ticket.team, ticket.service.precedence)
+        self.rank: Rank = (ticket.team, ticket.precedence)
         self.start_by = start_by
         self.state = EntryState.WAITING
         self.event = Event()
@@ -190,8 +190,8 @@
         """Return the record of slots that the ticket's service uses."""
         key = (ticket.team, ticket.service.service)
         use = self._uses.get(key)
-        if use is None or use.rank[1] is not ticket.service.precedence:
-            rank = (ticket.team, ticket.service.precedence)
+        if use is None or use.rank[1] is not ticket.precedence:
+            rank = (ticket.team, ticket.precedence)
             team = self._team_uses.setdefault(ticket.team, _Use())
             use = Use(rank, team, self._rank_uses.setdefault(rank, _Use()))
             self._uses[key] = use
