--- /dev/null
+++ b/tools/slopes/fleet.py
@@ -0,0 +1,76 @@
+"""Messages, bytes and store calls of whole fleets at rest, in virtual time."""
+
+import time
+
+import eventlet
+from tests.fakes import virtual_hub
+from tests.fakes.cluster import FakeCluster
+
+from tools.slopes.rows import SlopeRow
+
+HOSTS = (4, 8, 16)
+SHARDS = (64, 256, 1024)
+SHARDS_PER_PAGE = 16
+SETTLE_S = 8.0
+SPAN_S = 10.0
+FEW_HOSTS = 4
+
+
+def rows():
+    """Yield the slopes over hosts, then over shards, for both kinds of targets."""
+    virtual_hub.install()
+    for checks in (True, False):
+        kind = "that check the fence" if checks else "that do not check the fence"
+        measured = [_measure(count, 64, checks) for count in HOSTS]
+        yield from _rows(f"targets {kind}", "hosts", HOSTS, measured)
+        measured = [_measure(FEW_HOSTS, count, checks) for count in SHARDS]
+        yield from _rows(f"targets {kind}, 4 hosts", "shards", SHARDS, measured)
+
+
+def _rows(what, size, sizes, measured):
+    units = ("bytes/s", "orders/s", "calls/s", "ms/s")
+    names = (
+        "bytes sent by a host",
+        "grant orders of the fleet",
+        "store calls of the fleet",
+        "processor time of a host and its share of the fakes",
+    )
+    for column, (name, unit) in enumerate(zip(names, units, strict=True)):
+        values = tuple(row[column] for row in measured)
+        yield SlopeRow(f"fleet: {name}, {what}", size, unit, sizes, values)
+
+
+def _measure(hosts, shards, checks):
+    """Return bytes, orders, store calls and processor time, a second at rest."""
+    cluster = FakeCluster(
+        hosts=hosts, targets=4, checks=checks, shards=shards, page=SHARDS_PER_PAGE
+    )
+    orders = []
+    _count_orders(cluster, orders)
+    eventlet.sleep(SETTLE_S)
+    sent = sum(host.link.bytes_sent for host in cluster.hosts.values())
+    calls, before = len(cluster.platform.calls), len(orders)
+    started = time.process_time()
+    eventlet.sleep(SPAN_S)
+    took_s = time.process_time() - started
+    now = sum(host.link.bytes_sent for host in cluster.hosts.values())
+    result = (
+        (now - sent) / SPAN_S / hosts,
+        (len(orders) - before) / SPAN_S,
+        (len(cluster.platform.calls) - calls) / SPAN_S,
+        1000 * took_s / SPAN_S / hosts,
+    )
+    cluster.close()
+    return result
+
+
+def _count_orders(cluster, orders):
+    """Take note of each grant order that reaches a target."""
+    for target in cluster.targets.values():
+        plain = target.grant
+
+        def counted(order, plain=plain):
+            orders.append(order.page)
+            return plain(order)
+
+        target.grant = counted
--- /dev/null
+++ b/tools/slopes/rows.py
@@ -0,0 +1,56 @@
+"""One measured slope: a quantity at several sizes, and the line that fits it."""
+
+import json
+import statistics
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class SlopeRow:
+    """A quantity measured at three sizes or more.
+
+    Attributes
+    ----------
+    name : str
+        What was measured.
+    size : str
+        What `sizes` counts.
+    unit : str
+        Unit of `values`.
+    """
+
+    name: str
+    size: str
+    unit: str
+    sizes: tuple[float, ...]
+    values: tuple[float, ...]
+
+    def line(self) -> str:
+        """Return the row as one line of JSON, with the fit.
+
+        ``worst_off`` is the largest distance of a value from the fitted line, over
+        the largest value: a fit that is no line shows there.
+        """
+        fit = statistics.linear_regression(self.sizes, self.values)
+        fitted = [fit.intercept + fit.slope * size for size in self.sizes]
+        distances = [
+            abs(value - guess) for value, guess in zip(self.values, fitted, strict=True)
+        ]
+        largest = max(abs(value) for value in self.values) or 1.0
+        return json.dumps(
+            {
+                "name": self.name,
+                "size": self.size,
+                "unit": self.unit,
+                "sizes": self.sizes,
+                "values": [_short(value) for value in self.values],
+                "slope": _short(fit.slope),
+                "intercept": _short(fit.intercept),
+                "worst_off": round(max(distances) / largest, 3),
+            }
+        )
+
+
+def _short(value):
+    """Return a number with four significant digits."""
+    return float(f"{value:.4g}")
