Move shards by the load that all hosts measured together

Cause: the planner stood beside the daemon; keepers evened out counts only, so keys that heated up stayed where they were. Change: each host counts requests by shard and reports them each second to the keeper of the service's first page, which plans by the team's measure and tells the keepers; these move shards under their own leases. The planner that evened out counts is gone. Conclusion: a lost report or plan costs balance and no promise.

--- a/src/persimmonspoke/internal/node.py
+++ b/src/persimmonspoke/internal/node.py
@@ -16,12 +16,7 @@
 from persimmonspoke.internal.ownership.lender import Lender
 from persimmonspoke.internal.ownership.mover import Mover
 from persimmonspoke.internal.ownership.routes import RouteTable
-from persimmonspoke.internal.ownership.spread import (
-    EvenSpread,
-    LeastOwned,
-    Placement,
-    Planner,
-)
+from persimmonspoke.internal.ownership.spread import LeastOwned, Placement
 from persimmonspoke.internal.ownership.takeover import Takeover
 from persimmonspoke.internal.peers.api import PeerLink
 from persimmonspoke.internal.store.api import Store
@@ -43,8 +38,6 @@
         Where this run listens, and its timers.
     placement : Placement, optional
         Which target gets a shard that has lost its owner.
-    planner : Planner, optional
-        Which shards should move although their owners live.
 
     Attributes
     ----------
@@ -62,7 +55,6 @@
         news: News,
         host_list: HostList,
         placement: Placement | None = None,
-        planner: Planner | None = None,
     ):
         self.cfg = cfg
         self._clock = clock
@@ -94,13 +86,13 @@
             self.tasks,
         )
         self.balancer = Balancer(
-            self.keeper,
+            self.member,
             self.configs,
             self.granters,
             self.mover,
             self.routes,
-            planner or EvenSpread(),
             clock,
+            link,
             self.tasks,
         )
 
--- a/src/persimmonspoke/internal/ownership/configs.py
+++ b/src/persimmonspoke/internal/ownership/configs.py
@@ -2,7 +2,10 @@
 
 from persimmonspoke.ids import ServiceId, TargetId, TeamId
 from persimmonspoke.internal.news.api import News
-from persimmonspoke.internal.questionnaire.configuration import ServiceConfig
+from persimmonspoke.internal.questionnaire.configuration import (
+    Measure,
+    ServiceConfig,
+)
 from persimmonspoke.internal.questionnaire.drains import (
     DRAINS_PREFIX,
     drained_targets,
@@ -21,6 +24,7 @@
         self._count = -1
         self._services: dict[ServiceKey, ServiceConfig] = {}
         self._drained: dict[TeamId, frozenset[TargetId]] = {}
+        self._measures: dict[TeamId, Measure] = {}
 
     def divided(self) -> dict[ServiceKey, ServiceConfig]:
         """Return the services whose keys have owners."""
@@ -32,6 +36,11 @@
         self._refresh()
         return self._drained.get(service[0], frozenset())
 
+    def measure(self, service: ServiceKey) -> Measure:
+        """Return the measure that the service's team weighs most."""
+        self._refresh()
+        return self._measures[service[0]]
+
     def _refresh(self):
         count = self._news.count()
         if count == self._count:
@@ -43,6 +52,7 @@
             for service in team.services
             if service.divided
         }
+        self._measures = {team.team: team.measure for team in self._in_force.teams()}
         self._drained = {
             TeamId(item.key.removeprefix(DRAINS_PREFIX)): drained_targets(item.value)
             for item in self._news.items(DRAINS_PREFIX)
--- a/src/persimmonspoke/internal/ownership/routes.py
+++ b/src/persimmonspoke/internal/ownership/routes.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections import Counter
+from collections.abc import Callable
 from contextlib import contextmanager
 
 import eventlet
@@ -67,7 +68,13 @@
 
 
 class RouteTable:
-    """Implements `persimmonspoke.internal.ownership.api.Routes`."""
+    """Implements `persimmonspoke.internal.ownership.api.Routes`.
+
+    Attributes
+    ----------
+    on_request : callable
+        Told the route of each request that begins.
+    """
 
     def __init__(
         self,
@@ -99,6 +106,7 @@
         self._keeper_ids: set[HostId] = set()
         self._urgent: set[HostId] = set()
         self._changed = eventlet.event.Event()
+        self.on_request: Callable[[Route], None] = lambda route: None
         lender.notice_here = self._noticed
         lender.hold_here = self._hold
 
@@ -163,6 +171,7 @@
     @contextmanager
     def in_flight(self, route: Route):
         """Count one request on the route's shard for as long as the context lasts."""
+        self.on_request(route)
         place = (route.page, route.shard)
         began = self._clock.now()
         self._in_flight[place] += 1
@@ -218,6 +227,11 @@
             return RoutePage(stored[0], 0, ())
         return entry
 
+    def keeper_of(self, key: PageKey) -> HostId | None:
+        """Return the keeper of a page, as far as it is known."""
+        entry = self._entry(key)
+        return entry.page.keeper if entry is not None else None
+
     def owners(self, team: TeamId, service: ServiceId) -> dict[ShardId, TargetId]:
         """Return the owner of each shard of a service, as far as it is known."""
         stored = self._takeover.stored_pages()
--- a/src/persimmonspoke/internal/ownership/spread.py
+++ b/src/persimmonspoke/internal/ownership/spread.py
@@ -25,23 +25,6 @@
         """
 
 
-class Planner(Protocol):
-    """Decides which shards should move although their owners live."""
-
-    def plan(
-        self, owners: dict[ShardId, TargetId], targets: tuple[TargetConfig, ...]
-    ) -> dict[ShardId, TargetId]:
-        """Return new owners for some shards; all keepers must decide alike.
-
-        Parameters
-        ----------
-        owners : dict of ShardId to TargetId
-            The owner of each shard of one service.
-        targets : tuple of TargetConfig
-            The targets that live and do not leave.
-        """
-
-
 class LeastOwned:
     """Gives each shard to the target with the fewest shards a slot."""
 
@@ -69,47 +52,3 @@
             chosen[shard] = best.target_id
             counts[best.target_id] += 1
         return chosen
-
-
-class EvenSpread:
-    """Plans moves until each target has its share, and not before it is far off.
-
-    Attributes
-    ----------
-    tolerance : float
-        Part of its share by which a target may differ before shards move.
-    """
-
-    tolerance = 0.3
-
-    def plan(
-        self, owners: dict[ShardId, TargetId], targets: tuple[TargetConfig, ...]
-    ) -> dict[ShardId, TargetId]:
-        """Return new owners for some shards; the same for the same arguments."""
-        if len(targets) < 2:
-            return {}
-        held = {target.target_id: [] for target in targets}
-        for shard, owner in sorted(owners.items()):
-            if owner in held:
-                held[owner].append(shard)
-        each = len(owners) / sum(target.slots for target in targets)
-        shares = {target.target_id: each * target.slots for target in targets}
-        if not self._uneven(held, shares):
-            return {}
-        moves = {}
-        while True:
-            over = max(held, key=lambda name: (len(held[name]) - shares[name], name))
-            under = min(held, key=lambda name: (len(held[name]) - shares[name], name))
-            excess = len(held[over]) - shares[over]
-            if excess <= 0 or excess - (len(held[under]) - shares[under]) <= 1:
-                return moves
-            shard = held[over].pop()
-            held[under].append(shard)
-            moves[shard] = under
-
-    def _uneven(self, held, shares):
-        """Return whether some target differs by more than is tolerated."""
-        return any(
-            abs(len(held[name]) - share) > max(1.0, self.tolerance * share)
-            for name, share in shares.items()
-        )
