--- a/tools/slopes/processor.py
+++ b/tools/slopes/processor.py
@@ -3,6 +3,7 @@
 import time
 
 import eventlet
+import eventlet.wsgi
 
 from persimmonspoke.ids import HostId, Instant
 from persimmonspoke.internal.clock import SystemClock
@@ -17,6 +18,14 @@
 from persimmonspoke.internal.peers.codec import decode, encode
 from persimmonspoke.internal.peers.zmq_link import ZmqLink
 from persimmonspoke.internal.questionnaire.team_record import read_config
+from persimmonspoke.internal.targets.api import (
+    GrantedShard,
+    GrantOrder,
+    TargetAddress,
+)
+from persimmonspoke.internal.targets.http_orders import HttpTargetOrders
+from persimmonspoke.internal.targets.settings import TargetSettings
+from persimmonspoke.standins.target import TargetState, make_target_app
 from tools.slopes.rows import SlopeRow
 from tools.slopes.samples import sample_page, sample_team
 
@@ -25,6 +34,7 @@
 PEERS = (1, 4, 16)
 PAGE_SIZES = (64, 256, 1024)
 TARGETS = (10, 100, 1000)
+ORDER_SHARDS = (16, 64, 256)
 LONG_S = 60
 
 
@@ -37,6 +47,13 @@
         PEERS,
         tuple(_call_us(count) for count in PEERS),
     )
+    yield SlopeRow(
+        "processor: one grant order over HTTP, both ends",
+        "shards named",
+        "us",
+        ORDER_SHARDS,
+        tuple(_order_us(count) for count in ORDER_SHARDS),
+    )
     for name, measure, size, sizes in (
         ("read one page from a relay's answer", _read_page_us, "shards", PAGE_SIZES),
         ("move one shard of a page", _move_us, "shards", PAGE_SIZES),
@@ -76,6 +93,23 @@
     return best
 
 
+def _order_us(shards):
+    """Return the processor time of one renewal and its answer."""
+    clock = SystemClock()
+    listener = eventlet.listen(("127.0.0.1", 0))
+    app = make_target_app(TargetState("t"))
+    server = eventlet.spawn(eventlet.wsgi.server, listener, app, log_output=False)
+    target = TargetAddress("t", "127.0.0.1", listener.getsockname()[1])
+    orders = HttpTargetOrders(TargetSettings(), clock)
+    granted = tuple(GrantedShard(shard, 1) for shard in range(shards))
+    order = GrantOrder("team", "service", 0, 1, granted, clock.now() + LONG_S)
+    deadline = Instant(clock.now() + LONG_S)
+    best = _best_us(lambda number: orders.grant(target, order, deadline), CALLS // 10)
+    server.kill()
+    listener.close()
+    return best
+
+
 def _read_page_us(shards):
     item = NewsItem("k", sample_page(1, shards).to_value("0" * 32), 1)
     data = encode(NewsReply((item,), 1, 0.0))
