Let virtual time stand still within a moment, but not for ever

Cause: the step of 1 ns in every round broke a test that asks for exactly no time. Change: time moves by itself only after 1,000 rounds without any; a regression test waits for less than the clock's precision. 12 schedules for each kind of target.

--- a/tests/cover/test_fakes.py
+++ b/tests/cover/test_fakes.py
@@ -47,6 +47,14 @@
     return FakeProcess(f"host{number}", f"10.0.0.{number}", rate, 1000.0 * number)
 
 
+class TestVirtualTime(unittest.TestCase):
+    def test_a_wait_shorter_than_the_clock_s_precision_ends(self):
+        eventlet.sleep(1000)
+        ends = virtual_hub.now() + 1e-12
+        while virtual_hub.now() < ends:
+            eventlet.sleep(1e-15)
+
+
 class TestFakeProcess(unittest.TestCase):
     def test_a_drifting_clock_sleeps_by_its_own_time(self):
         clock = FakeClock(_process(rate=1.01))
--- a/tests/fakes/virtual_hub.py
+++ b/tests/fakes/virtual_hub.py
@@ -8,6 +8,7 @@
 from eventlet.hubs import selects
 
 LEAST_STEP_S = 1e-9
+ROUNDS_WITHOUT_TIME = 1000
 
 
 class VirtualHub(selects.Hub):
@@ -15,6 +16,7 @@
 
     def __init__(self):
         self.virtual_now = 0.0
+        self._rounds = 0
         super().__init__(clock=self._read)
 
     def _read(self):
@@ -24,10 +26,16 @@
         """Advance the clock by `seconds`; poll sockets, if any, without waiting."""
         if self.readers_watched():
             super().wait(0)
-        if seconds is not None:
-            # Time must pass in every round: a task that waits for less than the
-            # clock's precision would otherwise wait for ever.
-            self.virtual_now += max(seconds, LEAST_STEP_S)
+        if seconds is not None and seconds > 0:
+            self._rounds = 0
+            self.virtual_now += seconds
+            return
+        # Time must pass at last: a task that waits for less than the clock's
+        # precision would otherwise wait for ever.
+        self._rounds += 1
+        if self._rounds >= ROUNDS_WITHOUT_TIME:
+            self._rounds = 0
+            self.virtual_now += LEAST_STEP_S
 
     def readers_watched(self):
         """Return whether any socket is watched."""
--- a/tests/slow/test_fault_schedules.py
+++ b/tests/slow/test_fault_schedules.py
@@ -21,7 +21,7 @@
 
 KEYS = tuple(f"k{number}" for number in range(6))
 HOSTS, TARGETS = 4, 3
-EXAMPLES = 8
+EXAMPLES = 12
 STEPS = 5
 LEAST_STEPS = EXAMPLES * STEPS // 2
 QUIET_S = 6.0
