Mend what running by hand showed: takeover in a pair, stops, metrics, start

Cause, found by an operator's trials: (1) of two hosts that name each other, the one that acts for the dead one waited for ever to hand its pages to the dead host, so they stayed closed until the store was back; (2) the daemon could not start with statsd; (3) an orderly stop could end as revoked; (4) a peer port in use gave a traceback; the last host waited its whole stop time; a silent store filled the log. Change: a dead grantor whose heir is this host gets no copies; changes then wait for the store, as before. Planned moves begin only if the store answers.

--- a/src/persimmonspoke/daemon/control.py
+++ b/src/persimmonspoke/daemon/control.py
@@ -14,7 +14,6 @@
 from persimmonspoke.internal.node import Node, NodeSettings
 from persimmonspoke.internal.peers.api import PeerAddress
 from persimmonspoke.internal.peers.zmq_link import ZmqLink
-from persimmonspoke.internal.questionnaire.in_force import InForce
 from persimmonspoke.internal.store.http_store import HttpStore
 from persimmonspoke.internal.targets.http_orders import HttpTargetOrders
 
@@ -43,7 +42,6 @@
         self.store = HttpStore(cfg.platform_url, clock)
         self.link = ZmqLink(PeerAddress(host_id, cfg.ip, cfg.peer_port), clock)
         self.board = NewsBoard(clock)
-        self.in_force = InForce(self.board)
         self.watcher = StoreWatcher(self.store, self.board, clock, cfg.timers)
         self.host_list = HttpHostList(cfg.platform_url, clock)
         settings = NodeSettings(
@@ -64,6 +62,7 @@
             self.board,
             self.host_list,
         )
+        self.in_force = self.node.configs.in_force
         me = HostRecord.of(settings, NOBODY)
         self.fleet = Fleet(me, self.node.member.directory)
         self.relay_reader = RelayReader(
--- a/src/persimmonspoke/daemon/daemon.py
+++ b/src/persimmonspoke/daemon/daemon.py
@@ -175,6 +175,9 @@
                 self._configure()
                 self._followed = self._followed or current
             self.clock.sleep_until(Instant(self.clock.now() + FOLLOW_S))
+        if self.gate.stopping:
+            # This run resigned by itself; `stop` says how it ended.
+            return
         log.error("daemon: revoked by another host; ending")
         self.gate.stopping = True
         self._end(ExitStatus.REVOKED)
--- a/src/persimmonspoke/internal/membership/holder.py
+++ b/src/persimmonspoke/internal/membership/holder.py
@@ -112,6 +112,16 @@
         """Return all hosts that may now be this one's successor."""
         return tuple(lease.grantor for lease in self.required.values())
 
+    def copyholders(self) -> tuple[PeerAddress, ...]:
+        """Return the hosts that must know this one's changes before they take effect.
+
+        A dead grantor for which this host itself acts is left out: nobody else can
+        ever act for this host, so there is nobody to tell.
+        """
+        return tuple(
+            lease.grantor for lease in self.required.values() if lease.end != FOREVER
+        )
+
     def join(self) -> None:
         """Write this host's record, naming a successor that has agreed."""
         since = self._clock.now()
--- a/src/persimmonspoke/internal/news/watcher.py
+++ b/src/persimmonspoke/internal/news/watcher.py
@@ -30,6 +30,7 @@
         self._clock = clock
         self._timers = timers
         self.confirmed_at: Instant | None = None
+        self._silent = False
 
     def run(self, wanted=lambda: True) -> None:
         """Follow the store for as long as the task lives, while `wanted()`."""
@@ -46,6 +47,9 @@
         listing = self._store.list("", deadline)
         self._board.observe_listing(listing, before)
         self.confirmed_at = asked
+        if self._silent:
+            log.info("news: the store answers again")
+            self._silent = False
         return listing.revision
 
     def _follow(self, wanted):
@@ -57,7 +61,9 @@
         except StoreCompacted:
             log.info("news: the store dropped our revision; listing again")
         except StoreUnavailable as exc:
-            log.info("news: the store is silent", extra={"cause": str(exc)})
+            if not self._silent:
+                log.warning("news: the store is silent", extra={"cause": str(exc)})
+            self._silent = True
 
     def _watch(self, revision):
         """Wait for one batch of changes; return the next revision."""
--- a/src/persimmonspoke/internal/observe/statsd_metrics.py
+++ b/src/persimmonspoke/internal/observe/statsd_metrics.py
@@ -20,10 +20,10 @@
         self._client = None
         if cfg.statsd_ip is not None:
             self._client = statsd.StatsClient(
-                str(cfg.statsd_ip),
+                cfg.statsd_ip,
                 cfg.statsd_port,
                 prefix=PREFIX,
-                ipv6=cfg.statsd_ip.version == 6,
+                ipv6=":" in cfg.statsd_ip,
             )
 
     def incr(self, name: str, count: int = 1) -> None:
--- a/src/persimmonspoke/internal/ownership/configs.py
+++ b/src/persimmonspoke/internal/ownership/configs.py
@@ -16,11 +16,17 @@
 
 
 class Configs:
-    """All teams' configurations, and the targets that operators drain."""
+    """All teams' configurations, and the targets that operators drain.
+
+    Attributes
+    ----------
+    in_force : InForce
+        The configurations, by team.
+    """
 
     def __init__(self, news: News):
         self._news = news
-        self._in_force = InForce(news)
+        self.in_force = InForce(news)
         self._count = -1
         self._services: dict[ServiceKey, ServiceConfig] = {}
         self._drained: dict[TeamId, frozenset[TargetId]] = {}
@@ -48,11 +54,11 @@
         self._count = count
         self._services = {
             (team.team, service.service): service
-            for team in self._in_force.teams()
+            for team in self.in_force.teams()
             for service in team.services
             if service.divided
         }
-        self._measures = {team.team: team.measure for team in self._in_force.teams()}
+        self._measures = {team.team: team.measure for team in self.in_force.teams()}
         self._drained = {
             TeamId(item.key.removeprefix(DRAINS_PREFIX)): drained_targets(item.value)
             for item in self._news.items(DRAINS_PREFIX)
--- a/src/persimmonspoke/internal/ownership/handover.py
+++ b/src/persimmonspoke/internal/ownership/handover.py
@@ -42,6 +42,9 @@
     def give_all(self, deadline: Instant) -> bool:
         """Give all pages away; return whether none is left."""
         while self._keeper.pages and self._clock.now() < deadline:
+            if not self._keeper.member.directory.candidates():
+                _LOG.info("keeper: nobody is left to take the pages")
+                return False
             pages = list(self._keeper.open_pages())[:AT_ONCE]
             self._tasks.gather(self._try_to_give, pages)
             self._clock.sleep_until(Instant(self._clock.now() + 0.02))
--- a/src/persimmonspoke/internal/ownership/keeper.py
+++ b/src/persimmonspoke/internal/ownership/keeper.py
@@ -111,7 +111,7 @@
         """
         holder = self.member.holder
         while self.member.holds_lease():
-            grantors = holder.grantors()
+            grantors = holder.copyholders()
             if any(
                 grantor.host_id in self.member.directory.dead for grantor in grantors
             ):
@@ -119,7 +119,7 @@
                 self._pause()
                 continue
             took = self._tasks.gather(lambda to: self._hand_to(to, page), grantors)
-            if all(took) and grantors == holder.grantors():
+            if all(took) and grantors == holder.copyholders():
                 return grantors
             self._pause()
         raise AuthorityLapsed(f"{page.key.path()} could not be handed over")
@@ -173,7 +173,7 @@
             self._store_soon(kept)
             while not self._may_take_effect(kept, grantors, patience):
                 self._pause()
-            if grantors == self.member.holder.grantors():
+            if grantors == self.member.holder.copyholders():
                 break
         kept.page = page
         self._changed(kept)
@@ -212,7 +212,7 @@
         deadline = Instant(self._clock.now() + STORE_S)
         while not kept.stored() and self._clock.now() < deadline:
             self._pause()
-        if not kept.stored() or not self._store_has(kept):
+        if not self.store_has(kept, STORE_S):
             return False
         if not kept.settled():
             return False
@@ -232,9 +232,11 @@
         self.drop(kept)
         return True
 
-    def _store_has(self, kept):
-        """Read the page; return whether the store answers and nobody changed it."""
-        deadline = Instant(self._clock.now() + STORE_S)
+    def store_has(self, kept: KeptPage, patience_s: float) -> bool:
+        """Return whether the store answers soon, and has the page as it is here."""
+        if not kept.stored():
+            return False
+        deadline = Instant(self._clock.now() + patience_s)
         try:
             found = self._store.get(kept.page.key.path(), deadline)
         except StoreError:
--- a/src/persimmonspoke/internal/ownership/mover.py
+++ b/src/persimmonspoke/internal/ownership/mover.py
@@ -23,6 +23,7 @@
 FENCED_EPOCH_STEP = 1000
 SHARDS_AT_ONCE = 64
 LONGEST_HOLD_S = 16.0
+STORE_PATIENCE_S = 0.1
 
 
 class Mover:
@@ -108,6 +109,10 @@
         wished = self._wished(kept)
         if not wished:
             return
+        if not self._keeper.store_has(kept, STORE_PATIENCE_S):
+            # Such a move can wait.  Without the store it would hold requests longer.
+            self._wishes[service_of(kept)] = {}
+            return
         source = kept.page.assignment(min(wished)).owner
         moves = {
             shard: target
--- a/src/persimmonspoke/internal/peers/zmq_link.py
+++ b/src/persimmonspoke/internal/peers/zmq_link.py
@@ -211,7 +211,10 @@
 
 def _bind(listener, me):
     """Bind the listening socket; return the port."""
-    if me.port:
-        listener.bind(f"tcp://{me.ip}:{me.port}")
-        return me.port
-    return listener.bind_to_random_port(f"tcp://{me.ip}")
+    try:
+        if me.port:
+            listener.bind(f"tcp://{me.ip}:{me.port}")
+            return me.port
+        return listener.bind_to_random_port(f"tcp://{me.ip}")
+    except zmq.ZMQError as exc:
+        raise OSError(exc.errno, f"{me.ip}:{me.port}: {exc}") from exc
--- a/tests/loopback/test_zmq_link.py
+++ b/tests/loopback/test_zmq_link.py
@@ -60,6 +60,11 @@
         with self.assertRaisesRegex(PeerRefused, "OutcomeUnknown: why"):
             self.a.call(self.b.address, Echo("x"), self.deadline())
 
+    def test_a_port_in_use_is_an_operating_system_error(self):
+        taken = PeerAddress(HostId("c"), "127.0.0.1", self.b.address.port)
+        with self.assertRaises(OSError):
+            ZmqLink(taken, self.clock)
+
     def test_a_message_for_an_earlier_run_is_not_answered(self):
         self.b.serve(Echo, lambda msg: msg)
         earlier = PeerAddress(HostId("b-earlier"), "127.0.0.1", self.b.address.port)
