--- a/tools/slopes/state.py
+++ b/tools/slopes/state.py
@@ -11,13 +11,19 @@
 from persimmonspoke.internal.ownership.messages import RoutePage
 from persimmonspoke.internal.ownership.page import Page
 from persimmonspoke.internal.peers.codec import encode
+from persimmonspoke.internal.placement.loads import ShardLoads
+from persimmonspoke.internal.placement.messages import LoadNotice
 from persimmonspoke.internal.store.api import Stored
+from persimmonspoke.internal.targets.api import GrantedShard, GrantOrder
+from persimmonspoke.internal.targets.http_orders import order_value
 from tools.slopes.rows import SlopeRow
 from tools.slopes.samples import SHARDS_PER_PAGE, sample_page, sample_team
 
 PAGE_SIZES = (64, 128, 256, 512)
 FLEET_SHARDS = (4096, 8192, 16384)
 TARGETS = (10, 100, 1000)
+ORDERS = (16, 64, 256)
+BUSY = (16, 48, 96)
 
 
 def rows():
@@ -25,6 +31,8 @@
     yield _row("state: stored page", "shards", "bytes", PAGE_SIZES, _stored_bytes)
     yield _row("state: page in a message", "shards", "bytes", PAGE_SIZES, _sent_bytes)
     yield _row("state: stored team", "targets", "bytes", TARGETS, _team_bytes)
+    yield _row("state: body of a grant order", "shards", "bytes", ORDERS, _order_bytes)
+    yield _row("state: load report", "busy shards", "bytes", BUSY, _report_bytes)
     yield _row("state: pages on a host", "shards", "bytes", FLEET_SHARDS, _held_bytes)
 
 
@@ -45,6 +53,21 @@
     return len(json.dumps(sample_team(targets).value))
 
 
+def _order_bytes(shards):
+    granted = tuple(GrantedShard(40_000 + shard, 1200) for shard in range(shards))
+    order = GrantOrder("team", "lookup-desk", 100, 1200, granted, 123456.789)
+    return len(json.dumps(order_value(order)))
+
+
+def _report_bytes(busy):
+    loads = ShardLoads(FLEET_SHARDS[-1], 6.0, 0.0)
+    for shard in range(busy):
+        loads.add(shard * 100, 1.0, 1.0 + shard)
+    report = loads.report(busy, 2.0)
+    host = "host-0001.0123456789ab"
+    return len(encode(LoadNotice(host, "team", "lookup-desk", report)))
+
+
 def _held_bytes(shards):
     """Return the memory of the news and of the route table's copy of all pages."""
     texts = [
