Report waits, store calls, bytes between hosts, moves and imbalance as metrics

Cause: only the request path had metrics. Change: two timings on the request path; a task that reports the control plane's figures each 10 s. Conclusion: tested on a running daemon; unavailable time is reported as the wait for an owner, by request.

--- a/src/persimmonspoke/daemon/daemon.py
+++ b/src/persimmonspoke/daemon/daemon.py
@@ -17,6 +17,7 @@
     AdminNode,
 )
 from persimmonspoke.daemon.control import ControlPlane
+from persimmonspoke.daemon.figures import Figures
 from persimmonspoke.daemon.gate import HostGate
 from persimmonspoke.daemon.settings import Settings
 from persimmonspoke.ids import Instant
@@ -92,6 +93,7 @@
         self.scheduler.start()
         eventlet.spawn(self._follow)
         eventlet.spawn(self._pools.keep_tidy)
+        eventlet.spawn(Figures(self.control, self.metrics, self.clock).run)
         eventlet.spawn(self._serve_operators)
         eventlet.spawn(self._serve_callers)
         log.info("daemon: started", extra={"callers": self.caller_port})
--- a/src/persimmonspoke/internal/callers/attempts.py
+++ b/src/persimmonspoke/internal/callers/attempts.py
@@ -188,6 +188,7 @@
             candidates = progress.candidates(req.entry)
         else:
             candidates = (route.target.target_id,)
+        began = self._clock.now()
         try:
             slot = self._scheduler.acquire(ticket, candidates)
         except errors.NoOwnerYet:
@@ -195,6 +196,7 @@
             self._metrics.incr("callers.waits_for_owner")
             self._pause(req, route, progress)
             return None
+        self._timing("slot_wait", began)
         try:
             return self._send(req, body, route, slot)
         except (*NOT_RUN_ERRORS, errors.AnswerLost) as exc:
@@ -211,7 +213,16 @@
             return self._routes.find(req.entry.team, service, req.key)
         except errors.NoOwnerYet:
             self._metrics.incr("callers.waits_for_owner")
-        return self._routes.wait(req.entry.team, service, req.key, req.deadline)
+        began = self._clock.now()
+        try:
+            team = req.entry.team
+            return self._routes.wait(team, service, req.key, req.deadline)
+        finally:
+            self._timing("owner_wait", began)
+
+    def _timing(self, name, began):
+        """Record the time since `began`."""
+        self._metrics.timing(f"callers.{name}", 1000 * (self._clock.now() - began))
 
     def _send(self, req, body, route, slot) -> RunningAnswer:
         target_req = self._target_request(req, body, route)
--- a/src/persimmonspoke/internal/ownership/balancer.py
+++ b/src/persimmonspoke/internal/ownership/balancer.py
@@ -87,6 +87,21 @@
         if loads is not None:
             loads.add(route.shard, self._clock.now())
 
+    def imbalance(self) -> dict[ServiceKey, float]:
+        """Return, for each service that this host plans for, how uneven its load is.
+
+        Returns
+        -------
+        dict of ServiceKey to float
+            Load of the busiest owner over the mean of all owners; 1 is even.
+        """
+        found = {}
+        for key, service in self._configs.divided().items():
+            owners = self._owners.get(key)
+            if owners and self._planner(key) == self._member.host_id:
+                found[key] = _unevenness(owners, self._merged(key, service))
+        return found
+
     def _report_all(self):
         """Report the load of each service to the host that plans for it."""
         for key, service in self._configs.divided().items():
@@ -191,3 +206,12 @@
             self._link.call(record.address, notice, deadline)
         except PeerError as exc:
             _LOG.debug("balancer: a notice was lost", extra={"cause": str(exc)})
+
+
+def _unevenness(owners, loads):
+    """Return the load of the busiest owner over the mean."""
+    by_owner: dict[TargetId, float] = {}
+    for shard, owner in owners.items():
+        by_owner[owner] = by_owner.get(owner, 0.0) + loads[shard]
+    total = sum(by_owner.values())
+    return max(by_owner.values()) * len(by_owner) / total if total else 1.0
--- a/tests/loopback/test_daemon.py
+++ b/tests/loopback/test_daemon.py
@@ -8,6 +8,7 @@
 import urllib3
 
 from persimmonspoke.daemon.daemon import Daemon, ExitStatus
+from persimmonspoke.daemon.figures import Figures
 from persimmonspoke.daemon.settings import Settings
 from persimmonspoke.ids import Instant
 from persimmonspoke.internal.questionnaire.questions import Questionnaire
@@ -139,6 +140,17 @@
         status, body = self.get(self.daemons[0])
         self.assertEqual((status, body["error"]["run"]), (503, "not_run"))
 
+    def test_the_control_planes_figures_are_reported(self):
+        seen = {}
+        daemon = self.daemons[0]
+        daemon.metrics.incr = lambda name, count=1: seen.update({name: count})
+        daemon.metrics.gauge = lambda name, value: seen.update({name: value})
+        Figures(daemon.control, daemon.metrics, daemon.clock).report()
+        self.assertGreater(seen["store.calls"], 0)
+        self.assertGreater(seen["peers.bytes_sent"], 0)
+        self.assertEqual(seen["keeper.moves"], 0)
+        self.assertIn("keeper.pages", seen)
+
     def test_the_state_dump_is_json(self):
         dump = self.daemons[0].dump()
         self.assertEqual(dump["generations"], {"desk": 1})
