--- a/tools/measure/imbalance.py
+++ b/tools/measure/imbalance.py
@@ -28,7 +28,7 @@
         yield from _compared(f"{site.name}, load at rest", steady, targets, hot=False)
         for measure in Measure:
             name = f"{site.name}, 82 hot keys move, weighs {measure.value}"
-            mean, settled = _moving(measure, targets)
+            mean, settled = moving(measure, targets)
             yield from _compared(name, mean, targets, hot=True)
             yield MeasureRow(
                 name, "imbalance_20s_after_change", round(settled, 3), "ratio", _TARGET
@@ -47,7 +47,7 @@
     return _mean(values)
 
 
-def _moving(measure, targets):
+def moving(measure, targets):
     """Return the mean over all time, and from 20 s after each change of keys."""
     placement = PlannedPlacement(measure, targets, SEED)
     values, settled = [], []
--- a/tools/measure/teams.py
+++ b/tools/measure/teams.py
@@ -25,9 +25,9 @@
 def rows():
     """Return the rows of both storms."""
     for site in (LAURENTIDE, QOYAN):
-        yield from _row_pair(f"{site.name}, archive reads storm", _archive, site)
+        yield from _row_pair(f"{site.name}, archive reads storm", archive_storm, site)
     name = "two teams on one pool, the other team storms with urgent requests"
-    yield from _row_pair(name, _teams, LAURENTIDE)
+    yield from _row_pair(name, team_storm, LAURENTIDE)
 
 
 def _row_pair(scenario, run, site):
@@ -53,7 +53,7 @@
     )
 
 
-def _archive(way, site):
+def archive_storm(way, site):
     """Return the tally of filings while archive reads want twice the slots."""
     filing, _, archive = services_of(site.pool_targets, site.pool_slots)
     capacity = site.pool_targets * site.pool_slots / WORK_S
@@ -66,7 +66,7 @@
     return simulate(model, site.hosts, streams, SECONDS, SEED)[0]
 
 
-def _teams(way, site):
+def team_storm(way, site):
     """Return the tally of a calm team's ordinary requests."""
     calm = make_service("shared", site.pool_targets, site.pool_slots)
     storm = calm.model_copy(update={"precedence": Precedence.HIGH})
