Split the host's record and the proofs of death from its lease

Change: own_record.py writes the record and tells each outcome by an enum; proofs.py finds out which runs are over.

--- a/src/persimmonspoke/internal/membership/grantor.py
+++ b/src/persimmonspoke/internal/membership/grantor.py
@@ -210,7 +210,7 @@
     def _proven_dead(self, host_id):
         record = self._directory.get(host_id)
         if record is not None:
-            self._holder.prove(record)
+            self._holder.proofs.prove(record)
         return host_id in self._directory.dead
 
     def _heed_list(self, host_id):
@@ -305,7 +305,7 @@
         self._audited = (self._audited + 1) % len(others)
         record = self._directory.get(others[self._audited])
         host_id = record.host_id
-        if self._holder.prove(record) is Liveness.SILENT:
+        if self._holder.proofs.prove(record) is Liveness.SILENT:
             self._heed_list(host_id)
         if not self._directory.orphaned(host_id) or not self._is_auditor(host_id):
             return
--- a/src/persimmonspoke/internal/membership/holder.py
+++ b/src/persimmonspoke/internal/membership/holder.py
@@ -5,10 +5,7 @@
 
 from persimmonspoke.errors import (
     PeerError,
-    StoreConflict,
     StoreError,
-    StoreMissing,
-    StoreOutcomeUnknown,
 )
 from persimmonspoke.ids import HostId, Instant
 from persimmonspoke.internal.clock import Clock
@@ -19,19 +16,23 @@
     ReleaseRequest,
     Verdict,
 )
+from persimmonspoke.internal.membership.own_record import (
+    WRITE_S,
+    OwnRecord,
+    WriteOutcome,
+)
+from persimmonspoke.internal.membership.proofs import Proofs
 from persimmonspoke.internal.membership.record import NOBODY, HostRecord
 from persimmonspoke.internal.membership.settings import NodeSettings
 from persimmonspoke.internal.membership.tasks import Tasks
 from persimmonspoke.internal.news.api import News
 from persimmonspoke.internal.peers.api import Liveness, PeerAddress, PeerLink
-from persimmonspoke.internal.store.api import Store, Stored
-from persimmonspoke.internal.store.writes import new_write_id, write
+from persimmonspoke.internal.store.api import Store
 
 _LOG = logging.getLogger(__name__)
 
 STEP_S = 0.05
 WAIT_S = 0.02
-WRITE_S = 0.5
 READ_PERIOD_S = 0.5
 CHANGE_PAUSE_S = 0.1
 ALONE_AFTER_S = 3.0
@@ -49,6 +50,8 @@
         proof of death can revoke this host.
     revoked : bool
         Whether this run has lost its authority for good.
+    proofs : Proofs
+        Finds out which other runs are over.
     hand_over : callable
         Gives a prospective grantor all that this host keeps; returns whether it
         took it.
@@ -68,7 +71,6 @@
     ):
         self.cfg = cfg
         self.timers = cfg.timers
-        self.record: HostRecord | None = None
         self.required: dict[HostId, HeldLease] = {}
         self.revoked = False
         self.hand_over: Callable[[PeerAddress], bool] = lambda grantor: True
@@ -79,10 +81,8 @@
         self._news = news
         self._directory = directory
         self._tasks = tasks
-        self._stored = Stored("", {}, 0)
-        self._pending: HostRecord | None = None
-        self._sure_at = NEVER
-        self._read_at = NEVER
+        self._own = OwnRecord(clock, store, news)
+        self.proofs = Proofs(cfg, clock, link, directory)
         self._next_change = NEVER
         self._asked = 0
         self._isolated_since: Instant | None = None
@@ -92,6 +92,11 @@
         self._tasks.every(STEP_S, self._guard)
         self._tasks.every(STEP_S, self._steer)
 
+    @property
+    def record(self) -> HostRecord | None:
+        """This host's record as the store has it; None before the first write."""
+        return self._own.value
+
     def lease_end(self) -> Instant:
         """Return the instant until which this host surely is not revoked."""
         if self.record is None or self.revoked:
@@ -105,7 +110,7 @@
 
     def unrevoked_s(self, now: Instant) -> float:
         """Return for how long this host surely is not revoked; it may be negative."""
-        sure_until = max(self.lease_end(), self._sure_at)
+        sure_until = max(self.lease_end(), self._own.sure_at)
         return min(sure_until - now, self.timers.lease_s)
 
     def grantors(self) -> tuple[PeerAddress, ...]:
@@ -126,12 +131,12 @@
         """Write this host's record, naming a successor that has agreed."""
         since = self._clock.now()
         while self.record is None:
-            if self._pending is not None:
-                self._settle()
+            if self._own.pending is not None:
+                self._follow_up(self._own.settle())
             elif self._list_hosts() and not self._name_one_of(
                 self._directory.candidates()
             ):
-                self._tasks.gather(self.prove, self._directory.unrevoked())
+                self._tasks.gather(self.proofs.prove, self._directory.unrevoked())
                 others = self._directory.unrevoked()
                 if not others or self._clock.now() > since + ALONE_AFTER_S:
                     self._name(None)
@@ -139,7 +144,7 @@
 
     def write_record(self, record: HostRecord) -> bool:
         """Replace this host's record without a change of successor."""
-        if self._pending is not None:
+        if self._own.pending is not None:
             return False
         self._before = dict(self.required)
         return self._write(record)
@@ -154,20 +159,6 @@
             self._news.observe(item)
         return True
 
-    def prove(self, record: HostRecord) -> Liveness:
-        """Find out whether the run behind `record` is dead; note it if it is."""
-        if record.host_id == self.cfg.host_id:
-            return Liveness.ANSWERS
-        return self._probe(record.address)
-
-    def _probe(self, peer):
-        if peer.host_id in self._directory.dead:
-            return Liveness.DEAD
-        liveness = self._link.probe(peer, self._soon(self.timers.heartbeat_s))
-        if liveness is Liveness.DEAD:
-            self._directory.dead.add(peer.host_id)
-        return liveness
-
     def _soon(self, period_s):
         return Instant(self._clock.now() + period_s)
 
@@ -185,7 +176,7 @@
         grantor = lease.grantor
         asked_at = self._clock.now()
         sequence = lease.next_sequence()
-        named = self._pending is None and self.record is not None
+        named = self._own.pending is None and self.record is not None
         req = LeaseRequest(
             holder=self.cfg.host_id,
             named=named and self.record.successor == grantor.host_id,
@@ -207,7 +198,7 @@
         """Prove silent grantors dead, and put their heirs in their place."""
         for named, lease in list(self.required.items()):
             if not lease.dead and lease.silent(self._clock.now()):
-                lease.dead = self._probe(lease.grantor) is Liveness.DEAD
+                lease.dead = self.proofs.probe(lease.grantor) is Liveness.DEAD
             if lease.dead:
                 self._adopt_heir(named, lease)
 
@@ -240,10 +231,10 @@
             return
         self._heed_news()
         now = self._clock.now()
-        if not self.valid_at(now) and now > self._read_at + READ_PERIOD_S:
+        if not self.valid_at(now) and now > self._own.read_at + READ_PERIOD_S:
             self._read_own_record()
-        if self._pending is not None:
-            self._settle()
+        if self._own.pending is not None:
+            self._follow_up(self._own.settle())
         elif self.required and not self._in_trouble():
             self._isolated_since = None
         elif now > self._next_change:
@@ -358,38 +349,20 @@
 
     def _write(self, record):
         """Write the record; return whether it is known to have taken effect."""
-        self._pending = record
-        self._pending_value = record.to_value(new_write_id())
-        self._unresolved = False
-        return self._settle()
-
-    def _settle(self):
-        """Go on with the pending write of the record until its outcome is known."""
-        record, value = self._pending, self._pending_value
-        deadline = self._soon(WRITE_S)
-        version = self._stored.version
-        try:
-            stored = write(
-                self._store, self._clock, record.path, value, version, deadline
-            )
-        except StoreConflict:
-            self._adopt_found()
-            return False
-        except StoreOutcomeUnknown:
-            self._unresolved = True
-            return False
-        except StoreError:
-            if not self._unresolved:
-                self._give_up_pending()
-            return False
-        self._news.observe(stored)
-        self._in_force(stored, record)
-        return True
+        return self._follow_up(self._own.write(record))
 
-    def _in_force(self, stored, record):
-        self._stored = stored
-        self.record = record
-        self._pending = None
+    def _follow_up(self, outcome: WriteOutcome):
+        """Do what the outcome of a write asks for; return whether it is done."""
+        if outcome is WriteOutcome.REVOKED:
+            self._lose()
+        elif outcome is WriteOutcome.UNDONE:
+            self._return_to_old_successor()
+        elif outcome is not WriteOutcome.OPEN:
+            self._in_force(self.record)
+        return outcome is WriteOutcome.DONE
+
+    def _in_force(self, record):
+        """Require the lease of the successor that the record in force names."""
         successor = record.successor
         if successor == NOBODY:
             self.required = {}
@@ -403,53 +376,23 @@
             self.required = {successor: lease}
             self._tasks.spawn(self._ask_on, lease)
 
-    def _give_up_pending(self):
-        """Return to the old successor; the change certainly did not happen."""
-        self._pending = None
+    def _return_to_old_successor(self):
+        """Require the old lease again; the change certainly did not happen."""
         self.required = dict(self._before) if self.record else {}
         for lease in self.required.values():
             if lease.released and not self.hand_over(lease.grantor):
                 continue
             lease.released = False
 
-    def _adopt_found(self):
-        """Take over what the store holds after another writer won."""
-        try:
-            found = self._store.get(self._pending.path, self._soon(WRITE_S))
-        except StoreMissing:
-            self._lose()
-            return
-        except StoreError:
-            return
-        self._news.observe(found)
-        record = HostRecord.from_value(found.value)
-        if record.revoked:
-            self._lose()
-            return
-        self._in_force(found, record)
-
     def _store_answers(self):
         """Read this host's record; a change is not begun while the store is silent.
 
         Its outcome would stay unknown, and until it is known two leases must run.
         """
         self._read_own_record()
-        return self._sure_at >= self._read_at and not self.revoked
+        return self._own.answered_last() and not self.revoked
 
     def _read_own_record(self):
         """Learn whether this host is revoked, and for how long it surely was not."""
-        self._read_at = before = self._clock.now()
-        if self.record is None:
-            return
-        try:
-            found = self._store.get(self.record.path, self._soon(WRITE_S))
-        except StoreMissing:
-            self._lose()
-            return
-        except StoreError:
-            return
-        self._news.observe(found)
-        if HostRecord.from_value(found.value).revoked:
+        if self._own.read():
             self._lose()
-        else:
-            self._sure_at = max(self._sure_at, before)
--- /dev/null
+++ b/src/persimmonspoke/internal/membership/proofs.py
@@ -0,0 +1,36 @@
+"""Finding out whether a run of another host is over."""
+
+from persimmonspoke.ids import Instant
+from persimmonspoke.internal.clock import Clock
+from persimmonspoke.internal.membership.directory import Directory
+from persimmonspoke.internal.membership.record import HostRecord
+from persimmonspoke.internal.membership.settings import NodeSettings
+from persimmonspoke.internal.peers.api import Liveness, PeerAddress, PeerLink
+
+
+class Proofs:
+    """Probes other runs, and notes those that are proven dead in the directory."""
+
+    def __init__(
+        self, cfg: NodeSettings, clock: Clock, link: PeerLink, directory: Directory
+    ):
+        self._cfg = cfg
+        self._clock = clock
+        self._link = link
+        self._directory = directory
+
+    def prove(self, record: HostRecord) -> Liveness:
+        """Find out whether the run behind `record` is dead; note it if it is."""
+        if record.host_id == self._cfg.host_id:
+            return Liveness.ANSWERS
+        return self.probe(record.address)
+
+    def probe(self, peer: PeerAddress) -> Liveness:
+        """Find out whether the run at an address is dead; note it if it is."""
+        if peer.host_id in self._directory.dead:
+            return Liveness.DEAD
+        deadline = Instant(self._clock.now() + self._cfg.timers.heartbeat_s)
+        liveness = self._link.probe(peer, deadline)
+        if liveness is Liveness.DEAD:
+            self._directory.dead.add(peer.host_id)
+        return liveness
