--- /dev/null
+++ b/tests/cover/test_public_face.py
@@ -0,0 +1,15 @@
+"""The names that the package offers to others."""
+
+import unittest
+
+import persimmonspoke
+
+
+class TestPublicFace(unittest.TestCase):
+    def test_every_public_name_can_be_had(self):
+        for name in persimmonspoke.__all__:
+            self.assertTrue(hasattr(persimmonspoke, name), name)
+
+    def test_other_names_are_refused_by_name(self):
+        with self.assertRaisesRegex(AttributeError, "no public name lease"):
+            persimmonspoke.lease  # noqa: B018 - the access is the test.
