Let the target stand-in cancel work and start cold

Cause: it took cancellations and ignored them, and was never cold. Change: a cancelled request stops and does not count as run; cold_s slows requests.

--- a/src/persimmonspoke/standins/target.py
+++ b/src/persimmonspoke/standins/target.py
@@ -2,7 +2,8 @@
 
 Run it with ``python -m persimmonspoke.standins.target --port 9000 --name t1``.
 ``POST /faults`` with a JSON object changes its behaviour: ``draining``, ``health``
-(what the health endpoint claims), ``work_ms``, ``slots``, ``checks_fence``.
+(what the health endpoint claims), ``work_ms``, ``slots``, ``checks_fence``, and
+``cold_s`` (for so long from now each request takes several times as long).
 """
 
 import argparse
@@ -18,6 +19,7 @@
 from persimmonspoke.internal.targets import protocol
 
 JSON = ("Content-Type", "application/json")
+COLD_FACTOR = 5
 NOT_OWNER = "not-owner"
 SHED = "shed"
 DRAINING = "draining"
@@ -37,6 +39,10 @@
         Number of requests in hand, by shard.
     runs : dict
         Number of times that each request id ran.
+    tasks : dict
+        The task that works on each request in hand, by request id.
+    cold_until : float
+        End of the cold start on this target's clock.
     """
 
     name: str
@@ -50,12 +56,18 @@
     grants: dict = field(default_factory=dict)
     working: dict = field(default_factory=dict)
     runs: dict = field(default_factory=dict)
+    tasks: dict = field(default_factory=dict)
+    cold_until: float = 0.0
 
     def clock(self) -> float:
         """Return this target's monotonic clock, in seconds."""
         return time.monotonic()
 
 
+class _Cancelled(Exception):
+    """The caller does not want the answer any more."""
+
+
 def make_target_app(state: TargetState):
     """Return the stand-in's WSGI application."""
 
@@ -65,7 +77,8 @@
             status, body = _CONTROL[path](state, _body(environ))
             return _answer(start_response, status, body, [])
         if path.startswith(protocol.CANCEL_PATH):
-            return _answer(start_response, 200, {}, [])
+            found = _cancel(state, path.removeprefix(protocol.CANCEL_PATH))
+            return _answer(start_response, 200, {"cancelled": found}, [])
         return _work(state, environ, start_response)
 
     return app
@@ -94,6 +107,15 @@
     return 200, {"clock": state.clock()}
 
 
+def _cancel(state, request_id):
+    """Stop the work on a request; return whether it was in hand."""
+    task = state.tasks.get(request_id)
+    if task is None:
+        return False
+    eventlet.kill(task, _Cancelled())
+    return True
+
+
 def _health(state, _):
     return 200, {"health": state.health, "load": state.busy / state.slots}
 
@@ -102,6 +124,8 @@
     for name in ("draining", "health", "work_ms", "slots", "checks_fence"):
         if name in changes:
             setattr(state, name, changes[name])
+    if "cold_s" in changes:
+        state.cold_until = state.clock() + changes["cold_s"]
     return 200, {"name": state.name}
 
 
@@ -137,10 +161,14 @@
     shard = _shard(environ)
     state.busy += 1
     state.working[shard] = state.working.get(shard, 0) + 1
+    state.tasks[request_id] = eventlet.getcurrent()
     try:
-        eventlet.sleep(state.work_ms / 1000)
+        eventlet.sleep(_work_s(state))
         state.runs[request_id] = state.runs.get(request_id, 0) + 1
+    except _Cancelled:
+        return _answer(start_response, 499, {"error": "cancelled"}, headers)
     finally:
+        state.tasks.pop(request_id, None)
         state.busy -= 1
         state.working[shard] -= 1
     body = {
@@ -152,6 +180,12 @@
     return _answer(start_response, 200, body, headers)
 
 
+def _work_s(state):
+    """Return how long one request takes now."""
+    factor = COLD_FACTOR if state.clock() < state.cold_until else 1
+    return factor * state.work_ms / 1000
+
+
 def _shard(environ):
     """Return the shard that the request names, or None."""
     text = environ.get(_environ_name(protocol.SHARD))
