Shorten route leases to 0.4 s

The barrier waits for the route leases of lost hosts. Change: 0.4 s, the shortest that outlasts one lost refresh.

--- a/src/persimmonspoke/internal/timers.py
+++ b/src/persimmonspoke/internal/timers.py
@@ -53,7 +53,7 @@
     renew_s: Seconds = 0.2
     suspect_s: Seconds = 0.4
     route_refresh_s: Seconds = 0.2
-    route_lease_s: Seconds = 0.5
+    route_lease_s: Seconds = 0.4
     hold_s: Seconds = 1.0
     store_call_s: Seconds = 3.0
     watch_s: Seconds = 10.0
