--- a/src/persimmonspoke/internal/ownership/kept.py
+++ b/src/persimmonspoke/internal/ownership/kept.py
@@ -47,6 +47,8 @@
     def __init__(self, page: Page, version: Version, stored_epoch: int):
         self.page = page
         self.latest = page
+        self._index_of: tuple[Page | None, Page | None] = (None, None)
+        self._index: dict[TargetId, tuple[GrantedShard, ...]] = {}
         self.version = version
         self.stored_epoch = stored_epoch
         self.quiet_until = NEVER
@@ -99,18 +101,23 @@
         A shard whose next owner is already decided belongs to nobody until that
         state is in force: the successor may act on it at any moment.
         """
-        rows = zip(
-            self.page.shards(),
-            self.page.assignments,
-            self.latest.assignments,
-            strict=True,
-        )
         return tuple(
-            GrantedShard(ShardId(shard), now.epoch)
-            for shard, now, after in rows
-            if now.owner == target and now == after and shard not in self.moving
+            entry
+            for entry in self._by_owner().get(target, ())
+            if entry.shard not in self.moving
         )
 
+    def _by_owner(self) -> dict[TargetId, tuple[GrantedShard, ...]]:
+        """Return each owner's shards, without those whose owner is to change.
+
+        Every renewal asks, and the answer only changes with the page.
+        """
+        indexed_page, indexed_latest = self._index_of
+        if indexed_page is not self.page or indexed_latest is not self.latest:
+            self._index_of = (self.page, self.latest)
+            self._index = _shards_by_owner(self.page, self.latest)
+        return self._index
+
     def settled(self) -> bool:
         """Return whether the latest state is in force."""
         return self.latest is self.page
@@ -131,3 +138,14 @@
     def acknowledged(self) -> bool:
         """Return whether the state in force survives any single loss."""
         return self.stored_epoch >= self.page.epoch
+
+
+def _shards_by_owner(page, latest):
+    """Return the shards of each owner whose assignment is the same in both states."""
+    found: dict[TargetId, list[GrantedShard]] = {}
+    rows = zip(page.shards(), page.assignments, latest.assignments, strict=True)
+    for shard, now, after in rows:
+        if now == after:
+            entry = GrantedShard(ShardId(shard), now.epoch)
+            found.setdefault(now.owner, []).append(entry)
+    return {owner: tuple(entries) for owner, entries in found.items()}
