Let the demo use ports that the kernel chose, and end daemons first

Cause: one of seven demo runs beside the tests never became ready; a port picked as free may have been taken meanwhile, which was not traced. The end of the demo took 40 s, since the platform ended together with the daemons that needed it for their stop. Change: all listen on port 0 and say where; daemons stop first, one after another; a demo that fails shows the last words of each process. Conclusion: nothing is left to pick ports.

--- a/src/persimmonspoke/daemon/daemon.py
+++ b/src/persimmonspoke/daemon/daemon.py
@@ -96,7 +96,8 @@
         eventlet.spawn(Figures(self.control, self.metrics, self.clock).run)
         eventlet.spawn(self._serve_operators)
         eventlet.spawn(self._serve_callers)
-        log.info("daemon: started", extra={"callers": self.caller_port})
+        ports = {"callers": self.caller_port, "admin": self.admin_port}
+        log.info("daemon: started", extra=ports)
         return self._ended.wait()
 
     def stop(self) -> None:
--- a/tools/demo/__main__.py
+++ b/tools/demo/__main__.py
@@ -15,13 +15,14 @@
 import urllib3
 import yaml
 
-from tools.demo.processes import Processes, free_ports
+from tools.demo.processes import Processes
 
 EXAMPLES = pathlib.Path(__file__).resolve().parents[2] / "examples"
 IP = "127.0.0.1"
 WAIT_S = 30
 KEYS = 40
 HTTP_OK = 200
+STARTED = "daemon: started"
 DEPLOYMENTS = {
     "laurentide": ("quebec-1", "quebec-2", "montreal-1", "montreal-2"),
     "qoyan": ("almaty-1", "almaty-2", "almaty-3"),
@@ -43,17 +44,15 @@
 
     def start(self) -> None:
         """Start the stand-ins and the daemons."""
-        (platform_port,) = free_ports(1)
         module = "persimmonspoke.standins"
-        self._processes.start(
-            "platform", "-m", f"{module}.platform", "--port", str(platform_port)
-        )
+        self._processes.start("platform", "-m", f"{module}.platform", "--port", "0")
         config = EXAMPLES / self._team / "configuration.yaml"
         self._processes.start(
             "targets", "-m", f"{module}.target", "--configuration", str(config)
         )
-        url = f"http://{IP}:{platform_port}"
-        self._until(lambda: self._http.request("GET", f"{url}/hosts").status)
+        self._until(lambda: self._processes.line_of("platform", " on "))
+        address = self._processes.line_of("platform", " on ").split()[-1]
+        url = f"http://{address}"
         for number, data_centre in enumerate(DEPLOYMENTS[self._team], start=1):
             self._start_daemon(f"host-{number}", data_centre, url)
         self._until(self._all_ready)
@@ -124,22 +123,23 @@
 
     def _start_daemon(self, name, data_centre, url):
         """Write the settings of one daemon and start it."""
-        caller_port, peer_port, admin_port = free_ports(3)
         settings = {
             "host": name,
             "data_centre": data_centre,
             "ip": IP,
-            "caller_port": caller_port,
-            "peer_port": peer_port,
+            "caller_port": 0,
+            "peer_port": 0,
             "platform_url": url,
-            "admin": {"ip": IP, "port": admin_port},
+            "admin": {"ip": IP, "port": 0},
         }
         path = self._folder / f"{self._team}-{name}.yaml"
         path.write_text(yaml.safe_dump(settings))
         program = "persimmonspoke.daemon.main"
         self._processes.start(name, "-m", program, "--settings", str(path))
-        self._callers[name] = caller_port
-        self._admin = self._admin or admin_port
+        self._until(lambda: self._processes.line_of(name, STARTED))
+        started = json.loads(self._processes.line_of(name, STARTED))
+        self._callers[name] = started["callers"]
+        self._admin = self._admin or started["admin"]
 
     def _all_ready(self):
         """Return whether all daemons are in the fleet and ready."""
@@ -167,6 +167,7 @@
             except (urllib3.exceptions.HTTPError, KeyError, ValueError):
                 pass
             if time.monotonic() > give_up_at:
+                print(self._processes.last_words())
                 raise SystemExit(f"{self._team}: not ready after {WAIT_S} s")
             time.sleep(0.1)
 
@@ -180,8 +181,11 @@
     """Run both deployments, one after the other; return the exit status."""
     faults = 0
     for team in DEPLOYMENTS:
-        with tempfile.TemporaryDirectory() as folder, Processes() as processes:
-            demo = Demo(team, processes, pathlib.Path(folder))
+        with (
+            tempfile.TemporaryDirectory() as name,
+            Processes(pathlib.Path(name)) as processes,
+        ):
+            demo = Demo(team, processes, pathlib.Path(name))
             demo.start()
             demo.apply()
             faults += demo.ask()
--- a/tools/demo/processes.py
+++ b/tools/demo/processes.py
@@ -3,37 +3,53 @@
 import contextlib
 import os
 import pathlib
-import socket
 import subprocess
 import sys
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 STOP_S = 30
+LAST_LINES = 4
 
 
 class Processes:
     """Python processes by name; all are stopped when the context ends."""
 
-    def __init__(self):
+    def __init__(self, folder: pathlib.Path):
+        self._folder = folder
         self._running: dict[str, subprocess.Popen] = {}
 
     def __enter__(self) -> "Processes":
         return self
 
     def __exit__(self, *exc_info) -> None:
-        for process in self._running.values():
+        # The last one started goes first: daemons need the platform for their stop.
+        for process in reversed(self._running.values()):
             process.terminate()
-        for process in self._running.values():
             self._end(process)
 
     def start(self, name: str, *args: str) -> None:
         """Start a Python process with these arguments."""
-        self._running[name] = subprocess.Popen(
-            [sys.executable, *args],
-            env=_environment(),
-            stdout=subprocess.DEVNULL,
-            stderr=subprocess.DEVNULL,
-        )
+        with self._log(name).open("w") as log:
+            self._running[name] = subprocess.Popen(
+                [sys.executable, *args],
+                env=_environment(),
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def line_of(self, name: str, text: str) -> str:
+        """Return the first line of a process's output with `text` in it, else ""."""
+        lines = self._log(name).read_text().splitlines()
+        return next((line for line in lines if text in line), "")
+
+    def last_words(self) -> str:
+        """Return the end of each process's output, for a demo that fails."""
+        words = []
+        for name, process in self._running.items():
+            lines = self._log(name).read_text().splitlines()[-LAST_LINES:]
+            words.append(f"{name}, status {process.poll()}:")
+            words.extend(f"    {line}" for line in lines)
+        return "\n".join(words)
 
     def kill(self, name: str) -> None:
         """End a process without warning."""
@@ -47,6 +63,9 @@
             [sys.executable, *args], cwd=ROOT, env=_environment(), check=True
         )
 
+    def _log(self, name):
+        return self._folder / f"{name}.log"
+
     def _end(self, process):
         """Wait for a process that was told to stop; kill it if it does not."""
         with contextlib.suppress(subprocess.TimeoutExpired):
@@ -56,17 +75,6 @@
             process.wait()
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports of 127.0.0.1 on which nothing listens at present."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
-
-
 def _environment():
     """Return the environment without the event library's advice on new projects."""
     return {**os.environ, "PYTHONWARNINGS": "ignore"}
