Test that daemons of one host share the callers' port

Cause: it was tried by hand only. Change: a third daemon on the port of the first, asked on new connections. Conclusion: all of 20 requests are answered.

--- a/tests/loopback/test_daemon.py
+++ b/tests/loopback/test_daemon.py
@@ -86,13 +86,13 @@
             service["key"] = {"source": "path", "segment": 0}
         return service
 
-    def daemon(self, name):
+    def daemon(self, name, caller_port=0):
         settings = Settings.model_validate(
             {
                 "host": name,
                 "data_centre": "dc1",
                 "ip": IP,
-                "caller_port": 0,
+                "caller_port": caller_port,
                 "peer_port": 0,
                 "platform_url": self.url,
                 "stop_s": LONG_S,
@@ -121,6 +121,16 @@
             }
             self.assertEqual(len(found), 1)
 
+    def test_daemons_of_one_host_share_the_callers_port(self):
+        shared = self.daemons[0].caller_port
+        self.daemons.append(self.daemon("h3", shared))
+        until(self.daemons[2].gate.open)
+        self.assertEqual(self.daemons[2].caller_port, shared)
+        for number in range(20):
+            path = f"/desk/keyed/k{number}"
+            status, _ = self.get(self.daemons[2], path, headers={"Connection": "close"})
+            self.assertEqual(status, 200)
+
     def test_an_undivided_service_is_answered(self):
         status, body = self.get(self.daemons[1], "/desk/plain/x", "POST", body=b"abc")
         self.assertEqual((status, body["bytes"]), (200, 3))
