Lend slots to single requests from one desk a service; send without answers

Cause: each request made two calls with answers between its host and the lender of its target, and each was checked field by field; hosts spent 0.17 cores and 6 KB between data centres a request. Ruled out: longer leases on permits; with a few slots a target, hosts hold permits that others wait for.

--- a/src/persimmonspoke/daemon/routed.py
+++ b/src/persimmonspoke/daemon/routed.py
@@ -18,6 +18,7 @@
 from persimmonspoke.internal.callers.refusals import AnswerStyle, routed_refusal
 from persimmonspoke.internal.callers.server import serve_callers
 from persimmonspoke.internal.clock import SystemClock
+from persimmonspoke.internal.desk.scheduler import DeskScheduler
 from persimmonspoke.internal.fleet.hosts import HOSTS_PREFIX, Hosts
 from persimmonspoke.internal.fleet.leadership import Leadership
 from persimmonspoke.internal.fleet.messages import HostEntry
@@ -32,8 +33,7 @@
 from persimmonspoke.internal.ranges.keeper import Keeper
 from persimmonspoke.internal.ranges.routes import RangeRoutes
 from persimmonspoke.internal.routing.reader import RoutedReader
-from persimmonspoke.internal.routing.state import TEAM, RoutingState
-from persimmonspoke.internal.scheduling.shared import SharedScheduler
+from persimmonspoke.internal.routing.state import RoutingState
 from persimmonspoke.internal.targets.connections import TargetPools
 from persimmonspoke.internal.targets.http_requests import HttpTargetRequests
 from persimmonspoke.platform import documents, headers
@@ -119,8 +119,13 @@
             self.reporter.publish,
         )
         self.reporter.keeper = self.keeper
-        self.scheduler = SharedScheduler(
-            cfg.scheduling, self.clock, self.link, self.hosts
+        self.scheduler = DeskScheduler(
+            cfg.desk,
+            self.clock,
+            self.link,
+            self.hosts,
+            self.state,
+            platform.data_centre,
         )
         self.pools = TargetPools(cfg.targets, self.clock, self._connections)
         self.gate = HostGate(self._knows_routes, self.clock)
@@ -146,11 +151,11 @@
             self._follow,
             self.leadership.run,
             self.reporter.run,
+            self.scheduler.run,
             self.pools.keep_tidy,
             self._reload,
         ):
             eventlet.spawn(task)
-        self.scheduler.start()
         self._serve(self._balancer, self._ready_app)
         self._serve(self._readers, self.metrics.app)
         self._server = eventlet.spawn(self._serve_callers)
@@ -172,9 +177,7 @@
         self._server.kill()
         grace_s = self.platform.bounds.grace_s - GRACE_MARGIN_S
         empty = self.gate.wait_empty(Instant(began + grace_s))
-        self.hosts.remove(
-            self.platform.host, Instant(self.clock.now() + END_CALL_S)
-        )
+        self.hosts.remove(self.platform.host, Instant(self.clock.now() + END_CALL_S))
         log.info(
             "daemon: stopped", extra={"empty": empty, "in_hand": self.gate.in_hand}
         )
@@ -251,9 +254,8 @@
         while True:
             self.board.wait(count, Instant(self.clock.now() + FOLLOW_S))
             count = self.board.count()
-            if self.state.refresh() and self.state.team() is not None:
-                self.scheduler.configure(self.state.team())
-                self.scheduler.set_leaving(TEAM, self.state.leaving())
+            if self.state.refresh():
+                self.scheduler.configure()
             if self.leadership.leading:
                 self.hosts.forget_silent()
 
--- a/src/persimmonspoke/daemon/routed_settings.py
+++ b/src/persimmonspoke/daemon/routed_settings.py
@@ -11,9 +11,9 @@
 from persimmonspoke.daemon.settings import Observe, Port
 from persimmonspoke.internal.callers.settings import CallerSettings
 from persimmonspoke.internal.checked_yaml import CheckedModel
+from persimmonspoke.internal.desk.settings import DeskSettings
 from persimmonspoke.internal.fleet.settings import FleetSettings
 from persimmonspoke.internal.ranges.settings import RangeSettings
-from persimmonspoke.internal.scheduling.settings import SchedulingSettings
 from persimmonspoke.internal.targets.settings import TargetSettings
 from persimmonspoke.internal.timers import Timers
 
@@ -41,6 +41,6 @@
     callers: CallerSettings = CallerSettings()
     fleet: FleetSettings = FleetSettings()
     ranges: RangeSettings = RangeSettings()
-    scheduling: SchedulingSettings = SchedulingSettings(leaving_grace_s=1.2)
+    desk: DeskSettings = DeskSettings()
     targets: TargetSettings = TargetSettings(proved_alive_s=3.0, idle_s=6.0)
     timers: Timers = Timers()
--- a/src/persimmonspoke/internal/callers/attempts.py
+++ b/src/persimmonspoke/internal/callers/attempts.py
@@ -190,6 +190,7 @@
             protected=req.protected,
             deadline=req.deadline,
             urgency=precedence_of(req.route) if req.route else None,
+            objective=req.objective,
         )
         if req.key is not None:
             self._observer.asked(req.entry.service.service, req.key)
--- a/src/persimmonspoke/internal/callers/request.py
+++ b/src/persimmonspoke/internal/callers/request.py
@@ -54,6 +54,8 @@
         What is passed on to the target.
     route : RouteConfig or None
         The route by which a routed service was found.
+    objective : Instant or None
+        Until when an answer is worth most, where the route says so.
     """
 
     request_id: RequestId
@@ -65,6 +67,7 @@
     protected: bool
     deadline: Instant
     route: RouteConfig | None = None
+    objective: Instant | None = None
 
 
 class RequestReader:
--- /dev/null
+++ b/src/persimmonspoke/internal/desk/desk.py
@@ -0,0 +1,360 @@
+"""A desk: one host that lends the slots of one service to single requests.
+
+The desk sees all requests of its service that wait on any host, so it knows whose
+turn is next, which target is best, and who can't be served in time.  Its state is
+soft: a desk that takes over learns from hosts' notes what is in use.  A slot lent
+twice makes a request wait in the target's own short queue, and breaks no promise.
+"""
+
+import logging
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any
+
+from persimmonspoke.ids import DataCentreId, HostId, Instant, ServiceId, TargetId
+from persimmonspoke.internal.clock import Clock
+from persimmonspoke.internal.desk.messages import (
+    Ask,
+    Done,
+    Lent,
+    Notes,
+    NotesSeen,
+    Refused,
+)
+from persimmonspoke.internal.desk.settings import DeskSettings
+from persimmonspoke.internal.desk.targets import NEVER, Loan, SlotTarget
+from persimmonspoke.internal.scheduling.api import SlotOutcome
+
+log = logging.getLogger(__name__)
+
+RESIDUAL = 0.7  # of a usual answer, until the first busy slot comes free
+LEAST_RETRY_S = 0.03  # a shorter pause costs a connection and gains nothing
+LONGEST_RETRY_S = 1.0
+STUCK_RETRY_S = 0.4
+
+
+@dataclass(slots=True, eq=False)
+class Waiting:
+    """A request in a queue of the desk."""
+
+    ask: Ask
+    asked_at: Instant
+    objective: Instant
+    deadline: Instant
+
+    @property
+    def name(self) -> tuple[HostId, int]:
+        """Return what names the request among those of all hosts."""
+        return self.ask.host, self.ask.serial
+
+    def turn(self) -> tuple[int, Instant]:
+        """Return what the queue is sorted by: rank, then the nearest objective."""
+        return self.ask.rank, self.objective
+
+
+@dataclass(frozen=True, slots=True)
+class TargetSlots:
+    """A target as the registry describes it."""
+
+    target_id: TargetId
+    slots: int
+    data_centre: DataCentreId
+
+
+class Desk:
+    """Lends the slots of one service.
+
+    Parameters
+    ----------
+    send : callable
+        Sends a message to a host, without an answer.
+    """
+
+    def __init__(
+        self,
+        service: ServiceId,
+        me: HostId,
+        cfg: DeskSettings,
+        clock: Clock,
+        send: Callable[[HostId, Any], None],
+    ):
+        self.service = service
+        self._me = me
+        self._cfg = cfg
+        self._clock = clock
+        self._send = send
+        self._targets: dict[TargetId, SlotTarget] = {}
+        self._queues: dict[TargetId | None, list[Waiting]] = {}
+        self._waiting: dict[tuple[HostId, int], Waiting] = {}
+        self._loans: dict[tuple[HostId, int], SlotTarget] = {}
+        self._heard: dict[HostId, Instant] = {}
+        self._returns: dict[TargetId | None, Instant] = {}
+        self.refused = 0
+        self.lent = 0
+
+    def configure(self, targets: Iterable[TargetSlots]) -> None:
+        """Take in the service's targets as they are now."""
+        known = self._targets
+        self._targets = {}
+        for entry in targets:
+            target = known.get(entry.target_id)
+            if target is None:
+                target = SlotTarget(entry.target_id, entry.slots, entry.data_centre)
+                target.usual_s = self._typical_s(known.values())
+            target.slots = entry.slots
+            self._targets[entry.target_id] = target
+        for queue in list(self._queues):
+            self._lend(queue)
+
+    def ask(self, ask: Ask) -> None:
+        """Lend a slot at once, queue the request, or refuse it."""
+        now = self._clock.now()
+        self._heard[ask.host] = now
+        entry = Waiting(
+            ask,
+            now,
+            Instant(now + ask.objective_left_s),
+            Instant(now + ask.left_s),
+        )
+        if entry.name in self._waiting or entry.name in self._loans:
+            return
+        queue = self._queues.setdefault(ask.owner, [])
+        wait_s = self._expected_wait_s(queue, entry, now)
+        if not self._is_worth_waiting(entry, wait_s, now):
+            self._refuse(entry, wait_s, now)
+            return
+        queue.append(entry)
+        queue.sort(key=Waiting.turn)
+        self._waiting[entry.name] = entry
+        self._lend(ask.owner)
+
+    def done(self, done: Done) -> None:
+        """Take a slot back, or a request out of its queue."""
+        now = self._clock.now()
+        self._heard[done.host] = now
+        name = (done.host, done.serial)
+        entry = self._waiting.pop(name, None)
+        if entry is not None:
+            self._queues[entry.ask.owner].remove(entry)
+            return
+        target = self._loans.pop(name, None)
+        if target is None:
+            return
+        target.loans.pop(name, None)
+        pooled = None in self._queues
+        target.note(SlotOutcome(done.outcome), done.took_s, now, pooled)
+        self._lend(None if pooled else target.target_id)
+
+    def notes(self, notes: Notes) -> NotesSeen:
+        """Compare notes with a host, and return what of its requests is unknown."""
+        now = self._clock.now()
+        self._heard[notes.host] = now
+        in_use = {serial: target_id for serial, target_id in notes.in_use}
+        for name, target in list(self._loans.items()):
+            if name[0] != notes.host or name[1] in in_use:
+                continue
+            if now - target.loans[name].lent_at > self._cfg.grace_s:
+                del self._loans[name], target.loans[name]
+        for serial, target_id in in_use.items():
+            name = (notes.host, serial)
+            if name not in self._loans and target_id in self._targets:
+                self._keep_loan(self._targets[target_id], name, now)
+        waiting = set(notes.waiting)
+        for name, entry in list(self._waiting.items()):
+            old = now - entry.asked_at > self._cfg.grace_s
+            if name[0] == notes.host and name[1] not in waiting and old:
+                self._forget(entry)
+        known = {serial for host, serial in self._waiting if host == notes.host} | set(
+            in_use
+        )
+        self._lend_all()
+        return NotesSeen([serial for serial in notes.waiting if serial not in known])
+
+    def tick(self) -> None:
+        """Forget silent hosts, refuse what has become hopeless, and try stuck ones."""
+        now = self._clock.now()
+        for host, heard in list(self._heard.items()):
+            if now - heard > self._cfg.forget_s:
+                self._forget_host(host)
+        for entry in list(self._waiting.values()):
+            if now + self._least_s(entry.ask.owner) > entry.deadline:
+                self._forget(entry)
+                self._refuse(entry, 0.0, now)
+        self._lend_all()
+
+    def is_idle(self) -> bool:
+        """Return whether nothing waits here and nothing is lent."""
+        return not self._waiting and not self._loans
+
+    def waiting(self) -> int:
+        """Return how many requests wait."""
+        return len(self._waiting)
+
+    def _is_worth_waiting(self, entry, wait_s, now):
+        """Return whether the request is expected to be answered in time."""
+        if wait_s is None:
+            return False
+        if wait_s <= 0:
+            return True
+        service_s = self._least_s(entry.ask.owner)
+        ends_in_s = wait_s + service_s
+        if entry.ask.objective_left_s < service_s:
+            # It will be late whatever happens; it goes where there is room.
+            return wait_s <= self._cfg.late_wait_s and ends_in_s <= entry.ask.left_s
+        late_s = self._cfg.late_share * (entry.ask.left_s - entry.ask.objective_left_s)
+        return ends_in_s <= entry.ask.objective_left_s + max(0.0, late_s)
+
+    def _expected_wait_s(self, queue, entry, now) -> float | None:
+        """Return how long the request would wait; None if nobody can tell."""
+        targets = self._usable(entry.ask.owner, now)
+        if not targets:
+            return None
+        free = sum(max(0, target.free()) for target in targets)
+        turn = entry.turn()
+        ahead = sum(1 for other in queue if other.turn() <= turn)
+        if ahead < free:
+            return 0.0
+        rate = sum(target.slots / target.usual_s for target in targets)
+        return (ahead - free + RESIDUAL) / rate
+
+    def _usable(self, owner, now):
+        """Return the targets that may serve requests for `owner` now."""
+        if owner is not None:
+            target = self._targets.get(owner)
+            if target is None:
+                return []
+            stuck = target.is_stuck(self._cfg, now) and not self._may_probe(target, now)
+            return [] if stuck else [target]
+        alive = [t for t in self._targets.values() if not t.is_stuck(self._cfg, now)]
+        good = [t for t in alive if t.avoid_until <= now]
+        return good or alive or list(self._targets.values())
+
+    def _may_probe(self, target, now):
+        return now - target.probed_at >= self._cfg.probe_s
+
+    def _least_s(self, owner):
+        """Return how long an answer takes at least, usually."""
+        if owner is not None:
+            target = self._targets.get(owner)
+            return target.usual_s if target else 0.0
+        return min((t.usual_s for t in self._targets.values()), default=0.0)
+
+    def _typical_s(self, targets):
+        known = sorted(t.usual_s for t in targets if t.measured)
+        return known[len(known) // 2] if known else SlotTarget("", 1, "").usual_s
+
+    def _lend_all(self):
+        for owner in list(self._queues):
+            self._lend(owner)
+
+    def _lend(self, owner):
+        """Give free slots to the requests of one queue, in their turn."""
+        queue = self._queues.get(owner)
+        if not queue:
+            return
+        now = self._clock.now()
+        for entry in list(queue):
+            targets = self._usable(owner, now)
+            if not any(self._has_room(target, now) for target in targets):
+                if owner is not None and not targets:
+                    self._forget(entry)
+                    self._refuse(entry, 0.0, now)
+                    continue
+                return
+            target = self._choose(entry, targets, now)
+            if target is not None:
+                self._lend_to(entry, target, now)
+
+    def _has_room(self, target, now):
+        if target.free() > 0:
+            return True
+        return target.is_stuck(self._cfg, now) and self._may_probe(target, now)
+
+    def _choose(self, entry, targets, now) -> SlotTarget | None:
+        """Return the target where the request ends soonest, or None to wait."""
+        open_targets = [t for t in targets if self._has_room(t, now)]
+        untried = [t for t in open_targets if t.target_id not in entry.ask.avoid]
+        if entry.ask.owner is None and not untried:
+            others = [t for t in targets if t.target_id not in entry.ask.avoid]
+            if others:
+                return None
+        choices = untried or open_targets
+
+        def cost(target):
+            far = target.data_centre != entry.ask.data_centre
+            crowded = 1 + 0.1 * len(target.loans) / target.slots
+            return target.usual_s * crowded * (self._cfg.far_factor if far else 1.0)
+
+        best = min(choices, key=cost)
+        if entry.ask.owner is not None:
+            return best
+        # A slow target that is free may still be slower than waiting for another.
+        rate = sum(t.slots / t.usual_s for t in targets)
+        fastest = min(t.usual_s for t in targets)
+        idle = not best.loans and now - best.probed_at >= self._cfg.probe_s
+        if best.usual_s > 2 * fastest + RESIDUAL / rate and not idle:
+            return None
+        return best
+
+    def _lend_to(self, entry, target, now):
+        self._forget(entry)
+        if not target.loans:
+            target.probed_at = now
+        if target.is_stuck(self._cfg, now):
+            target.probed_at = now
+            log.info(
+                "desk: stuck target tried",
+                extra={"service": self.service, "target": target.target_id},
+            )
+        self._keep_loan(target, entry.name, now)
+        self.lent += 1
+        self._send(
+            entry.ask.host,
+            Lent(self._me, entry.ask.serial, target.target_id, target.usual_s),
+        )
+
+    def _keep_loan(self, target, name, now):
+        target.loans[name] = Loan(name[0], name[1], now)
+        self._loans[name] = target
+
+    def _refuse(self, entry, wait_s, now):
+        """Refuse a request, and spread the repeats at the rate of the targets."""
+        owner = entry.ask.owner
+        targets = self._usable(owner, now)
+        rate = sum(target.slots / target.usual_s for target in targets)
+        if wait_s is None or rate <= 0:
+            retry_s = STUCK_RETRY_S
+        else:
+            spare_s = max(0.0, entry.ask.objective_left_s - self._least_s(owner))
+            best = now + max(LEAST_RETRY_S, wait_s - spare_s / 2)
+            known = self._returns.get(owner, NEVER)
+            back_at = max(best, min(known + 1 / rate, now + LONGEST_RETRY_S))
+            self._returns[owner] = Instant(back_at)
+            retry_s = min(LONGEST_RETRY_S, back_at - now)
+        self.refused += 1
+        self._send(
+            entry.ask.host,
+            Refused(
+                self._me,
+                entry.ask.serial,
+                retry_s,
+                -1.0 if wait_s is None else wait_s,
+            ),
+        )
+
+    def _forget(self, entry):
+        if self._waiting.pop(entry.name, None) is not None:
+            self._queues[entry.ask.owner].remove(entry)
+
+    def _forget_host(self, host):
+        del self._heard[host]
+        lost = [name for name in self._loans if name[0] == host]
+        for name in lost:
+            self._loans.pop(name).loans.pop(name, None)
+        for entry in [e for n, e in self._waiting.items() if n[0] == host]:
+            self._forget(entry)
+        if lost:
+            log.info(
+                "desk: slots of a silent host are free again",
+                extra={"service": self.service, "host": host, "slots": len(lost)},
+            )
--- /dev/null
+++ b/src/persimmonspoke/internal/desk/settings.py
@@ -0,0 +1,62 @@
+"""Limits and periods of the desks that lend slots to single requests."""
+
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field
+
+Seconds = Annotated[float, Field(gt=0)]
+Share = Annotated[float, Field(ge=0, le=1)]
+
+
+class DeskSettings(BaseModel):
+    """How slots are lent, and who is refused.
+
+    Attributes
+    ----------
+    sync_s : float
+        How often a host with open requests compares notes with a desk.
+    call_s : float
+        Time allowed to one such comparison.
+    avoid_s : float
+        How long a desk that did not answer is passed over.
+    grace_s : float
+        How old a loan must be before a host that does not name it has lost it.
+    forget_s : float
+        How long a silent host's loans are counted.
+    late_share : float
+        How far into the time between objective and deadline a request may be
+        expected to end and still be admitted to a queue.
+    late_wait_s : float
+        Longest queue that a request joins which misses its objective anyway.
+    stuck_factor, stuck_s : float
+        A target that has answered nothing for `stuck_factor` usual answers and
+        `stuck_s`, with requests in hand, gets no more than a probe.
+    probe_s : float
+        How often a stuck target is tried by one request.
+    far_factor : float
+        How much slower a target in the same data centre may be and still be
+        preferred to one in another.
+    retry_share : float
+        Repeats allowed, as a share of the requests of this host.
+    retry_burst : float
+        Repeats that a service may save up on this host.
+    leaving_grace_s : float
+        How long a leaving owner of keys may still get requests.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    sync_s: Seconds = 0.3
+    call_s: Seconds = 0.2
+    avoid_s: Seconds = 1.0
+    grace_s: Seconds = 0.3
+    forget_s: Seconds = 1.2
+    late_share: Share = 0.25
+    late_wait_s: Seconds = 0.1
+    stuck_factor: Seconds = 5.0
+    stuck_s: Seconds = 0.3
+    probe_s: Seconds = 0.5
+    far_factor: Annotated[float, Field(ge=1)] = 1.15
+    retry_share: Share = 0.1
+    retry_burst: Annotated[float, Field(ge=1)] = 4.0
+    leaving_grace_s: Seconds = 1.2
--- a/src/persimmonspoke/internal/fleet/hosts.py
+++ b/src/persimmonspoke/internal/fleet/hosts.py
@@ -62,6 +62,13 @@
         hosts = {entry.address.host_id: entry.address for entry in self.entries()}
         return tuple(hosts[host_id] for host_id in sorted(hosts))
 
+    def address_of(self, host_id: HostId) -> PeerAddress | None:
+        """Return where a host listens, alive or not; None if it is not known."""
+        for entry in (self.my_entry, *self._live, *self.recorded()):
+            if entry.address.host_id == host_id:
+                return entry.address
+        return None
+
     def entries(self) -> tuple[HostEntry, ...]:
         """Return the entries of the live hosts, this one included."""
         known = self._live or self.recorded()
--- a/src/persimmonspoke/internal/fleet/leadership.py
+++ b/src/persimmonspoke/internal/fleet/leadership.py
@@ -260,9 +260,7 @@
 
     def _confirm_unwritten(self):
         asked = self._clock.now()
-        stored = self._store.get(
-            OWNERSHIP_KEY, Instant(asked + self._cfg.store_call_s)
-        )
+        stored = self._store.get(OWNERSHIP_KEY, Instant(asked + self._cfg.store_call_s))
         self.store_answered_at = asked
         found = decode(stored.value)
         if found.leader == self._hosts.me() and found.epoch == self.epoch:
@@ -432,5 +430,3 @@
         self.leader = None
         self.lease_until = NEVER
         self.on_stop()
-
-
--- a/src/persimmonspoke/internal/fleet/reporter.py
+++ b/src/persimmonspoke/internal/fleet/reporter.py
@@ -53,8 +53,7 @@
     def take(self) -> tuple[tuple[KeyLoad, ...], tuple[TargetWork, ...]]:
         """Return what was measured, and start anew."""
         loads = tuple(
-            KeyLoad(service, key, count)
-            for (service, key), count in self._keys.items()
+            KeyLoad(service, key, count) for (service, key), count in self._keys.items()
         )
         work = tuple(
             TargetWork(
--- a/src/persimmonspoke/internal/peers/api.py
+++ b/src/persimmonspoke/internal/peers/api.py
@@ -34,6 +34,9 @@
     def call(self, peer: PeerAddress, message: Any, deadline: Instant) -> Any:
         """Send `message` and return the answer, or raise `PeerError`."""
 
+    def post(self, peer: PeerAddress, message: Any) -> None:
+        """Send `message` without an answer; it may be lost."""
+
     def probe(self, peer: PeerAddress, deadline: Instant) -> Liveness:
         """Find out whether that run of the peer can still be alive."""
 
--- a/src/persimmonspoke/internal/peers/codec.py
+++ b/src/persimmonspoke/internal/peers/codec.py
@@ -14,7 +14,7 @@
 
 from persimmonspoke.errors import MalformedMessage
 
-_KINDS: dict[str, tuple[type, tuple[str, ...], TypeAdapter]] = {}
+_KINDS: dict[str, tuple[type, tuple[str, ...], TypeAdapter | None]] = {}
 
 
 def message(kind: type) -> type:
@@ -26,6 +26,19 @@
     return kind
 
 
+def flat_message(kind: type) -> type:
+    """Class decorator: make a frozen dataclass of plain values a message.
+
+    For messages of which each request makes several.  They are rebuilt without a
+    check of their fields, and sequences arrive as lists.
+    """
+    if kind.__name__ in _KINDS:
+        raise ValueError(f"a message named {kind.__name__} exists; rename this one")
+    names = tuple(field.name for field in fields(kind))
+    _KINDS[kind.__name__] = (kind, names, None)
+    return kind
+
+
 def encode(msg: Any) -> bytes:
     """Return `msg` as bytes."""
     kind = type(msg)
@@ -38,7 +51,9 @@
     """Return the message in `data`, or raise `MalformedMessage`."""
     try:
         name, body = msgpack.unpackb(data)
-        _, names, adapter = _KINDS[name]
+        kind, names, adapter = _KINDS[name]
+        if adapter is None:
+            return kind(*body)
         return adapter.validate_python(dict(zip(names, body, strict=True)))
     except (ValueError, TypeError, KeyError, ValidationError) as exc:
         raise MalformedMessage(f"not a message: {exc}") from exc
--- a/src/persimmonspoke/internal/ranges/routes.py
+++ b/src/persimmonspoke/internal/ranges/routes.py
@@ -64,9 +64,7 @@
             for service, rows in table.services.items()
         }
         self._refused = {
-            key: until
-            for key, until in self._refused.items()
-            if until > self._taken_at
+            key: until for key, until in self._refused.items() if until > self._taken_at
         }
         fired, self._changed = self._changed, Event()
         fired.send(None)
--- a/src/persimmonspoke/internal/routing/reader.py
+++ b/src/persimmonspoke/internal/routing/reader.py
@@ -52,6 +52,7 @@
         self._state = state
         self._fields_of = fields_of
         self._clock = clock
+        self._longest_s: dict[str, float] = {}
 
     def request_id(self, environ: dict) -> RequestId:
         """Return the caller's id for the request, which may be empty."""
@@ -88,4 +89,17 @@
             protected=route.kind is RouteKind.PROTECTED,
             deadline=Instant(now + wait_s),
             route=route,
+            objective=Instant(now + self._objective_s(route, fields.patience_s)),
         )
+
+    def _objective_s(self, route, patience_s):
+        """Return what is left of the route's objective.
+
+        Objectives count from a caller's first try.  Callers of a route start with
+        the same patience, so one that has less left has spent it on earlier tries.
+        """
+        if patience_s is None:
+            return route.objective_s
+        longest = max(patience_s, self._longest_s.get(route.name, 0.0))
+        self._longest_s[route.name] = longest
+        return route.objective_s - (longest - patience_s)
--- a/src/persimmonspoke/internal/routing/state.py
+++ b/src/persimmonspoke/internal/routing/state.py
@@ -9,11 +9,9 @@
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.news.board import NewsBoard
 from persimmonspoke.internal.questionnaire.configuration import (
-    Measure,
     Precedence,
     ServiceConfig,
     TargetConfig,
-    TeamConfig,
 )
 from persimmonspoke.internal.routing.config import (
     RouteConfig,
@@ -112,26 +110,6 @@
         services = self.table.cfg.services.values()
         return tuple(sorted(s.service for s in services if s.divided))
 
-    def team(self) -> TeamConfig | None:
-        """Return the whole as the scheduler reads it."""
-        if self.table is None:
-            return None
-        return TeamConfig(
-            team=TEAM,
-            generation=self.generation(),
-            questionnaire_hash="",
-            measure=Measure.IMBALANCE,
-            services=tuple(entry.service for entry in self._entries.values()),
-        )
-
-    def leaving(self) -> frozenset[TargetId]:
-        """Return the targets that take no new work."""
-        return frozenset(
-            record.target_id
-            for record in self.targets.values()
-            if record.state is TargetState.LEAVING
-        )
-
     def _refresh_config(self):
         stored = self._board.get(self._config_key)
         if stored is None:
@@ -269,5 +247,3 @@
 def precedence_of(route: RouteConfig) -> Precedence:
     """Return whose turn comes first when slots are short."""
     return Precedence(min(max(route.rank, 0), Precedence.LOW.value))
-
-
--- a/src/persimmonspoke/internal/scheduling/api.py
+++ b/src/persimmonspoke/internal/scheduling/api.py
@@ -22,6 +22,8 @@
     deadline: Instant
     urgency: Precedence | None = None
     """Whose turn it is, where a route says so instead of the service."""
+    objective: Instant | None = None
+    """Until when an answer is worth most, where a route says so."""
 
     @property
     def precedence(self) -> Precedence:
--- a/tests/loopback/test_targets_requests.py
+++ b/tests/loopback/test_targets_requests.py
@@ -250,7 +250,8 @@
             conn.answer(request, body=b"again")
             serve(conn)
 
-        target = self.target(twice)
+        # The client may keep the connection or open another one.
+        target = self.target(twice, serve)
         self.assertEqual(self.ask(target), (200, b"first"))
         for number in range(3):
             self.assertEqual(self.ask(target, request_id=f"n{number}"), (200, b"ok"))
