Send changes of the range table instead of whole tables; shorten reports

Change: a change carries the rows of its keys alone; lists and tables are sent to hosts that lack them; a planned run of keys weighs its length.

--- a/src/persimmonspoke/internal/fleet/messages.py
+++ b/src/persimmonspoke/internal/fleet/messages.py
@@ -4,7 +4,7 @@
 
 from persimmonspoke.ids import DataCentreId, HostId, ServiceId, TargetId
 from persimmonspoke.internal.peers.api import PeerAddress
-from persimmonspoke.internal.peers.codec import message
+from persimmonspoke.internal.peers.codec import flat_message, message
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,44 +22,6 @@
     data_centre: DataCentreId
 
 
-@dataclass(frozen=True, slots=True)
-class KeyLoad:
-    """Requests for one key since the host's last report."""
-
-    service: ServiceId
-    key: int
-    count: int
-
-
-@dataclass(frozen=True, slots=True)
-class TargetWork:
-    """What a host saw of one target since its last report.
-
-    Attributes
-    ----------
-    answered : int
-        Requests answered.
-    busy_s : float
-        Time that they took, summed.
-    failed : int
-        Requests that got no answer, or no connection.
-    """
-
-    target_id: TargetId
-    answered: int
-    busy_s: float
-    failed: int
-
-
-@dataclass(frozen=True, slots=True)
-class RefusedRange:
-    """A target refused requests for a key that its range says it holds."""
-
-    service: ServiceId
-    key: int
-    fence: int
-
-
 @dataclass(frozen=True, slots=True)
 class RouteRow:
     """One range as hosts route by it.
@@ -78,7 +40,6 @@
     open_in_s: float
 
 
-@message
 @dataclass(frozen=True, slots=True)
 class RangeTable:
     """Who owns which keys; a newer one has a higher (epoch, serial)."""
@@ -93,49 +54,89 @@
         return self.epoch, self.serial
 
 
-@message
+@flat_message
+@dataclass(frozen=True, slots=True)
+class TableChange:
+    """New rows for a run of keys; applies to the table of the serial before.
+
+    Attributes
+    ----------
+    leader : list
+        Host id, IP number and port.
+    rows : list of list
+        Fields of `RouteRow`; together they cover the keys from `first` to `last`.
+    """
+
+    leader: list
+    epoch: int
+    serial: int
+    service: ServiceId
+    first: int
+    last: int
+    rows: list
+
+
+@flat_message
 @dataclass(frozen=True, slots=True)
 class HostReport:
     """A host's word to the leader; also its heartbeat.
 
     Attributes
     ----------
+    sender : list
+        Host id, IP number, port, name and data centre.
+    fleet : int
+        Number of the newest list of hosts that the host has.
     epoch, serial : int
         Of the newest range table that the host has.
+    loads : list of (ServiceId, int, int)
+        Service, key, and the requests for it since the last report.
+    work : list of (TargetId, int, float)
+        Target, the requests that it answered since then, and how long they took.
+    refused : list of (ServiceId, int, int)
+        Service, key and fence of requests that the key's owner refused.
     store_age_s : float
         Time since the store last answered the host.
     leaving : bool
         Whether the host is being stopped, and does nothing more for others.
     """
 
-    sender: HostEntry
+    sender: list
+    fleet: int
     epoch: int
     serial: int
-    loads: tuple[KeyLoad, ...]
-    work: tuple[TargetWork, ...]
-    refused: tuple[RefusedRange, ...]
+    loads: list
+    work: list
+    refused: list
     store_age_s: float
     leaving: bool
 
 
-@message
+@flat_message
 @dataclass(frozen=True, slots=True)
 class LeaderReply:
     """The leader's answer to a report.
 
     Attributes
     ----------
-    hosts : tuple of HostEntry
-        The hosts that are alive.
-    table : RangeTable or None
-        The newest one, unless the host has it.
+    fleet : int
+        Number of the newest list of hosts.
+    hosts : list or None
+        Entries of the hosts that are alive, as in `HostReport.sender`; None if the
+        host has the newest list.
+    table : dict or None
+        Rows of each service, as in `TableChange.rows`; None if the host has the
+        newest table.
     store_age_s : float
         Time since the store last answered the leader.
     """
 
+    leader: list
     epoch: int
-    hosts: tuple[HostEntry, ...]
-    table: RangeTable | None
+    serial: int
+    fleet: int
+    hosts: list | None
+    table: dict | None
     store_age_s: float
 
 
@@ -188,10 +189,23 @@
     grants: tuple[GrantLeft, ...]
 
 
-@message
-@dataclass(frozen=True, slots=True)
-class TableSeen:
-    """The answer to a `RangeTable`."""
+def entry_fields(entry: HostEntry) -> list:
+    """Return a host's entry as plain values."""
+    address = entry.address
+    return [address.host_id, address.ip, address.port, entry.name, entry.data_centre]
 
-    epoch: int
-    serial: int
+
+def entry_from(fields: list) -> HostEntry:
+    """Return the host's entry in plain values."""
+    host_id, ip, port, name, data_centre = fields
+    return HostEntry(PeerAddress(host_id, ip, port), name, data_centre)
+
+
+def address_fields(address: PeerAddress) -> list:
+    """Return a host's address as plain values."""
+    return [address.host_id, address.ip, address.port]
+
+
+def row_fields(row: RouteRow) -> list:
+    """Return a row as plain values."""
+    return [row.first, row.last, row.owner, row.fence, round(row.open_in_s, 3)]
--- a/src/persimmonspoke/internal/fleet/reporter.py
+++ b/src/persimmonspoke/internal/fleet/reporter.py
@@ -3,8 +3,9 @@
 import logging
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import dataclass
 
-import eventlet
+import xxhash
 
 from persimmonspoke.errors import PeerError, PeerRefused
 from persimmonspoke.ids import HostId, Instant, KeyText, ServiceId, TargetId
@@ -13,15 +14,19 @@
 from persimmonspoke.internal.fleet.hosts import Hosts
 from persimmonspoke.internal.fleet.leadership import Leadership
 from persimmonspoke.internal.fleet.messages import (
+    HostEntry,
     HostReport,
-    KeyLoad,
     LeaderReply,
     RangeTable,
-    TableSeen,
-    TargetWork,
+    RouteRow,
+    TableChange,
+    address_fields,
+    entry_fields,
+    entry_from,
+    row_fields,
 )
 from persimmonspoke.internal.fleet.settings import FleetSettings
-from persimmonspoke.internal.peers.api import PeerLink
+from persimmonspoke.internal.peers.api import PeerAddress, PeerLink
 from persimmonspoke.internal.ranges.keeper import Keeper
 from persimmonspoke.internal.ranges.routes import RangeRoutes
 
@@ -35,7 +40,6 @@
         self._keys: Counter[tuple[ServiceId, int]] = Counter()
         self._answered: Counter[TargetId] = Counter()
         self._busy_s: Counter[TargetId] = Counter()
-        self._failed: Counter[TargetId] = Counter()
 
     def asked(self, service: ServiceId, key: KeyText) -> None:
         """Count a request for a key."""
@@ -46,29 +50,28 @@
         self._answered[target_id] += 1
         self._busy_s[target_id] += took_s
 
-    def failed(self, target_id: TargetId) -> None:
-        """Count an attempt without an answer."""
-        self._failed[target_id] += 1
-
-    def take(self) -> tuple[tuple[KeyLoad, ...], tuple[TargetWork, ...]]:
-        """Return what was measured, and start anew."""
-        loads = tuple(
-            KeyLoad(service, key, count) for (service, key), count in self._keys.items()
-        )
-        work = tuple(
-            TargetWork(
-                target_id,
-                self._answered[target_id],
-                self._busy_s[target_id],
-                self._failed[target_id],
-            )
-            for target_id in {*self._answered, *self._failed}
-        )
-        for counter in (self._keys, self._answered, self._busy_s, self._failed):
+    def take(self) -> tuple[list, list]:
+        """Return loads and work, as in `HostReport`, and start anew."""
+        loads = [(service, key, n) for (service, key), n in self._keys.items()]
+        work = [
+            (target_id, n, round(self._busy_s[target_id], 4))
+            for target_id, n in self._answered.items()
+        ]
+        for counter in (self._keys, self._answered, self._busy_s):
             counter.clear()
         return loads, work
 
 
+@dataclass(frozen=True, slots=True)
+class _Seen:
+    """What the leader knows of one host."""
+
+    entry: HostEntry
+    at: Instant
+    store_age_s: float
+    leaving: bool
+
+
 class Reporter:
     """Reports to the leader; answers reports, if this host is the leader.
 
@@ -95,13 +98,14 @@
         self._leadership = leadership
         self._routes = routes
         self._store_age_s = store_age_s
-        self._seen: dict[HostId, tuple[Instant, HostReport]] = {}
-        self._sending: set[HostId] = set()
+        self._seen: dict[HostId, _Seen] = {}
         self._newest: RangeTable | None = None
+        self._fleet = 0
+        self._listed: tuple[HostEntry, ...] = ()
         self.keeper: Keeper | None = None
         self.measured = Measured()
         link.serve(HostReport, self._on_report)
-        link.serve(RangeTable, self._on_table)
+        link.serve(TableChange, self._on_change)
 
     def run(self) -> None:
         """Report for as long as the task lives."""
@@ -114,43 +118,28 @@
                 self._call(self._leadership.leader)
             self._clock.sleep_until(report_at)
 
-    def publish(self, table: RangeTable) -> None:
-        """Send a table to all live hosts, this one included."""
+    def publish(self, table: RangeTable, change: TableChange | None) -> None:
+        """Tell all hosts of a new table, by what has changed in it."""
         self._routes.take(table)
         self._newest = table
-        known = {report.sender.address for _, report in self._seen.values()}
-        for address in known.union(e.address for e in self._hosts.recorded()):
-            if address != self._hosts.me() and address.host_id not in self._sending:
-                self._sending.add(address.host_id)
-                eventlet.spawn_n(self._send, address)
-
-    def _send(self, address):
-        """Send tables until the host has the newest; a lost one comes by report."""
-        sent = None
-        try:
-            while self._newest is not sent and self._leadership.leading:
-                sent = self._newest
-                deadline = Instant(self._clock.now() + self._cfg.call_s)
-                self._link.call(address, sent, deadline)
-        except PeerError as exc:
-            log.debug(
-                "fleet: table not seen",
-                extra={"host": address.host_id, "reason": str(exc)},
-            )
-        finally:
-            self._sending.discard(address.host_id)
+        if change is None:
+            return
+        for seen in self._seen.values():
+            if seen.entry.address != self._hosts.me():
+                self._link.post(seen.entry.address, change)
 
     def _report(self):
         loads, work = self.measured.take()
         epoch, serial = self._routes.known()
         return HostReport(
-            sender=self._hosts.my_entry,
+            sender=entry_fields(self._hosts.my_entry),
+            fleet=self._fleet,
             epoch=epoch,
             serial=serial,
             loads=loads,
             work=work,
             refused=self._routes.refusals(),
-            store_age_s=self._store_age_s(),
+            store_age_s=round(self._store_age_s(), 3),
             leaving=self._hosts.leaving,
         )
 
@@ -175,49 +164,80 @@
 
     def _take_in(self, reply):
         if reply.table is not None:
-            self._routes.take(reply.table)
+            self._routes.take(
+                RangeTable(
+                    PeerAddress(*reply.leader),
+                    reply.epoch,
+                    reply.serial,
+                    {
+                        service: tuple(RouteRow(*row) for row in rows)
+                        for service, rows in reply.table.items()
+                    },
+                )
+            )
         until = Instant(self._clock.now() + self._cfg.present_s)
-        self._hosts.set_live(reply.hosts, until)
+        if reply.hosts is not None:
+            self._fleet = reply.fleet
+            self._listed = tuple(entry_from(fields) for fields in reply.hosts)
+        self._hosts.set_live(self._listed, until)
 
     def _on_report(self, report: HostReport) -> LeaderReply:
         if not self._leadership.leading:
             raise PeerRefused("this host does not lead")
         now = self._clock.now()
-        self._seen[report.sender.address.host_id] = (now, report)
-        self._hosts.heard(report.sender.address.host_id)
+        entry = entry_from(report.sender)
+        host_id = entry.address.host_id
+        self._seen[host_id] = _Seen(entry, now, report.store_age_s, report.leaving)
+        self._hosts.heard(host_id)
         self.keeper.on_report(report)
-        table = None
-        if self._newest is not None and self._newest.age_key() > (
-            report.epoch,
-            report.serial,
-        ):
-            table = self._newest
+        number, hosts = self._present(now)
+        newest = self._newest
+        behind = newest is not None and newest.age_key() > (report.epoch, report.serial)
         return LeaderReply(
-            self._leadership.epoch, self._present(now), table, self._store_age_s()
+            leader=address_fields(self._hosts.me()),
+            epoch=self._leadership.epoch,
+            serial=newest.serial if newest is not None else 0,
+            fleet=number,
+            hosts=None if report.fleet == number else hosts,
+            table=_plain_rows(newest) if behind else None,
+            store_age_s=round(self._store_age_s(), 3),
         )
 
     def _present(self, now):
+        """Return the number and the entries of the list of live hosts."""
         self._seen = {
-            host_id: (at, report)
-            for host_id, (at, report) in self._seen.items()
-            if now - at <= self._cfg.present_s
+            host_id: seen
+            for host_id, seen in self._seen.items()
+            if now - seen.at <= self._cfg.present_s
         }
-        return tuple(
-            report.sender for _, report in self._seen.values() if not report.leaving
-        )
+        hosts = [
+            entry_fields(seen.entry)
+            for _, seen in sorted(self._seen.items())
+            if not seen.leaving
+        ]
+        # Lists of two leaders must not share a number.
+        names = "".join(fields[0] for fields in hosts)
+        return xxhash.xxh32_intdigest(names), hosts
 
     def _yield_lead(self):
         """Step aside if other hosts reach the store and this one does not."""
         if self._store_age_s() < self._cfg.yield_s:
             return
         me = self._hosts.me()
-        for _, report in self._seen.values():
-            if report.sender.address != me and report.store_age_s < self._cfg.fresh_s:
+        for seen in self._seen.values():
+            if seen.entry.address != me and seen.store_age_s < self._cfg.fresh_s:
                 self._leadership.step_aside("the store answers others, not this host")
                 return
 
-    def _on_table(self, table: RangeTable) -> TableSeen:
-        self._leadership.follow(table.leader, table.epoch)
-        self._leadership.heard(table.epoch)
-        self._routes.take(table)
-        return TableSeen(*self._routes.known())
+    def _on_change(self, change: TableChange) -> None:
+        self._leadership.follow(PeerAddress(*change.leader), change.epoch)
+        self._leadership.heard(change.epoch)
+        if not self._routes.change(change):
+            log.debug("fleet: a change was missed", extra={"serial": change.serial})
+
+
+def _plain_rows(table):
+    return {
+        service: [row_fields(row) for row in rows]
+        for service, rows in table.services.items()
+    }
--- a/src/persimmonspoke/internal/ranges/keeper.py
+++ b/src/persimmonspoke/internal/ranges/keeper.py
@@ -20,6 +20,9 @@
     HostReport,
     RangeTable,
     RouteRow,
+    TableChange,
+    address_fields,
+    row_fields,
 )
 from persimmonspoke.internal.ranges.api import RangeOrders, RangeRelease
 from persimmonspoke.internal.ranges.granter import Granter, Trust
@@ -68,7 +71,7 @@
     Parameters
     ----------
     publish : callable
-        Sends a table to all hosts, this one included.
+        Sends all hosts a table, or what has changed in it.
     """
 
     def __init__(
@@ -78,7 +81,7 @@
         leadership: Leadership,
         state: RoutingState,
         orders: RangeOrders,
-        publish: Callable[[RangeTable], None],
+        publish: Callable[[RangeTable, TableChange | None], None],
     ):
         self._cfg = cfg
         self._clock = clock
@@ -139,7 +142,7 @@
             return None
         new = replace(entry, fence=self._next_fence(), handover=None)
         self._leadership.amend(_replacing(service, new))
-        self._changed()
+        self._changed(service, new.first, new.last)
         return new
 
     def opened(self, service: ServiceId, entry: KeyRange) -> None:
@@ -166,13 +169,13 @@
     def on_report(self, report: HostReport) -> None:
         """Take in what a host measured."""
         self._loads.add(report.loads, report.work)
-        for refused in report.refused:
-            ranges = self._map(refused.service)
+        for service, key, fence in report.refused:
+            ranges = self._map(service)
             if ranges is None:
                 continue
-            entry = ranges.of(refused.key)
-            granter = self._granters.get((refused.service, entry.owner))
-            if granter is not None and entry.fence == refused.fence:
+            entry = ranges.of(key)
+            granter = self._granters.get((service, entry.owner))
+            if granter is not None and entry.fence == fence:
                 granter.wake()
 
     def table(self) -> RangeTable:
@@ -184,7 +187,7 @@
             epoch=self._leadership.epoch,
             serial=self._serial,
             services={
-                service: tuple(self._rows(service, ranges, now))
+                service: tuple(sorted(self._rows(service, ranges, now), key=_by_first))
                 for service, ranges in services.items()
             },
         )
@@ -350,7 +353,7 @@
     def _start_move(self, service, piece, to, reborn):
         hold = Hold(service, piece.first, piece.last)
         self._holds.append(hold)
-        self._changed()
+        self._changed(service, hold.first, hold.last)
         self._spawn(self._move, hold, piece, to, reborn)
 
     def _move(self, hold, piece, to, reborn):
@@ -389,7 +392,7 @@
         finally:
             if hold in self._holds:
                 self._holds.remove(hold)
-                self._changed()
+                self._changed(hold.service, hold.first, hold.last)
 
     def _take_back(self, hold, piece) -> str | None:
         """Return once the owner holds the keys no more, with its handover if any."""
@@ -418,7 +421,7 @@
                 return None
             if hold.opens_at != until:
                 hold.opens_at = until
-                self._changed()
+                self._changed(hold.service, hold.first, hold.last)
             pause = Instant(self._clock.now() + self._cfg.retry_s)
             self._clock.sleep_until(Instant(min(pause, until)))
 
@@ -551,11 +554,24 @@
         """Return whether the store has confirmed this host's lead of late."""
         return self.hold_s() == self._cfg.hold_s
 
-    def _changed(self):
-        """Tell all hosts who owns what now."""
-        if self._leadership.leading:
-            self._serial += 1
-            self._publish(self.table())
+    def _changed(self, service=None, first=0, last=0):
+        """Tell all hosts who owns the keys from `first` to `last` now."""
+        if not self._leadership.leading:
+            return
+        self._serial += 1
+        table = self.table()
+        change = None
+        if service is not None:
+            change = TableChange(
+                address_fields(table.leader),
+                table.epoch,
+                table.serial,
+                service,
+                first,
+                last,
+                [row_fields(r) for r in _cut(table.services[service], first, last)],
+            )
+        self._publish(table, change)
 
     def _grants_left(self) -> tuple[GrantLeft, ...]:
         now = self._clock.now()
@@ -571,6 +587,10 @@
         task.link(lambda done: self._tasks.discard(done))
 
 
+def _by_first(row):
+    return row.first
+
+
 def _replacing(service, entry):
     """Return the change that puts `entry` into a service's ranges."""
 
@@ -581,6 +601,13 @@
     return change
 
 
+def _cut(rows, first, last):
+    """Yield the rows from `first` to `last`, cut at both ends."""
+    for row in sorted(rows, key=lambda row: row.first):
+        if row.first <= last and first <= row.last:
+            yield replace(row, first=max(row.first, first), last=min(row.last, last))
+
+
 def _without(entry: KeyRange, holds: list[Hold]) -> list[KeyRange]:
     """Return the parts of a range that no hold covers."""
     parts = [entry]
--- a/src/persimmonspoke/internal/ranges/loads.py
+++ b/src/persimmonspoke/internal/ranges/loads.py
@@ -2,9 +2,9 @@
 
 import math
 from collections import Counter
+from collections.abc import Iterable
 
 from persimmonspoke.ids import Instant, ServiceId, TargetId
-from persimmonspoke.internal.fleet.messages import KeyLoad, TargetWork
 from persimmonspoke.internal.ranges.ranges import KeyRange
 
 SMOOTHING = 0.1
@@ -27,17 +27,26 @@
         self._decayed_at: Instant | None = None
         self._service_s: dict[TargetId, float] = {}
 
-    def add(self, loads: tuple[KeyLoad, ...], work: tuple[TargetWork, ...]) -> None:
-        """Take in what one host measured since its last report."""
-        for load in loads:
-            weights = self._weights.setdefault(load.service, Counter())
-            weights[load.key] += load.count / self._load_s
-        for seen in work:
-            if seen.answered:
-                mean = seen.busy_s / seen.answered
-                known = self._service_s.get(seen.target_id, mean)
-                share = 1 - (1 - SMOOTHING) ** seen.answered
-                self._service_s[seen.target_id] = known + share * (mean - known)
+    def add(
+        self,
+        loads: Iterable[tuple[ServiceId, int, int]],
+        work: Iterable[tuple[TargetId, int, float]],
+    ) -> None:
+        """Take in what one host measured since its last report.
+
+        Parameters
+        ----------
+        loads : iterable of (service, key, requests)
+        work : iterable of (target, requests answered, seconds that they took)
+        """
+        for service, key, count in loads:
+            weights = self._weights.setdefault(service, Counter())
+            weights[key] += count / self._load_s
+        for target_id, answered, busy_s in work:
+            mean = busy_s / answered
+            known = self._service_s.get(target_id, mean)
+            share = 1 - (1 - SMOOTHING) ** answered
+            self._service_s[target_id] = known + share * (mean - known)
 
     def decay(self, now: Instant) -> None:
         """Let older load count less."""
--- a/src/persimmonspoke/internal/ranges/planner.py
+++ b/src/persimmonspoke/internal/ranges/planner.py
@@ -5,10 +5,17 @@
 
 from persimmonspoke.ids import ServiceId, TargetId
 from persimmonspoke.internal.ranges.loads import Loads
-from persimmonspoke.internal.ranges.ranges import KeyRange, RangeMap
+from persimmonspoke.internal.ranges.ranges import (
+    FIRST_KEY,
+    LAST_KEY,
+    KeyRange,
+    RangeMap,
+)
 
 LEAST_GAP = 0.12  # difference of utilisation below which a move gains nothing
 RELATIVE_GAP = 0.25  # of the busier target's utilisation
+SPAN_COST = 4.0  # moving a quarter of all keys weighs as much as missing the goal
+KEYS = LAST_KEY - FIRST_KEY + 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,7 +96,8 @@
 ) -> tuple[int, int, float] | None:
     """Return first key, last key and miss of the run whose load is next to `wanted`.
 
-    Shorter runs win among equals, since keys that change hands cost.
+    A short run that misses by a little goes before a long one that fits, since keys
+    that change hands cost.
     """
     best = None
     for start in range(len(keys)):
@@ -98,7 +106,7 @@
             load += keys[stop][1]
             miss = abs(load - wanted)
             span = keys[stop][0] - keys[start][0]
-            rank = (round(miss / wanted, 1), span)
+            rank = miss / wanted + SPAN_COST * span / KEYS
             if best is None or rank < best[0]:
                 best = (rank, (keys[start][0], keys[stop][0], miss))
             if load > wanted:
--- a/src/persimmonspoke/internal/ranges/routes.py
+++ b/src/persimmonspoke/internal/ranges/routes.py
@@ -3,6 +3,7 @@
 import logging
 from bisect import bisect_right
 from contextlib import AbstractContextManager, nullcontext
+from dataclasses import replace
 
 import eventlet
 from eventlet.event import Event
@@ -19,7 +20,7 @@
     TeamId,
 )
 from persimmonspoke.internal.clock import Clock
-from persimmonspoke.internal.fleet.messages import RangeTable, RefusedRange, RouteRow
+from persimmonspoke.internal.fleet.messages import RangeTable, RouteRow, TableChange
 from persimmonspoke.internal.ownership.api import Route
 from persimmonspoke.internal.ownership.page import PageKey
 from persimmonspoke.internal.questionnaire.configuration import ServiceConfig
@@ -49,34 +50,50 @@
         self._taken_at = clock.now()
         self._firsts: dict[ServiceId, list[int]] = {}
         self._refused: dict[tuple[ServiceId, TargetId, int], Instant] = {}
-        self._to_report: list[RefusedRange] = []
+        self._to_report: list[tuple[ServiceId, int, int]] = []
         self._changed = Event()
         self.table: RangeTable | None = None
 
     def take(self, table: RangeTable) -> bool:
         """Take in a table; return whether it is newer than the one before."""
-        if self.table is not None and table.age_key() <= self.table.age_key():
+        if table.age_key() <= self.known():
             return False
+        self._set(table)
+        return True
+
+    def change(self, change: TableChange) -> bool:
+        """Apply a change; return False if tables between are missing here."""
+        if (change.epoch, change.serial) <= self.known():
+            return True
+        if (change.epoch, change.serial - 1) != self.known():
+            return False
+        rows = self.table.services.get(change.service, ())
+        new = _replaced(rows, [RouteRow(*row) for row in change.rows])
+        services = {**self.table.services, change.service: new}
+        self._set(replace(self.table, serial=change.serial, services=services))
+        return True
+
+    def _set(self, table):
+        now = self._clock.now()
         self.table = table
-        self._taken_at = self._clock.now()
         self._firsts = {
             service: [row.first for row in rows]
             for service, rows in table.services.items()
         }
+        self._taken_at = now
         self._refused = {
-            key: until for key, until in self._refused.items() if until > self._taken_at
+            key: until for key, until in self._refused.items() if until > now
         }
         fired, self._changed = self._changed, Event()
         fired.send(None)
-        return True
 
     def known(self) -> tuple[int, int]:
         """Return epoch and serial of the table."""
         return self.table.age_key() if self.table is not None else (0, 0)
 
-    def refusals(self) -> tuple[RefusedRange, ...]:
-        """Return the refusals since the last call, for the leader."""
-        found, self._to_report = tuple(self._to_report), []
+    def refusals(self) -> list[tuple[ServiceId, int, int]]:
+        """Return service, key and fence of the refusals since the last call."""
+        found, self._to_report = self._to_report, []
         return found
 
     def find(self, team: TeamId, service: ServiceConfig, key: KeyText) -> Route:
@@ -134,7 +151,7 @@
         service, fence = route.page.service, int(route.epoch)
         until = Instant(self._clock.now() + REFUSED_S)
         self._refused[service, route.target.target_id, fence] = until
-        self._to_report.append(RefusedRange(service, int(route.shard), fence))
+        self._to_report.append((service, int(route.shard), fence))
         log.info(
             "routes: owner refused a key",
             extra={
@@ -162,3 +179,18 @@
         if row is None or row.open_in_s < 0:
             return None
         return Instant(self._taken_at + row.open_in_s)
+
+
+def _replaced(rows: tuple[RouteRow, ...], new: list[RouteRow]) -> tuple[RouteRow, ...]:
+    """Return `rows` with the keys of `new` routed as `new` says."""
+    first, last = new[0].first, new[-1].last
+    kept = []
+    for row in rows:
+        if row.last < first or row.first > last:
+            kept.append(row)
+            continue
+        if row.first < first:
+            kept.append(replace(row, last=first - 1))
+        if row.last > last:
+            kept.append(replace(row, first=last + 1))
+    return tuple(sorted([*kept, *new], key=lambda row: row.first))
