--- a/src/persimmonspoke/internal/callers/app.py
+++ b/src/persimmonspoke/internal/callers/app.py
@@ -9,7 +9,6 @@
     CallerGone,
     HostClosed,
     HostFault,
-    MalformedRequest,
     RequestFailure,
 )
 from persimmonspoke.ids import RequestId
@@ -21,6 +20,7 @@
 from persimmonspoke.internal.callers.request import HOP_BY_HOP, RequestReader
 from persimmonspoke.internal.callers.services import ServiceTable
 from persimmonspoke.internal.callers.settings import CallerSettings
+from persimmonspoke.internal.callers.trail import RequestTrail
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.observe.api import Metrics, NoMetrics
 from persimmonspoke.internal.ownership.api import Routes
@@ -79,13 +79,17 @@
             raise HostClosed("this host takes no new requests")
         return self._gate.admitted()
 
-    def run(self, environ: dict, request_id: RequestId) -> RunningAnswer:
+    def trail(self, request_id: RequestId) -> RequestTrail:
+        """Return an empty record of a request's way."""
+        return RequestTrail(request_id, self._clock)
+
+    def run(self, environ: dict, trail: RequestTrail) -> RunningAnswer:
         """Return the answer of a target once it has begun."""
         started = self._clock.now()
-        req = self._reader.read(environ, request_id)
+        req = trail.req = self._reader.read(environ, trail.request_id)
         limit = req.entry.service.max_body_bytes
         body = BodyReader(self._cfg, self._clock, environ, limit, req.deadline).read()
-        answer = self._runner.run(req, body)
+        answer = self._runner.run(req, body, trail)
         self._metrics.timing("callers.begun", 1000 * (self._clock.now() - started))
         return answer
 
@@ -109,6 +113,8 @@
         self._watched = None
         self._answer: RunningAnswer | None = None
         self._body = b""
+        self._trail = app.trail(request_id)
+        self._told = (None, "left open", "")
 
     def start(self, start_response) -> None:
         """Have the request answered, and begin the caller's answer."""
@@ -116,6 +122,7 @@
             self._run(start_response)
         except CallerGone:
             self._app.count("gone")
+            self._told = (None, "caller gone", "")
             self._close_connection()
             start_response("499 Client Closed Request", [("Content-Length", "0")])
         except RequestFailure as exc:
@@ -133,9 +140,10 @@
         self._admission = admission
         sock = self._environ["wsgi.input"].get_socket()
         self._watched = self._app.watch.add(sock)
-        self._answer = self._app.run(self._environ, self._request_id)
+        self._answer = self._app.run(self._environ, self._trail)
         self._body = self._answer.head
         self._app.count("answered")
+        self._told = (self._answer.status, "answered", "")
         start_response(self._status(), self._headers())
 
     def __iter__(self) -> Iterator[bytes]:
@@ -152,10 +160,12 @@
                 extra={"request_id": self._request_id, "reason": str(exc)},
             )
             self._app.count("cut_off")
+            self._told = (self._answer.status, "cut off", str(exc))
             raise
 
     def close(self) -> None:
         """Give back all that the request held."""
+        self._trail.log(*self._told)
         self._app.watch.remove(self._watched)
         if self._answer is not None:
             self._answer.close()
@@ -181,16 +191,10 @@
     def _refuse(self, exc, start_response):
         told = self._app.style.refusal(exc)
         self._app.count(f"refused.{told.kind}")
-        if isinstance(exc, MalformedRequest):
-            log.info(
-                "callers: request refused as malformed",
-                extra={"request_id": self._request_id, "reason": str(exc)},
-            )
+        reason = str(exc)
         if told.run is Run.UNKNOWN:
-            log.warning(
-                "callers: outcome unknown",
-                extra={"request_id": self._request_id, "reason": repr(exc.__cause__)},
-            )
+            reason = f"{exc}: {exc.__cause__!r}"
+        self._told = (told.status.value, told.kind, reason)
         closed = isinstance(exc, HostClosed) or self._app.is_leaving()
         if closed or self._unread():
             self._close_connection()
--- a/src/persimmonspoke/internal/callers/attempts.py
+++ b/src/persimmonspoke/internal/callers/attempts.py
@@ -15,6 +15,7 @@
 from persimmonspoke.internal.callers.bodies import may_be_sent
 from persimmonspoke.internal.callers.request import CallerRequest
 from persimmonspoke.internal.callers.settings import CallerSettings
+from persimmonspoke.internal.callers.trail import RequestTrail
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.observe.api import Metrics
 from persimmonspoke.internal.ownership.api import Route, Routes
@@ -146,6 +147,7 @@
     """What earlier attempts at one request have left behind."""
 
     pause_s: float
+    trail: RequestTrail
     may_have_run: bool = False
     sends: int = 0
     avoided: set[TargetId] = field(default_factory=set)
@@ -181,7 +183,9 @@
         self._clock = clock
         self._metrics = metrics
 
-    def run(self, req: CallerRequest, body: Body) -> RunningAnswer:
+    def run(
+        self, req: CallerRequest, body: Body, trail: RequestTrail | None = None
+    ) -> RunningAnswer:
         """Return the answer once it has begun, or raise `RequestFailure`."""
         ticket = Ticket(
             team=req.entry.team,
@@ -194,7 +198,8 @@
         )
         if req.key is not None:
             self._observer.asked(req.entry.service.service, req.key)
-        progress = _Progress(self._cfg.retry_pause_s)
+        trail = trail or RequestTrail(req.request_id, self._clock)
+        progress = _Progress(self._cfg.retry_pause_s, trail)
         try:
             while True:
                 answer = self._attempt(req, body, ticket, progress)
@@ -224,9 +229,17 @@
             return None
         self._timing("slot_wait", began)
         progress.sends += 1
+        sent = self._clock.now()
+        target_id = slot.target_id
         try:
-            return self._send(req, body, route, slot)
-        except (*NOT_RUN_ERRORS, errors.AnswerLost) as exc:
+            answer = self._send(req, body, route, slot)
+            progress.trail.add(target_id, route, began, sent, "begun")
+            return answer
+        except BaseException as exc:
+            reason = f"{type(exc).__name__}: {exc}"
+            progress.trail.add(target_id, route, began, sent, reason)
+            if not isinstance(exc, (*NOT_RUN_ERRORS, errors.AnswerLost)):
+                raise
             self._note(exc, route, slot, progress)
             self._check_retry(exc, req, body, ticket, progress)
         self._pause(req, route, progress)
--- a/src/persimmonspoke/internal/callers/request.py
+++ b/src/persimmonspoke/internal/callers/request.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from persimmonspoke.errors import MalformedRequest
-from persimmonspoke.ids import Instant, KeyText, RequestId
+from persimmonspoke.ids import Generation, Instant, KeyText, RequestId
 from persimmonspoke.internal.callers.keys import find_key
 from persimmonspoke.internal.callers.services import ServiceEntry, ServiceTable
 from persimmonspoke.internal.clock import Clock
@@ -56,6 +56,8 @@
         The route by which a routed service was found.
     objective : Instant or None
         Until when an answer is worth most, where the route says so.
+    generation : Generation or None
+        Version of the configuration that has the route.
     """
 
     request_id: RequestId
@@ -68,6 +70,7 @@
     deadline: Instant
     route: RouteConfig | None = None
     objective: Instant | None = None
+    generation: Generation | None = None
 
 
 class RequestReader:
--- a/src/persimmonspoke/internal/ranges/planner.py
+++ b/src/persimmonspoke/internal/ranges/planner.py
@@ -1,7 +1,9 @@
 """Which keys should move to even out the targets' load; pure functions."""
 
+from bisect import bisect_left
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
+from itertools import accumulate
 
 from persimmonspoke.ids import ServiceId, TargetId
 from persimmonspoke.internal.ranges.loads import Loads
@@ -99,18 +101,17 @@
     A short run that misses by a little goes before a long one that fits, since keys
     that change hands cost.
     """
+    sums = [0.0, *accumulate(weight for _, weight in keys)]
     best = None
     for start in range(len(keys)):
-        load = 0.0
-        for stop in range(start, len(keys)):
-            load += keys[stop][1]
-            miss = abs(load - wanted)
-            span = keys[stop][0] - keys[start][0]
+        # The runs that end just below and just above the load that is wanted.
+        end = bisect_left(sums, sums[start] + wanted, lo=start + 1)
+        for stop in {max(start + 1, end - 1), min(end, len(keys))}:
+            miss = abs(sums[stop] - sums[start] - wanted)
+            span = keys[stop - 1][0] - keys[start][0]
             rank = miss / wanted + SPAN_COST * span / KEYS
             if best is None or rank < best[0]:
-                best = (rank, (keys[start][0], keys[stop][0], miss))
-            if load > wanted:
-                break
+                best = (rank, (keys[start][0], keys[stop - 1][0], miss))
     return best[1] if best else None
 
 
--- a/src/persimmonspoke/internal/routing/reader.py
+++ b/src/persimmonspoke/internal/routing/reader.py
@@ -90,6 +90,7 @@
             deadline=Instant(now + wait_s),
             route=route,
             objective=Instant(now + self._objective_s(route, fields.patience_s)),
+            generation=table.cfg.generation,
         )
 
     def _objective_s(self, route, patience_s):
