Move keys only for a gap beyond chance, one move a target at a time

Change: a target takes part in one move at a time, and a gap must exceed two standard deviations of what was measured.

--- a/src/persimmonspoke/internal/desk/settings.py
+++ b/src/persimmonspoke/internal/desk/settings.py
@@ -56,7 +56,7 @@
     stuck_factor: Seconds = 5.0
     stuck_s: Seconds = 0.3
     probe_s: Seconds = 0.5
-    far_factor: Annotated[float, Field(ge=1)] = 1.15
+    far_factor: Annotated[float, Field(ge=1)] = 1.5
     retry_share: Share = 0.1
     retry_burst: Annotated[float, Field(ge=1)] = 4.0
     leaving_grace_s: Seconds = 1.2
--- a/src/persimmonspoke/internal/ranges/keeper.py
+++ b/src/persimmonspoke/internal/ranges/keeper.py
@@ -55,6 +55,8 @@
 
     Attributes
     ----------
+    to : TargetId or None
+        Who shall get the keys, if that is planned.
     opens_at : Instant or None
         When the keys can go to another target at the latest, if known.
     """
@@ -62,6 +64,7 @@
     service: ServiceId
     first: int
     last: int
+    to: TargetId | None = None
     opens_at: Instant | None = None
 
 
@@ -351,7 +354,7 @@
                 self._start_move(service, move.piece, move.to, False)
 
     def _start_move(self, service, piece, to, reborn):
-        hold = Hold(service, piece.first, piece.last)
+        hold = Hold(service, piece.first, piece.last, to)
         self._holds.append(hold)
         self._changed(service, hold.first, hold.last)
         self._spawn(self._move, hold, piece, to, reborn)
@@ -498,11 +501,9 @@
     def _occupied(self, service):
         """Return the targets that take part in a move."""
         ranges = self._map(service)
-        return frozenset(
-            ranges.of(hold.first).owner
-            for hold in self._holds
-            if hold.service == service
-        )
+        holds = [hold for hold in self._holds if hold.service == service]
+        givers = {ranges.of(hold.first).owner for hold in holds}
+        return frozenset(givers | {hold.to for hold in holds} - {None})
 
     def _moving(self, service):
         return sum(1 for hold in self._holds if hold.service == service)
--- a/src/persimmonspoke/internal/ranges/loads.py
+++ b/src/persimmonspoke/internal/ranges/loads.py
@@ -69,6 +69,10 @@
         """Return how long the target takes for one request."""
         return self._service_s.get(target_id, FIRST_SERVICE_S)
 
+    def deviation(self, rate: float) -> float:
+        """Return how far chance alone takes a measured rate from the true one."""
+        return math.sqrt(rate / (2 * self._load_s))
+
     def keys(self, service: ServiceId, entry: KeyRange) -> list[tuple[int, float]]:
         """Return the loaded keys of a range, in order, with requests a second."""
         load = self._sorted.get(service)
--- a/src/persimmonspoke/internal/ranges/planner.py
+++ b/src/persimmonspoke/internal/ranges/planner.py
@@ -16,6 +16,7 @@
 
 LEAST_GAP = 0.12  # difference of utilisation below which a move gains nothing
 RELATIVE_GAP = 0.25  # of the busier target's utilisation
+CHANCE = 2.0  # standard deviations of a measured load that mean nothing
 SPAN_COST = 4.0  # moving a quarter of all keys weighs as much as missing the goal
 KEYS = LAST_KEY - FIRST_KEY + 1
 
@@ -71,11 +72,12 @@
     hottest = max(open_seats, key=busy.__getitem__)
     coolest = min(open_seats, key=busy.__getitem__)
     gap = busy[hottest] - busy[coolest]
-    if gap < max(LEAST_GAP, RELATIVE_GAP * busy[hottest]):
-        return None
     # After the move both should be equally busy.
     give = loads.service_s(hottest) / open_seats[hottest].slots
     take = loads.service_s(coolest) / open_seats[coolest].slots
+    chance = CHANCE * give * loads.deviation(busy[hottest] / give)
+    if gap < max(LEAST_GAP, RELATIVE_GAP * busy[hottest], chance):
+        return None
     wanted = gap / (give + take)
     held = tuple(held)
     best = None
--- a/src/persimmonspoke/internal/ranges/settings.py
+++ b/src/persimmonspoke/internal/ranges/settings.py
@@ -54,7 +54,7 @@
     transit_s: Seconds = 0.05
     settle_s: Seconds = 1.0
     plan_s: Seconds = 0.3
-    load_s: Seconds = 1.5
+    load_s: Seconds = 2.0
     moves: Annotated[int, Field(ge=1)] = 3
 
     def longest(self, hold_s: float) -> float:
