Let a cut-off host leave the lead alone; read a configuration once

Cause: a host that reached the store but no other host took the lead from its holder, and back, every two seconds; each time moves had to wait for the former leader. A test of a leader cut off from the others showed it. Ruled out: a majority of hosts as a condition; any number may be lost at once. Change: who takes over first asks the others whether they hear the leader; a host that reaches few goes by the object, which the leader writes each second. A host without a leader routes by that object. Each version of a configuration is decoded once, and a caller that has left is noticed before its request is sent on.

--- a/src/persimmonspoke/daemon/routed.py
+++ b/src/persimmonspoke/daemon/routed.py
@@ -101,6 +101,7 @@
             cfg.fleet, self.clock, self.store, self.link, self.hosts
         )
         self.routes = RangeRoutes(self.state, self.clock)
+        self.leadership.on_record = self.routes.take_record
         self.reporter = Reporter(
             cfg.fleet,
             self.clock,
--- a/src/persimmonspoke/internal/callers/app.py
+++ b/src/persimmonspoke/internal/callers/app.py
@@ -140,6 +140,7 @@
         self._admission = admission
         sock = self._environ["wsgi.input"].get_socket()
         self._watched = self._app.watch.add(sock)
+        self._app.watch.check_one(self._watched)
         self._answer = self._app.run(self._environ, self._trail)
         self._body = self._answer.head
         self._app.count("answered")
--- a/src/persimmonspoke/internal/callers/gone.py
+++ b/src/persimmonspoke/internal/callers/gone.py
@@ -43,6 +43,11 @@
         self._watched[watched] = None
         return watched
 
+    def check_one(self, watched: Watched | None) -> None:
+        """Raise `CallerGone` if the caller has left before its request was read."""
+        if watched is not None and has_left(watched.sock):
+            raise CallerGone("the caller left before its request was read")
+
     def remove(self, watched: Watched | None) -> None:
         """Watch it no longer."""
         if watched is not None:
@@ -62,7 +67,7 @@
             # They are in the order of their arrival.
             if watched.since > young:
                 break
-            if _has_left(watched.sock):
+            if has_left(watched.sock):
                 hub = hubs.get_hub()
                 hub.schedule_call_global(0, self._interrupt, watched)
 
@@ -73,7 +78,8 @@
             watched.task.throw(CallerGone("the caller closed its connection"))
 
 
-def _has_left(sock) -> bool:
+def has_left(sock) -> bool:
+    """Return whether the other end of `sock` has closed the connection."""
     plain = sock.fd if isinstance(sock, greenio.GreenSocket) else sock
     try:
         return plain.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
--- a/src/persimmonspoke/internal/fleet/leadership.py
+++ b/src/persimmonspoke/internal/fleet/leadership.py
@@ -44,6 +44,7 @@
 from persimmonspoke.internal.store.writes import write
 
 LOOK_S = 0.1
+NOT_HEARD_S = 1e6
 
 log = logging.getLogger(__name__)
 
@@ -89,6 +90,8 @@
         self._heard_at = clock.now()
         self._read_at = NEVER
         self._asked_at = NEVER
+        self._seen_version = Version(0)
+        self._seen_at = NEVER
         self.store_answered_at = clock.now()
         self._resigned = False
         self.leader: PeerAddress | None = None
@@ -99,6 +102,7 @@
         self.former_until = NEVER
         self.former_grants: dict[TargetId, Instant] = {}
         self.grants_left: Callable[[], tuple[GrantLeft, ...]] = tuple
+        self.on_record: Callable[[Ownership], None] = lambda found: None
         self.on_lead: Callable[[], None] = lambda: None
         self.on_stop: Callable[[], None] = lambda: None
         self.longest_grant_s = 0.0
@@ -114,7 +118,7 @@
                     self._confirm()
                 else:
                     self._watch()
-            except StoreError as exc:
+            except (StoreError, AuthorityLapsed) as exc:
                 log.info(
                     "leader: the store can't say who leads",
                     extra={"leading": self.leading, "reason": repr(exc)},
@@ -251,27 +255,14 @@
             self._version = stored.version
             self.ownership = ownership
             self.lease_until = Instant(asked + self._cfg.lease_s)
+            self.store_answered_at = asked
             return
 
     def _confirm(self):
-        """Ask the store whether this host still leads."""
+        """Write the object again: it shows that this host leads, and lives."""
         with self._writing:
-            self._confirm_unwritten()
-
-    def _confirm_unwritten(self):
-        asked = self._clock.now()
-        stored = self._store.get(OWNERSHIP_KEY, Instant(asked + self._cfg.store_call_s))
-        self.store_answered_at = asked
-        found = decode(stored.value)
-        if found.leader == self._hosts.me() and found.epoch == self.epoch:
-            self.lease_until = Instant(max(self.lease_until, asked + self._cfg.lease_s))
-            if stored.version != self._version:
-                # A write of unknown outcome was carried out after all.
-                self._version, self.ownership = stored.version, found
-        elif found.epoch >= self.epoch:
-            self._stop("the store names another leader")
-            if found.leader is not None:
-                self.follow(found.leader, found.epoch)
+            if self.leading:
+                self._write(self.ownership.led_by(self._hosts.me(), self.epoch))
 
     def _watch(self):
         """Look whether the leader is lost; take over when it is this host's turn."""
@@ -298,12 +289,51 @@
         if (self.leader, self.epoch) != suspect:
             # Another host has taken over while the store was asked.
             return
+        self.on_record(found)
         if found.leader is not None and (found.leader, found.epoch) != suspect:
             self.follow(found.leader, found.epoch)
             # Whoever is named may be gone since long, so it must answer soon.
             self._heard_at = Instant(now - self._cfg.suspect_s)
             return
-        self._take_over(found, stored.version)
+        if found.leader is None or self._is_lost_for_all(stored.version):
+            self._take_over(found, stored.version)
+
+    def _is_lost_for_all(self, version):
+        """Return whether the leader is lost, rather than this host cut off.
+
+        Most other hosts have to agree.  A host that reaches few of them goes by the
+        object alone, which a living leader writes again and again.
+        """
+        now = self._clock.now()
+        if version != self._seen_version:
+            self._seen_version, self._seen_at = version, now
+        others = [
+            entry.address
+            for entry in self._hosts.recorded()
+            if entry.address != self.leader
+        ]
+        calls = [eventlet.spawn(self._heard_by, address) for address in others]
+        answers = [call.wait() for call in calls]
+        known = [heard_s for heard_s in answers if heard_s is not None]
+        if any(heard_s < self._cfg.suspect_s for heard_s in known):
+            log.info("leader: lost here, and not to others")
+            return False
+        if 2 * len(known) >= len(others):
+            return True
+        return now - self._seen_at >= self._cfg.unchanged_s
+
+    def _heard_by(self, address) -> float | None:
+        """Return how long ago a host heard its leader; None if it is silent.
+
+        A host that follows somebody else has not heard this leader.
+        """
+        deadline = Instant(self._clock.now() + self._cfg.call_s)
+        query = LeaderQuery(self._hosts.me().host_id)
+        try:
+            known = self._link.call(address, query, deadline)
+        except PeerError:
+            return None
+        return known.heard_s if known.leader == self.leader else NOT_HEARD_S
 
     def _may_be_lost(self, silence):
         """Return whether the leader is dead, or silent for this host's patience."""
@@ -429,7 +459,8 @@
         leader = None if self._resigned else self.leader
         if leader == self._hosts.me() and not self.leading:
             leader = None
-        return LeaderKnown(leader, self.epoch)
+        heard_s = 0.0 if self.leading else self._clock.now() - self._heard_at
+        return LeaderKnown(leader, self.epoch, min(heard_s, NOT_HEARD_S))
 
     def _on_new_leader(self, news: NewLeader) -> NewLeaderSeen:
         self._hosts.heard(news.leader.host_id)
--- a/src/persimmonspoke/internal/fleet/messages.py
+++ b/src/persimmonspoke/internal/fleet/messages.py
@@ -151,10 +151,17 @@
 @message
 @dataclass(frozen=True, slots=True)
 class LeaderKnown:
-    """Who leads, as far as the asked host knows; None if it does not."""
+    """Who leads, as far as the asked host knows; None if it does not.
+
+    Attributes
+    ----------
+    heard_s : float
+        Time since the asked host last heard that leader.
+    """
 
     leader: PeerAddress | None
     epoch: int
+    heard_s: float
 
 
 @message
--- a/src/persimmonspoke/internal/fleet/settings.py
+++ b/src/persimmonspoke/internal/fleet/settings.py
@@ -23,7 +23,10 @@
     step_s : float
         How much longer each further candidate waits.
     confirm_s : float
-        How often the leader asks the store whether it still leads.
+        How often the leader writes the object that names it.
+    unchanged_s : float
+        A host that reaches few others takes over only if the leader has not written
+        for so long.
     lease_s : float
         How long the leader may order after the store last confirmed it.  Longer than
         the store's usual outages, since nobody can take over without the store.
@@ -46,6 +49,7 @@
     silent_s: Seconds = 0.8
     step_s: Seconds = 0.3
     confirm_s: Seconds = 1.0
+    unchanged_s: Seconds = 3.5
     lease_s: Seconds = 12.0
     present_s: Seconds = 1.2
     store_call_s: Seconds = 1.0
--- a/src/persimmonspoke/internal/ranges/granter.py
+++ b/src/persimmonspoke/internal/ranges/granter.py
@@ -43,6 +43,8 @@
     ----------
     until : Instant
         Until then the target may hold keys by orders of this host.
+    running : bool
+        Whether the task that renews is alive.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         self.born_ms = record.born_ms
         self.address = address
         self.trust = Trust.ANSWERS
+        self.running = False
         self.until = Instant(float("-inf"))
         self.probe_at = Instant(float("-inf"))
         self.granted: set[tuple[int, int, int]] = set()
@@ -74,7 +77,13 @@
         return self.address.target_id
 
     def run(self) -> None:
-        """Renew until the target owns nothing or has become silent."""
+        """Renew until the target has become silent."""
+        try:
+            self._renew()
+        finally:
+            self.running = False
+
+    def _renew(self):
         while self.trust is Trust.ANSWERS:
             renew_at = self._clock.now() + self._cfg.renew_s
             self._wake = Event()
@@ -104,7 +113,7 @@
             return
         log.info("ranges: target answers again", extra={"target": self.target_id})
         self.trust = Trust.ANSWERS
-        self.run()
+        self._keeper.tend_soon()
 
     def grant(self, entry: KeyRange) -> bool:
         """Grant one range; return whether the target has it now."""
--- a/src/persimmonspoke/internal/ranges/keeper.py
+++ b/src/persimmonspoke/internal/ranges/keeper.py
@@ -144,7 +144,7 @@
         if not self.is_current(service, entry):
             return None
         new = replace(entry, fence=self._next_fence(), handover=None)
-        self._leadership.amend(_replacing(service, new))
+        self._leadership.amend(_replacing(service, new, self._serial))
         self._changed(service, new.first, new.last)
         return new
 
@@ -308,7 +308,9 @@
         owners = [(record.target_id, record.born_ms) for record in ready]
         ranges = RangeMap(divide_evenly(owners, first))
         try:
-            self._leadership.commit(lambda now: now.with_map(service, ranges))
+            self._leadership.commit(
+                lambda now: now.with_map(service, ranges, self._serial)
+            )
         except (StoreError, AuthorityLapsed) as exc:
             log.warning("ranges: keys not dealt out", extra={"reason": repr(exc)})
             return
@@ -450,7 +452,7 @@
             self._next_fence(),
             handover,
         )
-        self._leadership.commit(_replacing(hold.service, new))
+        self._leadership.commit(_replacing(hold.service, new, self._serial))
         granter = self._granter(hold.service, record)
         granter.grant_held(new)
         return new
@@ -544,6 +546,8 @@
             if until is not None:
                 granter.until = until
             self._granters[key] = granter
+        if not granter.running and granter.trust is Trust.ANSWERS:
+            granter.running = True
             self._spawn(granter.run)
         return granter
 
@@ -583,7 +587,7 @@
         )
 
     def _spawn(self, function, *args):
-        task = eventlet.spawn(function, *args)
+        task = eventlet.spawn(_logging_faults, function, *args)
         self._tasks.add(task)
         task.link(lambda done: self._tasks.discard(done))
 
@@ -592,16 +596,26 @@
     return row.first
 
 
-def _replacing(service, entry):
+def _replacing(service, entry, serial):
     """Return the change that puts `entry` into a service's ranges."""
 
     def change(ownership):
         ranges = ownership.services[service].with_range(entry)
-        return ownership.with_map(service, ranges)
+        return ownership.with_map(service, ranges, serial)
 
     return change
 
 
+def _logging_faults(function, *args):
+    """Run a task whose fault must not stay unseen; the next turn goes on without."""
+    try:
+        function(*args)
+    except AuthorityLapsed as exc:
+        log.info("ranges: task ended", extra={"reason": str(exc)})
+    except Exception:
+        log.exception("ranges: task failed by a fault of this host")
+
+
 def _cut(rows, first, last):
     """Yield the rows from `first` to `last`, cut at both ends."""
     for row in sorted(rows, key=lambda row: row.first):
--- a/src/persimmonspoke/internal/ranges/record.py
+++ b/src/persimmonspoke/internal/ranges/record.py
@@ -28,6 +28,8 @@
         None after a leader has resigned.
     epoch : int
         Raised by each takeover.
+    serial : int
+        Of the leader's range table when the object was written.
     services : dict of ServiceId to RangeMap
     """
 
@@ -35,15 +37,25 @@
     epoch: int
     services: dict[ServiceId, RangeMap] = field(default_factory=dict)
     write_id: WriteId = WriteId("")
+    serial: int = 0
 
     def led_by(self, leader: PeerAddress | None, epoch: int) -> "Ownership":
-        """Return the same ownership under another leader."""
-        return replace(self, leader=leader, epoch=epoch, write_id=new_write_id())
+        """Return the same ownership under a leader."""
+        serial = self.serial if epoch == self.epoch else 0
+        return replace(
+            self,
+            leader=leader,
+            epoch=epoch,
+            serial=serial,
+            write_id=new_write_id(),
+        )
 
-    def with_map(self, service: ServiceId, ranges: RangeMap) -> "Ownership":
+    def with_map(
+        self, service: ServiceId, ranges: RangeMap, serial: int
+    ) -> "Ownership":
         """Return the ownership with one service's ranges replaced."""
         services = {**self.services, service: ranges}
-        return replace(self, services=services, write_id=new_write_id())
+        return replace(self, services=services, serial=serial, write_id=new_write_id())
 
 
 def encode(ownership: Ownership) -> Value:
@@ -53,6 +65,7 @@
         WRITE_ID: ownership.write_id,
         "leader": [leader.host_id, leader.ip, leader.port] if leader else None,
         "epoch": ownership.epoch,
+        "serial": ownership.serial,
         "services": {
             service: [
                 [r.first, r.last, r.owner, r.born_ms, r.fence, r.handover]
@@ -76,4 +89,5 @@
             for service, rows in value["services"].items()
         },
         write_id=WriteId(value[WRITE_ID]),
+        serial=value["serial"],
     )
--- a/src/persimmonspoke/internal/ranges/routes.py
+++ b/src/persimmonspoke/internal/ranges/routes.py
@@ -24,6 +24,7 @@
 from persimmonspoke.internal.ownership.api import Route
 from persimmonspoke.internal.ownership.page import PageKey
 from persimmonspoke.internal.questionnaire.configuration import ServiceConfig
+from persimmonspoke.internal.ranges.record import Ownership
 from persimmonspoke.internal.routing.state import RoutingState, target_config
 
 WHOLE = PageId(0)
@@ -61,6 +62,18 @@
         self._set(table)
         return True
 
+    def take_record(self, found: Ownership) -> None:
+        """Take in the owners that the store names, for want of a leader's table."""
+        if found.leader is None or not found.services:
+            return
+        services = {
+            service: tuple(
+                RouteRow(r.first, r.last, r.owner, r.fence, 0.0) for r in ranges.ranges
+            )
+            for service, ranges in found.services.items()
+        }
+        self.take(RangeTable(found.leader, found.epoch, found.serial, services))
+
     def change(self, change: TableChange) -> bool:
         """Apply a change; return False if tables between are missing here."""
         if (change.epoch, change.serial) <= self.known():
--- a/src/persimmonspoke/internal/routing/state.py
+++ b/src/persimmonspoke/internal/routing/state.py
@@ -74,6 +74,7 @@
         self._disturbed_at = disturbed_at
         self._wheel = SplitWheel()
         self._unreadable: dict[str, int] = {}
+        self._config_version: int | None = None
         self._read: dict[str, tuple[int, TargetRecord | None]] = {}
         self._missing: dict[TargetId, Instant] = {}
         self._entries: dict[ServiceId, ServiceEntry] = {}
@@ -112,11 +113,10 @@
 
     def _refresh_config(self):
         stored = self._board.get(self._config_key)
-        if stored is None:
+        if stored is None or stored.version == self._config_version:
             return False
+        self._config_version = stored.version
         try:
-            if self._unreadable.get(stored.key) == stored.version:
-                return False
             cfg = self._decode_config(stored.value)
         except MalformedDocument as exc:
             self._note_unreadable(stored, exc)
--- /dev/null
+++ b/tests/cover/test_ranges.py
@@ -0,0 +1,244 @@
+"""Key ranges: their owners, the plans to move them, and who may order what."""
+
+import unittest
+
+import eventlet
+
+from persimmonspoke.internal.ranges.loads import Loads
+from persimmonspoke.internal.ranges.planner import (
+    Seat,
+    best_run,
+    cut_evenly,
+    plan_move,
+)
+from persimmonspoke.internal.ranges.ranges import KeyRange, RangeMap, divide_evenly
+from persimmonspoke.internal.routing.config import TargetState
+from tests.fakes.range_fleet import SERVICE, RangeFleet, record
+
+
+class TestRangeMap(unittest.TestCase):
+    def setUp(self):
+        self.map = RangeMap(divide_evenly([("a", 1), ("b", 1)], 10))
+
+    def test_all_keys_have_one_owner_from_the_start(self):
+        self.assertEqual((self.map.of(0).owner, self.map.of(65535).owner), ("a", "b"))
+        self.assertEqual(self.map.of(32767).owner, "a")
+        self.assertEqual(self.map.of(32768).owner, "b")
+
+    def test_a_new_range_cuts_what_was_there(self):
+        new = KeyRange(100, 200, "b", 1, 12)
+        changed = self.map.with_range(new)
+        self.assertEqual(
+            [(r.first, r.last, r.owner) for r in changed.ranges],
+            [(0, 99, "a"), (100, 200, "b"), (201, 32767, "a"), (32768, 65535, "b")],
+        )
+
+    def test_parts_of_one_grant_are_joined_again(self):
+        moved = self.map.with_range(KeyRange(0, 10, "c", 1, 20))
+        moved = moved.with_range(KeyRange(11, 32767, "c", 1, 20))
+        self.assertEqual(len(moved.ranges), 2)
+
+
+class TestPlannedMoves(unittest.TestCase):
+    """A hot run of neighbouring keys, the pattern of the users' busy hours."""
+
+    def setUp(self):
+        self.loads = Loads(2.0)
+        self.loads.decay(0.0)
+        self.seats = tuple(Seat(name, 2) for name in "abcd")
+        owners = [(seat.target_id, 1) for seat in self.seats]
+        self.map = RangeMap(divide_evenly(owners, 1))
+
+    def load(self, rates):
+        """Load keys with requests a second, until the measure has settled."""
+        for step in range(60):
+            rows = [(SERVICE, key, rate * 0.2) for key, rate in rates.items()]
+            self.loads.add(rows, ())
+            self.loads.decay(0.2 * (step + 1))
+
+    def plan(self, closed=frozenset()):
+        return plan_move(SERVICE, self.map, self.seats, self.loads, closed, ())
+
+    def test_a_hot_run_is_halved_between_its_owner_and_the_coolest_target(self):
+        self.load({key: 0.5 for key in range(1000, 1100)})
+        move = self.plan()
+        self.assertEqual(move.piece.owner, "a")
+        rate = self.loads.rate(SERVICE, move.piece)
+        self.assertAlmostEqual(rate, 25, delta=3)
+        self.assertLess(move.piece.last - move.piece.first, 100)
+
+    def test_even_load_is_left_alone(self):
+        self.load({key: 0.1 for key in range(0, 65536, 512)})
+        self.assertIsNone(self.plan())
+
+    def test_a_target_that_takes_part_in_a_move_gets_no_second_one(self):
+        self.load({key: 0.5 for key in range(1000, 1100)})
+        self.assertIsNone(self.plan(closed=frozenset("a")) or None)
+        self.assertNotEqual(self.plan(closed=frozenset("b")).to, "b")
+
+    def test_one_key_that_is_hotter_than_the_gap_stays(self):
+        self.load({1000: 50.0})
+        self.assertIsNone(self.plan())
+
+    def test_a_short_run_goes_before_a_long_one_that_fits_a_little_better(self):
+        keys = [(10, 4.9), (20, 0.2), (60000, 0.1)]
+        self.assertEqual(best_run(keys, 5.2)[:2], (10, 20))
+
+    def test_a_leaving_targets_range_is_cut_by_load(self):
+        entry = KeyRange(0, 999, "a", 1, 1)
+        pieces = cut_evenly(entry, [(100, 1.0), (200, 1.0), (900, 2.0)], 2)
+        self.assertEqual([(p.first, p.last) for p in pieces], [(0, 200), (201, 999)])
+
+
+class FleetCase(unittest.TestCase):
+    """Hosts and targets in virtual time; no key may ever have two holders."""
+
+    hosts = 3
+
+    def setUp(self):
+        self.fleet = RangeFleet(hosts=self.hosts)
+        self.addCleanup(self.end)
+        self.fleet.run_for(3)
+
+    def end(self):
+        self.fleet.stop()
+        self.assertEqual(self.fleet.doubles, [])
+        self.assertEqual(self.fleet.network.crashes, [])
+
+    def assert_all_held(self):
+        self.assertEqual(self.fleet.unheld(), [])
+
+    def routes_of(self, host):
+        table = host.routes.table
+        return {row.owner for row in table.services[SERVICE]}
+
+
+class TestDealingOut(FleetCase):
+    def test_all_keys_are_held_and_all_hosts_know_by_whom(self):
+        self.assert_all_held()
+        for host in self.fleet.hosts:
+            self.assertEqual(self.routes_of(host), set(self.fleet.targets))
+
+    def test_one_host_leads_and_the_others_follow_it(self):
+        leader = self.fleet.leader()
+        self.assertEqual(
+            {h.leadership.leader for h in self.fleet.hosts}, {leader.hosts.me()}
+        )
+
+
+class TestLeavingTargets(FleetCase):
+    def leave(self, name):
+        self.fleet.records[name] = record(name, TargetState.LEAVING)
+
+    def test_a_leaving_target_has_no_keys_within_the_bound_and_hands_them_over(self):
+        self.leave("t0")
+        self.fleet.run_for(1.5)
+        self.assertEqual(self.fleet.targets["t0"].held(), set())
+        self.assert_all_held()
+        ranges = self.fleet.leader().leadership.ownership.services[SERVICE].ranges
+        self.assertTrue(
+            any((r.handover or "").startswith("handover-t0") for r in ranges)
+        )
+
+    def test_keys_stay_with_a_leaving_target_while_the_store_is_silent(self):
+        self.fleet.platform.faults.silent = True
+        self.fleet.run_for(3)
+        self.leave("t0")
+        self.fleet.run_for(3)
+        self.assert_all_held()
+
+    def test_a_target_that_leaves_orders_unanswered_and_obeys_late_owns_nothing_twice(
+        self,
+    ):
+        self.fleet.targets["t1"].late_s = 3.0
+        self.fleet.run_for(8)
+        self.fleet.targets["t1"].late_s = 0.0
+        self.fleet.run_for(4)
+        self.assert_all_held()
+
+
+class TestLostTargets(FleetCase):
+    def test_a_silent_target_loses_its_keys_once_its_holds_have_lapsed(self):
+        self.fleet.targets["t0"].silent = True
+        self.fleet.run_for(6)
+        self.assert_all_held()
+
+    def test_a_target_that_starts_again_under_its_id_gets_higher_fences(self):
+        target = self.fleet.targets["t0"]
+        before = max(fence for fence, _ in target.holds.values())
+        target.holds.clear()
+        target.fences.clear()
+        self.fleet.records["t0"] = record("t0", born_ms=2)
+        self.fleet.run_for(2)
+        self.assert_all_held()
+        fences = {fence for fence, _ in target.holds.values()}
+        self.assertTrue(all(fence > before for fence in fences))
+
+    def test_a_target_that_answers_again_may_own_keys_again(self):
+        self.fleet.targets["t0"].silent = True
+        self.fleet.run_for(6)
+        self.fleet.targets["t0"].silent = False
+        self.fleet.run_for(3)
+        keeper = self.fleet.leader().keeper
+        self.assertIn("t0", {r.target_id for r in keeper._ready(SERVICE)})
+
+
+class TestLostLeaders(FleetCase):
+    def test_a_killed_leader_is_replaced_before_any_hold_lapses(self):
+        lost = self.fleet.leader()
+        lost.kill()
+        self.fleet.hosts.remove(lost)
+        worst = 0
+        for _ in range(40):
+            self.fleet.run_for(0.1)
+            worst = max(worst, len(self.fleet.unheld()))
+        self.assertEqual(worst, 0)
+        self.assertIsNotNone(self.fleet.leader())
+
+    def test_a_leader_that_stands_still_changes_nothing_when_it_wakes(self):
+        frozen = self.fleet.leader()
+        frozen.process.pause()
+        self.fleet.run_for(5)
+        self.fleet.targets["t0"].silent = True
+        self.fleet.run_for(10)
+        frozen.process.resume()
+        self.fleet.run_for(5)
+        self.assertFalse(frozen.leadership.leading)
+        self.assert_all_held()
+
+    def test_a_leader_that_resigns_is_replaced_at_once(self):
+        leader = self.fleet.leader()
+        leader.hosts.leaving = True
+        eventlet.spawn(leader.leadership.resign)
+        self.fleet.run_for(1)
+        self.assertIsNot(self.fleet.leader(), leader)
+        self.assert_all_held()
+
+    def test_a_leader_without_the_store_keeps_the_keys_held(self):
+        self.fleet.platform.faults.silent = True
+        self.fleet.run_for(9)
+        self.assert_all_held()
+        self.fleet.platform.faults.silent = False
+        self.fleet.run_for(3)
+        self.assert_all_held()
+
+    def test_a_new_leader_waits_for_a_silent_former_one_before_it_moves_keys(self):
+        former = self.fleet.leader()
+        others = [h.process.machine for h in self.fleet.hosts if h is not former]
+        self.fleet.network.cut({former.process.machine}, set(others))
+        self.fleet.run_for(3)
+        new = next(
+            h for h in self.fleet.hosts if h is not former and h.leadership.leading
+        )
+        # The new leader does not reach a target that the former one still serves.
+        new.orders._reaches = lambda name: name != "t0"
+        self.fleet.run_for(5)
+        self.assertIn("t0", self.routes_of(former))
+        self.fleet.run_for(20)
+        self.assertNotIn(
+            "t0", {r.owner for r in new.leadership.ownership.services[SERVICE].ranges}
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/fakes/network.py
+++ b/tests/fakes/network.py
@@ -160,7 +160,7 @@
             raise PeerTimeout(f"{peer.host_id} is silent") from None
         except PersimmonspokeError as exc:
             raise PeerRefused(f"{type(exc).__name__}: {exc}") from exc
-        return codec.decode(answer)
+        return codec.decode(answer) if answer else None
 
     def answer(self, peer, data):
         """Answer one message that was sent to the run `peer`."""
@@ -169,10 +169,25 @@
         message = codec.decode(data)
         if type(message) not in self._handlers:
             raise PeerRefused("not served yet")
-        answer = codec.encode(self._handlers[type(message)](message))
+        returned = self._handlers[type(message)](message)
+        answer = b"" if returned is None else codec.encode(returned)
         self.bytes_sent += len(answer)
         return answer
 
+    def post(self, peer, message):
+        """Send `message` without an answer."""
+        deadline = self._process_clock_deadline()
+        eventlet.spawn_n(self._post, peer, message, deadline)
+
+    def _process_clock_deadline(self):
+        return self.process.local(virtual_hub.now()) + 1.0
+
+    def _post(self, peer, message, deadline):
+        try:
+            self.call(peer, message, deadline)
+        except PersimmonspokeError:
+            return
+
     def probe(self, peer, deadline):
         """Find out whether that run of the peer can still be alive."""
         there = self.network.links[peer.ip, peer.port]
--- /dev/null
+++ b/tests/fakes/range_fleet.py
@@ -0,0 +1,174 @@
+"""Hosts that keep key ranges together, over fakes and in virtual time."""
+
+import eventlet
+
+from persimmonspoke.ids import HostId
+from persimmonspoke.internal.fleet.hosts import HOSTS_PREFIX, Hosts
+from persimmonspoke.internal.fleet.leadership import Leadership
+from persimmonspoke.internal.fleet.messages import HostEntry
+from persimmonspoke.internal.fleet.reporter import Reporter
+from persimmonspoke.internal.fleet.settings import FleetSettings
+from persimmonspoke.internal.news.board import NewsBoard
+from persimmonspoke.internal.peers.api import PeerAddress
+from persimmonspoke.internal.ranges.keeper import Keeper
+from persimmonspoke.internal.ranges.routes import RangeRoutes
+from persimmonspoke.internal.ranges.settings import RangeSettings
+from persimmonspoke.internal.routing.config import (
+    RoutedService,
+    RoutingConfig,
+    TargetRecord,
+    TargetState,
+)
+from persimmonspoke.internal.routing.state import RoutingState
+from persimmonspoke.internal.routing.table import RouteTable
+from tests.fakes import virtual_hub
+from tests.fakes.network import FakeLink, FakeNetwork
+from tests.fakes.process import FakeClock, FakeProcess
+from tests.fakes.range_targets import (
+    SAMPLED_KEYS,
+    FakeRangeOrders,
+    FakeRangeTarget,
+)
+from tests.fakes.store import FakePlatformStore, FakeStore
+
+SERVICE = "stock"
+
+
+def record(name, state=TargetState.READY, born_ms=1, slots=2):
+    """Return a target's registration."""
+    return TargetRecord(
+        target_id=name,
+        service=SERVICE,
+        ip="10.1.0.1",
+        port=1,
+        data_centre="a",
+        slots=slots,
+        state=state,
+        born_ms=born_ms,
+    )
+
+
+class RangeHost:
+    """One host: its process, leadership, keeper and routes."""
+
+    def __init__(self, fleet, number):
+        self.process = FakeProcess(f"h{number}.{fleet.runs}", f"10.0.0.{number}")
+        self.clock = FakeClock(self.process)
+        address = PeerAddress(HostId(self.process.name), self.process.machine, 7000)
+        self.store = FakeStore(fleet.platform, self.process)
+        self.link = FakeLink(fleet.network, self.process, address)
+        self.board = NewsBoard(self.clock)
+        cfg = FleetSettings()
+        entry = HostEntry(address, f"h{number}", "a")
+        self.hosts = Hosts(entry, cfg, self.clock, self.store, self.board)
+        self.leadership = Leadership(cfg, self.clock, self.store, self.link, self.hosts)
+        self.state = RoutingState(
+            self.board, self.clock, "config/main", "servers/", None, None, lambda: None
+        )
+        self.state.table = RouteTable(fleet.config)
+        self.state.targets = fleet.records
+        self.routes = RangeRoutes(self.state, self.clock)
+        self.reporter = Reporter(
+            cfg,
+            self.clock,
+            self.link,
+            self.hosts,
+            self.leadership,
+            self.routes,
+            lambda: 0.0,
+        )
+        self.orders = FakeRangeOrders(self.process, fleet.targets)
+        self.keeper = Keeper(
+            RangeSettings(),
+            self.clock,
+            self.leadership,
+            self.state,
+            self.orders,
+            self.reporter.publish,
+        )
+        self.reporter.keeper = self.keeper
+        self.tasks = []
+
+    def start(self, fleet):
+        """Register, and begin all tasks."""
+        self.tasks = [
+            eventlet.spawn(run)
+            for run in (
+                self.hosts.register,
+                self.leadership.run,
+                self.reporter.run,
+                lambda: self._read_hosts(fleet),
+            )
+        ]
+
+    def kill(self):
+        """End the process where it stands."""
+        self.process.kill()
+        for task in self.tasks:
+            task.kill()
+        self.keeper._on_stop()
+
+    def _read_hosts(self, fleet):
+        while True:
+            for stored in fleet.platform.list(HOSTS_PREFIX).items:
+                self.board.observe(stored)
+            eventlet.sleep(0.1)
+
+
+class RangeFleet:
+    """Some hosts, some targets, and a check that no key has two holders."""
+
+    def __init__(self, hosts=3, targets=4):
+        self.network = FakeNetwork()
+        self.platform = FakePlatformStore()
+        self.runs = 1
+        self.targets = {
+            f"t{number}": FakeRangeTarget(f"t{number}") for number in range(targets)
+        }
+        self.records = {name: record(name) for name in self.targets}
+        service = RoutedService(SERVICE, 100, True)
+        self.config = RoutingConfig(1, (), {SERVICE: service})
+        self.hosts = [RangeHost(self, number) for number in range(hosts)]
+        self.doubles = []
+        self._watch = eventlet.spawn(self._look)
+        for host in self.hosts:
+            host.start(self)
+
+    def stop(self):
+        """End all tasks."""
+        self._watch.kill()
+        for host in self.hosts:
+            host.kill()
+
+    def leader(self):
+        """Return the host that leads, or None."""
+        leading = [h for h in self.hosts if h.leadership.may_order()]
+        return leading[0] if leading else None
+
+    def unheld(self):
+        """Return the sampled keys that no target holds now."""
+        held = set().union(*(t.held() for t in self.targets.values()))
+        return [key for key in SAMPLED_KEYS if key not in held]
+
+    def run_for(self, seconds):
+        """Let virtual time pass."""
+        eventlet.sleep(seconds)
+
+    def restart(self, host):
+        """Start a new run on a host's machine."""
+        self.runs += 1
+        number = self.hosts.index(host)
+        self.hosts[number] = RangeHost(self, number)
+        self.hosts[number].start(self)
+        return self.hosts[number]
+
+    def _look(self):
+        """Note every key that two targets hold at one time."""
+        while True:
+            seen = {}
+            for name, target in self.targets.items():
+                for key in target.held():
+                    if key in seen:
+                        self.doubles.append((virtual_hub.now(), key, seen[key], name))
+                    seen[key] = name
+            eventlet.sleep(0.02)
