Admit to a queue only what can be answered before its objective

Ruled out: a shorter queue by count; services differ in their times. Change: a request joins a queue if even a long answer would come in time; what is late already goes behind what is not, and joins short queues only. The runner of the tests now takes one process a module.

--- a/src/persimmonspoke/daemon/routed.py
+++ b/src/persimmonspoke/daemon/routed.py
@@ -133,8 +133,23 @@
         self._server = None
         self._ended = eventlet.event.Event()
 
+    def _measure(self):
+        """Serve what is read at the time of asking, besides what requests count."""
+        for name, read in (
+            ("desk.waiting", self.scheduler.waiting),
+            ("desk.in_use", self.scheduler.in_use),
+            ("store.calls", lambda: self.store.calls),
+            ("store.age_seconds", self.store_age_s),
+            ("leading", lambda: int(self.leadership.leading)),
+            ("key.moves", lambda: self.keeper.moves),
+            ("peers.bytes_sent", lambda: self.link.bytes_sent),
+            ("in_hand", lambda: self.gate.in_hand),
+        ):
+            self.metrics.gauge(name, read)
+
     def run(self) -> int:
         """Serve until `stop` has done its work."""
+        self._measure()
         serve_news(self.link, self.board, self, self.clock)
         relays = RelayReader(
             self.host_id,
--- a/src/persimmonspoke/daemon/routed_main.py
+++ b/src/persimmonspoke/daemon/routed_main.py
@@ -65,6 +65,7 @@
         print(f"cannot listen: {exc}", file=sys.stderr)
         return ExitStatus.FAILED
     handler = start_bounded_logs(cfg.observe.log_level, daemon.host_id, daemon.clock)
+    daemon.metrics.gauge("log.lines_dropped", lambda: handler.dropped)
     # A handler runs between two steps of any task, so it only starts a new one.
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: eventlet.spawn(daemon.stop))
--- a/src/persimmonspoke/internal/desk/desk.py
+++ b/src/persimmonspoke/internal/desk/desk.py
@@ -35,21 +35,31 @@
 
 @dataclass(slots=True, eq=False)
 class Waiting:
-    """A request in a queue of the desk."""
+    """A request in a queue of the desk.
+
+    Attributes
+    ----------
+    late : bool
+        Whether it misses its objective even if it starts at once.
+    """
 
     ask: Ask
     asked_at: Instant
     objective: Instant
     deadline: Instant
+    late: bool
 
     @property
     def name(self) -> tuple[HostId, int]:
         """Return what names the request among those of all hosts."""
         return self.ask.host, self.ask.serial
 
-    def turn(self) -> tuple[int, Instant]:
-        """Return what the queue is sorted by: rank, then the nearest objective."""
-        return self.ask.rank, self.objective
+    def turn(self) -> tuple[int, bool, Instant]:
+        """Return what the queue is sorted by: rank, then the nearest objective.
+
+        What is late already goes behind what can still be in time.
+        """
+        return self.ask.rank, self.late, self.objective
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,6 +125,7 @@
             now,
             Instant(now + ask.objective_left_s),
             Instant(now + ask.left_s),
+            ask.objective_left_s < self._least_s(ask.owner),
         )
         if entry.name in self._waiting or entry.name in self._loans:
             return
@@ -197,12 +208,12 @@
         if wait_s <= 0:
             return True
         service_s = self._least_s(entry.ask.owner)
-        ends_in_s = wait_s + service_s
-        if entry.ask.objective_left_s < service_s:
-            # It will be late whatever happens; it goes where there is room.
-            return wait_s <= self._cfg.late_wait_s and ends_in_s <= entry.ask.left_s
-        late_s = self._cfg.late_share * (entry.ask.left_s - entry.ask.objective_left_s)
-        return ends_in_s <= entry.ask.objective_left_s + max(0.0, late_s)
+        if entry.late:
+            # It goes where there is room, and takes nobody's chance.
+            in_time = wait_s + service_s <= entry.ask.left_s
+            return in_time and wait_s <= self._cfg.late_wait_s
+        ends_in_s = wait_s + self._cfg.long_factor * service_s
+        return ends_in_s <= entry.ask.objective_left_s
 
     def _expected_wait_s(self, queue, entry, now) -> float | None:
         """Return how long the request would wait; None if nobody can tell."""
--- a/src/persimmonspoke/internal/desk/settings.py
+++ b/src/persimmonspoke/internal/desk/settings.py
@@ -23,9 +23,9 @@
         How old a loan must be before a host that does not name it has lost it.
     forget_s : float
         How long a silent host's loans are counted.
-    late_share : float
-        How far into the time between objective and deadline a request may be
-        expected to end and still be admitted to a queue.
+    long_factor : float
+        Length of a long answer, in usual ones: a request joins a queue if even a
+        long answer would come before its objective.
     late_wait_s : float
         Longest queue that a request joins which misses its objective anyway.
     stuck_factor, stuck_s : float
@@ -51,7 +51,7 @@
     avoid_s: Seconds = 1.0
     grace_s: Seconds = 0.3
     forget_s: Seconds = 1.2
-    late_share: Share = 0.25
+    long_factor: Annotated[float, Field(ge=1)] = 2.2  # nine of ten and the queue's own spread
     late_wait_s: Seconds = 0.1
     stuck_factor: Seconds = 5.0
     stuck_s: Seconds = 0.3
--- a/tests/run.py
+++ b/tests/run.py
@@ -1,12 +1,13 @@
-"""Run every group of tests and print one verdict.
+"""Run every module of tests and print one verdict.
 
-Each group runs in its own process, because the groups in ``cover`` and ``slow``
-replace eventlet's hub by one whose time is virtual, and ``loopback`` needs real
-sockets and the real hub.  Tests listed in ``KNOWN-RED.txt`` are run as well: a
-failure there is printed and passed over, and a success there is a failure,
+Each module runs in its own process, a few at a time.  Those in ``cover`` and ``slow``
+and the features replace eventlet's hub by one whose time is virtual, and ``loopback``
+needs real sockets and the real hub.  Tests listed in ``KNOWN-RED.txt`` are run as
+well: a failure there is printed and passed over, and a success there is a failure,
 because the list is then out of date.
 """
 
+import os
 import pathlib
 import re
 import subprocess
@@ -15,7 +16,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-GROUPS = ("cover", "slow", "loopback", "features")
+GROUPS = ("slow", "features", "cover", "loopback")
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 LIMIT_S = 1200
 REPORT = re.compile(r"^(passed|failed|red) (.+)$", re.MULTILINE)
@@ -46,14 +47,26 @@
         return set(ids) | {test.id() for test in self.unexpectedSuccesses}
 
 
-def run_unittest(group):
-    """Run one group of unittest modules; return ids as (ran, bad)."""
+def modules():
+    """Return all modules as (group, name), the slow groups first."""
+    found = []
+    for group in GROUPS:
+        if group == "features":
+            paths = sorted((ROOT / group).glob("*.feature"))
+        else:
+            paths = sorted((ROOT / "tests" / group).glob("test_*.py"))
+        found += [(group, path.name) for path in paths]
+    return found
+
+
+def run_unittest(group, name):
+    """Run one unittest module; return ids as (ran, bad)."""
     if group != "loopback":
         from tests.fakes import virtual_hub
 
         virtual_hub.install()
     suite = unittest.defaultTestLoader.discover(
-        str(ROOT / "tests" / group), top_level_dir=str(ROOT)
+        str(ROOT / "tests" / group), pattern=name, top_level_dir=str(ROOT)
     )
     runner = unittest.TextTestRunner(resultclass=_NamingResult, verbosity=1)
     result = runner.run(suite)
@@ -61,15 +74,17 @@
     return set(result.ran) | result.bad(), result.bad()
 
 
-def run_features():
-    """Run the scripted scenarios; return ids as (ran, bad)."""
+def run_features(name):
+    """Run the scripted scenarios of one file; return ids as (ran, bad)."""
     from behave.configuration import Configuration
     from behave.runner import Runner
 
     from tests.fakes import virtual_hub
 
     virtual_hub.install()
-    cfg = Configuration(["--no-capture", "--format=progress", str(ROOT / "features")])
+    cfg = Configuration(
+        ["--no-capture", "--format=progress", str(ROOT / "features" / name)]
+    )
     runner = Runner(cfg)
     runner.run()
     ran, bad = set(), set()
@@ -82,20 +97,20 @@
     return ran, bad
 
 
-def report_group(group):
-    """Run one group in this process and print a line for each test."""
-    ran, bad = run_features() if group == "features" else run_unittest(group)
-    for name in sorted(ran):
-        print("failed" if name in bad else "passed", name)
+def report_module(group, name):
+    """Run one module in this process and print a line for each test."""
+    ran, bad = run_features(name) if group == "features" else run_unittest(group, name)
+    for test in sorted(ran):
+        print("failed" if test in bad else "passed", test)
 
 
-def run_group(group):
-    """Run one group in a process of its own; return its status and output.
+def run_module(module):
+    """Run one module in a process of its own; return its status and output.
 
-    A group that hangs is ended and counts as failed.  No group comes near the limit,
+    A module that hangs is ended and counts as failed.  None comes near the limit,
     so the clock decides no verdict of a run that works.
     """
-    command = [sys.executable, "-W", "ignore", "-m", "tests.run", group]
+    command = [sys.executable, "-W", "ignore", "-m", "tests.run", *module]
     try:
         done = subprocess.run(
             command, cwd=ROOT, stdout=subprocess.PIPE, text=True, timeout=LIMIT_S
@@ -106,15 +121,16 @@
 
 
 def main():
-    """Run all groups, print the totals, and return the exit status."""
+    """Run all modules, print the totals, and return the exit status."""
     allowed = known_red()
     passed, failed, seen_red = [], [], []
-    with ThreadPoolExecutor(len(GROUPS)) as pool:
-        outputs = list(pool.map(run_group, GROUPS))
-    for group, (status, output) in zip(GROUPS, outputs, strict=True):
+    found = modules()
+    with ThreadPoolExecutor(max(2, (os.cpu_count() or 2) - 1)) as pool:
+        outputs = list(pool.map(run_module, found))
+    for (group, module), (status, output) in zip(found, outputs, strict=True):
         rows = REPORT.findall(output)
-        if status != 0:
-            failed.append(f"{group}: the runner ended with {status}")
+        if status != 0 or not rows:
+            failed.append(f"{group}/{module}: the runner ended with {status}")
             print(output)
         for verdict, name in rows:
             if name in allowed and verdict == "failed":
@@ -136,6 +152,6 @@
 
 if __name__ == "__main__":
     if len(sys.argv) > 1:
-        report_group(sys.argv[1])
+        report_module(*sys.argv[1:])
     else:
         sys.exit(main())
