--- a/src/persimmonspoke/internal/callers/attempts.py
+++ b/src/persimmonspoke/internal/callers/attempts.py
@@ -19,7 +19,7 @@
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.observe.api import Metrics
 from persimmonspoke.internal.ownership.api import Route, Routes
-from persimmonspoke.internal.routing.state import precedence_of
+from persimmonspoke.internal.routing.state import kind_of, precedence_of
 from persimmonspoke.internal.scheduling.api import (
     Scheduler,
     Slot,
@@ -195,6 +195,7 @@
             deadline=req.deadline,
             urgency=precedence_of(req.route) if req.route else None,
             objective=req.objective,
+            kind=kind_of(req.route) if req.route else "",
         )
         if req.key is not None:
             self._observer.asked(req.entry.service.service, req.key)
--- a/src/persimmonspoke/internal/desk/messages.py
+++ b/src/persimmonspoke/internal/desk/messages.py
@@ -21,6 +21,8 @@
         Number of the request on its host.
     rank : int
         Whose turn comes first; 0 goes first.
+    kind : str
+        Requests of one kind take about the same time.
     objective_left_s, left_s : float
         Time until the request's objective, which may have passed, and until its
         deadline.
@@ -35,6 +37,7 @@
     service: ServiceId
     serial: int
     rank: int
+    kind: str
     objective_left_s: float
     left_s: float
     owner: TargetId | None
@@ -104,8 +107,8 @@
 
     Attributes
     ----------
-    in_use : list of (int, TargetId)
-        Serials of requests that use slots, and their targets.
+    in_use : list of (int, TargetId, str)
+        Serials of requests that use slots, their targets and their kinds.
     waiting : list of int
         Serials of requests that wait.
     """
--- a/src/persimmonspoke/internal/routing/state.py
+++ b/src/persimmonspoke/internal/routing/state.py
@@ -247,3 +247,11 @@
 def precedence_of(route: RouteConfig) -> Precedence:
     """Return whose turn comes first when slots are short."""
     return Precedence(min(max(route.rank, 0), Precedence.LOW.value))
+
+
+def kind_of(route: RouteConfig) -> str:
+    """Return a name that routes share whose requests are alike.
+
+    Operators give routes to one kind of work the same objective and rank.
+    """
+    return f"{route.rank}/{route.objective_s:g}/{route.kind.value}"
--- a/src/persimmonspoke/internal/scheduling/api.py
+++ b/src/persimmonspoke/internal/scheduling/api.py
@@ -24,6 +24,8 @@
     """Whose turn it is, where a route says so instead of the service."""
     objective: Instant | None = None
     """Until when an answer is worth most, where a route says so."""
+    kind: str = ""
+    """Requests of one kind take about the same time."""
 
     @property
     def precedence(self) -> Precedence:
