Evacuate a leaving target by one release; keep the number of ranges small

Cause: moves had cut the keys into hundreds of ranges. Change: one release and one commit for all ranges of a target; changes are worked out from the ranges concerned; neighbours with one owner become one grant, and idle pieces are given back; a host sends a leaving owner nothing after 1.4 s.

--- a/src/persimmonspoke/daemon/routed.py
+++ b/src/persimmonspoke/daemon/routed.py
@@ -100,7 +100,7 @@
         self.leadership = Leadership(
             cfg.fleet, self.clock, self.store, self.link, self.hosts
         )
-        self.routes = RangeRoutes(self.state, self.clock)
+        self.routes = RangeRoutes(self.state, self.clock, cfg.ranges.leaving_grace_s)
         self.leadership.on_record = self.routes.take_record
         self.reporter = Reporter(
             cfg.fleet,
--- a/src/persimmonspoke/internal/desk/settings.py
+++ b/src/persimmonspoke/internal/desk/settings.py
@@ -40,8 +40,6 @@
         Repeats allowed, as a share of the requests of this host.
     retry_burst : float
         Repeats that a service may save up on this host.
-    leaving_grace_s : float
-        How long a leaving owner of keys may still get requests.
     """
 
     model_config = ConfigDict(extra="forbid", frozen=True)
@@ -61,4 +59,3 @@
     far_factor: Annotated[float, Field(ge=1)] = 1.5
     retry_share: Share = 0.1
     retry_burst: Annotated[float, Field(ge=1)] = 4.0
-    leaving_grace_s: Seconds = 1.2
--- a/src/persimmonspoke/internal/fleet/reporter.py
+++ b/src/persimmonspoke/internal/fleet/reporter.py
@@ -99,7 +99,6 @@
         self._routes = routes
         self._store_age_s = store_age_s
         self._seen: dict[HostId, _Seen] = {}
-        self._newest: RangeTable | None = None
         self._fleet = 0
         self._listed: tuple[HostEntry, ...] = ()
         self.keeper: Keeper | None = None
@@ -118,12 +117,10 @@
                 self._call(self._leadership.leader)
             self._clock.sleep_until(report_at)
 
-    def publish(self, table: RangeTable, change: TableChange | None) -> None:
-        """Tell all hosts of a new table, by what has changed in it."""
-        self._routes.take(table)
-        self._newest = table
-        if change is None:
-            return
+    def publish(self, change: TableChange) -> None:
+        """Tell all hosts what has changed in the leader's table."""
+        if not self._routes.change(change):
+            self._routes.take(self.keeper.table())
         for seen in self._seen.values():
             if seen.entry.address != self._hosts.me():
                 self._link.post(seen.entry.address, change)
@@ -191,12 +188,12 @@
         self._hosts.heard(host_id)
         self.keeper.on_report(report)
         number, hosts = self._present(now)
-        newest = self._newest
-        behind = newest is not None and newest.age_key() > (report.epoch, report.serial)
+        newest = self.keeper.table()
+        behind = newest.age_key() > (report.epoch, report.serial)
         return LeaderReply(
             leader=address_fields(self._hosts.me()),
             epoch=self._leadership.epoch,
-            serial=newest.serial if newest is not None else 0,
+            serial=newest.serial,
             fleet=number,
             hosts=None if report.fleet == number else hosts,
             table=_plain_rows(newest) if behind else None,
--- a/src/persimmonspoke/internal/ranges/granter.py
+++ b/src/persimmonspoke/internal/ranges/granter.py
@@ -126,9 +126,11 @@
             )
         return False
 
-    def grant_held(self, entry: KeyRange) -> None:
-        """Grant keys whose hold is not lifted yet, because their owner is new."""
-        self._try(entry, new=True)
+    def grant_all_held(self, entries: list[KeyRange]) -> None:
+        """Grant keys whose holds are not lifted yet, because their owner is new."""
+        for entry in entries:
+            if self.trust is Trust.ANSWERS:
+                self._try(entry, new=True)
 
     def _try(self, entry, new=False):
         """Send the grant, and once more if the first one went unanswered."""
--- a/src/persimmonspoke/internal/ranges/keeper.py
+++ b/src/persimmonspoke/internal/ranges/keeper.py
@@ -30,10 +30,17 @@
 from persimmonspoke.internal.ranges.planner import (
     Seat,
     cut_evenly,
+    plan_merge,
     plan_move,
     utilisations,
 )
-from persimmonspoke.internal.ranges.ranges import KeyRange, RangeMap, divide_evenly
+from persimmonspoke.internal.ranges.ranges import (
+    FIRST_KEY,
+    LAST_KEY,
+    KeyRange,
+    RangeMap,
+    divide_evenly,
+)
 from persimmonspoke.internal.ranges.record import FENCES_PER_EPOCH
 from persimmonspoke.internal.ranges.settings import RangeSettings
 from persimmonspoke.internal.routing.config import TargetRecord, TargetState
@@ -46,6 +53,7 @@
 MOST_PIECES = 4  # into which a leaving target's range is cut
 STORE_SILENT_S = 1.5  # one confirmation missed
 UNKNOWN_S = -1.0
+LEAST_WORK = 0.01  # of a target's slots
 PROBE_S = 1.0  # between two questions to a silent target
 
 
@@ -74,7 +82,7 @@
     Parameters
     ----------
     publish : callable
-        Sends all hosts a table, or what has changed in it.
+        Tells all hosts, this one included, what has changed in the table.
     """
 
     def __init__(
@@ -84,7 +92,7 @@
         leadership: Leadership,
         state: RoutingState,
         orders: RangeOrders,
-        publish: Callable[[RangeTable, TableChange | None], None],
+        publish: Callable[[TableChange], None],
     ):
         self._cfg = cfg
         self._clock = clock
@@ -98,6 +106,7 @@
         self._tasks: set[eventlet.greenthread.GreenThread] = set()
         self._fences = 0
         self._serial = 0
+        self._table: RangeTable | None = None
         self._began_at: Instant | None = None
         self.moves = 0
         leadership.longest_grant_s = cfg.longest(cfg.outage_hold_s)
@@ -144,7 +153,7 @@
         if not self.is_current(service, entry):
             return None
         new = replace(entry, fence=self._next_fence(), handover=None)
-        self._leadership.amend(_replacing(service, new, self._serial))
+        self._leadership.amend(_replacing(service, [new], self._serial))
         self._changed(service, new.first, new.last)
         return new
 
@@ -183,17 +192,18 @@
 
     def table(self) -> RangeTable:
         """Return who owns which keys now."""
-        now = self._clock.now()
-        services = self._leadership.ownership.services
-        return RangeTable(
-            leader=self._leadership.leader,
-            epoch=self._leadership.epoch,
-            serial=self._serial,
-            services={
-                service: tuple(sorted(self._rows(service, ranges, now), key=_by_first))
-                for service, ranges in services.items()
-            },
-        )
+        if self._table is None or self._table.serial != self._serial:
+            ownership = self._leadership.ownership
+            self._table = RangeTable(
+                leader=self._leadership.leader,
+                epoch=self._leadership.epoch,
+                serial=self._serial,
+                services={
+                    service: tuple(self._rows(service, FIRST_KEY, LAST_KEY))
+                    for service in ownership.services
+                },
+            )
+        return self._table
 
     def busy(self) -> dict[ServiceId, dict[TargetId, float]]:
         """Return each target's utilisation, for the metrics and the dump."""
@@ -203,26 +213,23 @@
             if (ranges := self._map(service)) is not None
         }
 
-    def _rows(self, service, ranges, now):
-        for entry in ranges.ranges:
-            holds = [
-                hold
-                for hold in self._holds
-                if hold.service == service and entry.overlaps(hold.first, hold.last)
+    def _rows(self, service, first, last) -> list[RouteRow]:
+        """Return the rows of the keys from `first` to `last`."""
+        now = self._clock.now()
+        holds = [
+            hold
+            for hold in self._holds
+            if hold.service == service and hold.first <= last and first <= hold.last
+        ]
+        rows = []
+        for entry in self._map(service).between(first, last):
+            near = [hold for hold in holds if entry.overlaps(hold.first, hold.last)]
+            rows += [
+                RouteRow(part.first, part.last, part.owner, part.fence, 0.0)
+                for part in _without(entry, near)
             ]
-            for part in _without(entry, holds):
-                yield RouteRow(part.first, part.last, part.owner, part.fence, 0.0)
-            for hold in holds:
-                left_s = UNKNOWN_S
-                if hold.opens_at is not None:
-                    left_s = max(0.001, hold.opens_at - now)
-                yield RouteRow(
-                    max(entry.first, hold.first),
-                    min(entry.last, hold.last),
-                    None,
-                    entry.fence,
-                    left_s,
-                )
+            rows += [_held_row(entry, hold, now) for hold in near]
+        return sorted(rows, key=_by_first)
 
     # Leading.
 
@@ -232,9 +239,10 @@
         self._holds = []
         self._granters = {}
         self._began_at = self._clock.now()
+        self._table = None
         for service in self._leadership.ownership.services:
             self._start_granters(service)
-        self._changed()
+            self._changed(service, FIRST_KEY, LAST_KEY)
         self._spawn(self._run)
 
     def _on_stop(self):
@@ -265,11 +273,20 @@
                 continue
             self._start_granters(service)
             self._probe_silent(service, ranges)
-            for entry in ranges.ranges:
-                if not self._is_held(service, entry) and self._must_move(
-                    service, entry
-                ):
-                    self._move_away(service, entry)
+            for target_id in ranges.owners():
+                self._tend_target(service, target_id)
+
+    def _tend_target(self, service, target_id):
+        """Move all that a target owns, if it must not own it any more."""
+        entries = self._map(service).owned_by(target_id)
+        must = [entry for entry in entries if self._must_move(service, entry)]
+        free = [entry for entry in must if not self._is_held(service, entry)]
+        if not free:
+            return
+        holds = [Hold(service, entry.first, entry.last) for entry in free]
+        self._holds += holds
+        self._changed(service, free[0].first, free[-1].last)
+        self._spawn(self._evacuate, service, target_id, free, holds)
 
     def _must_move(self, service, entry):
         record = self._state.targets.get(entry.owner)
@@ -319,19 +336,102 @@
             extra={"service": service, "targets": len(ready)},
         )
         self._start_granters(service)
-        self._changed()
+        self._changed(service, FIRST_KEY, LAST_KEY)
 
-    def _move_away(self, service, entry):
-        """Take a range from its owner, and spread it over others."""
-        record = self._state.targets.get(entry.owner)
-        reborn = record is not None and record.born_ms != entry.born_ms
-        pieces = (entry,)
-        if not reborn:
+    def _evacuate(self, service, target_id, entries, holds):
+        """Give all ranges of one target to others: one release, and one commit."""
+        first, last = entries[0].first, entries[-1].last
+        record = self._state.targets.get(target_id)
+        reborn = record is not None and record.born_ms != entries[0].born_ms
+        try:
+            handover = None
+            if not reborn:
+                whole = replace(entries[0], last=last)
+                handover = self._take_back(holds, whole)
+            given = self._share_out(service, target_id, entries, reborn, handover)
+            self._leadership.commit(_replacing(service, given, self._serial))
+            self._grant_given(service, given)
+            log.info(
+                "ranges: target evacuated",
+                extra={
+                    "service": service,
+                    "target": target_id,
+                    "ranges": len(entries),
+                    "first": first,
+                    "last": last,
+                    "to": sorted({entry.owner for entry in given}),
+                    "fence": given[0].fence,
+                    "warm": handover is not None,
+                    "reborn": reborn,
+                },
+            )
+        except (StoreError, AuthorityLapsed, NoOwnerYet) as exc:
+            log.warning(
+                "ranges: target not evacuated",
+                extra={"service": service, "target": target_id, "reason": repr(exc)},
+            )
+            self._clock.sleep_until(Instant(self._clock.now() + self._cfg.retry_s))
+        finally:
+            self._lift(service, holds, first, last)
+
+    def _share_out(self, service, target_id, entries, reborn, handover):
+        """Return the ranges with new owners, so that none gets too much."""
+        if reborn:
+            owners = [(entry, self._state.targets[target_id]) for entry in entries]
+        else:
+            owners = self._deal(service, target_id, entries)
+        return [
+            KeyRange(
+                entry.first,
+                entry.last,
+                record.target_id,
+                record.born_ms,
+                self._next_fence(),
+                handover,
+            )
+            for entry, record in owners
+        ]
+
+    def _deal(self, service, target_id, entries):
+        """Return pieces of ranges, each with the target that has most room for it."""
+        ready = self._ready(service)
+        others = [record for record in ready if record.target_id != target_id] or ready
+        if not others:
+            raise NoOwnerYet(f"service {service} has no target that takes keys")
+        seats = tuple(Seat(r.target_id, r.slots) for r in others)
+        busy = utilisations(service, self._map(service), seats, self._loads)
+        count = max(1, min(MOST_PIECES, len(others)) // len(entries))
+        dealt = []
+        for entry in entries:
             keys = self._loads.keys(service, entry)
-            count = min(MOST_PIECES, len(self._ready(service)))
-            pieces = cut_evenly(entry, keys, count)
-        for piece in pieces:
-            self._start_move(service, piece, None, reborn)
+            for piece in cut_evenly(entry, keys, count):
+                best = min(others, key=lambda r: (busy[r.target_id], r.target_id))
+                rate = self._loads.rate(service, piece)
+                work = rate * self._loads.service_s(best.target_id) / best.slots
+                # Even an idle piece counts a little, or all would go to one target.
+                busy[best.target_id] += work + LEAST_WORK
+                dealt.append((piece, best))
+        return dealt
+
+    def _grant_given(self, service, given):
+        """Grant ranges to their new owners, to several at a time."""
+        by_owner: dict[TargetId, list[KeyRange]] = {}
+        for entry in given:
+            by_owner.setdefault(entry.owner, []).append(entry)
+        tasks = []
+        for target_id, entries in by_owner.items():
+            record = self._state.targets.get(target_id)
+            if record is not None:
+                granter = self._granter(service, record)
+                tasks.append(eventlet.spawn(granter.grant_all_held, entries))
+        for task in tasks:
+            task.wait()
+
+    def _lift(self, service, holds, first, last):
+        """Lift holds, and tell all hosts."""
+        left = set(map(id, holds))
+        self._holds = [hold for hold in self._holds if id(hold) not in left]
+        self._changed(service, first, last)
 
     def _plan(self):
         """Even out the targets' load by planned moves."""
@@ -343,7 +443,7 @@
             for _ in range(self._cfg.moves):
                 if ranges is None or self._moving(service) >= self._cfg.moves:
                     break
-                move = plan_move(
+                given = (
                     service,
                     ranges,
                     self._seats(service),
@@ -351,21 +451,22 @@
                     self._occupied(service),
                     [(h.first, h.last) for h in self._holds if h.service == service],
                 )
+                move = plan_move(*given) or plan_merge(*given)
                 if move is None:
                     break
-                self._start_move(service, move.piece, move.to, False)
+                self._start_move(service, move.piece, move.to)
 
-    def _start_move(self, service, piece, to, reborn):
+    def _start_move(self, service, piece, to):
         hold = Hold(service, piece.first, piece.last, to)
         self._holds.append(hold)
         self._changed(service, hold.first, hold.last)
-        self._spawn(self._move, hold, piece, to, reborn)
+        self._spawn(self._move, hold, piece, to)
 
-    def _move(self, hold, piece, to, reborn):
+    def _move(self, hold, piece, to):
         """Give the held keys to another target, and lift the hold."""
         began = self._clock.now()
         try:
-            handover = None if reborn else self._take_back(hold, piece)
+            handover = self._take_back([hold], piece)
             new = self._give(hold, piece, to, handover)
             log.info(
                 "ranges: keys moved",
@@ -377,7 +478,6 @@
                     "to": new.owner,
                     "fence": new.fence,
                     "warm": handover is not None,
-                    "planned": to is not None,
                     "took_s": round(self._clock.now() - began, 3),
                 },
             )
@@ -395,15 +495,14 @@
             )
             self._clock.sleep_until(Instant(self._clock.now() + self._cfg.retry_s))
         finally:
-            if hold in self._holds:
-                self._holds.remove(hold)
-                self._changed(hold.service, hold.first, hold.last)
+            self._lift(hold.service, [hold], hold.first, hold.last)
 
-    def _take_back(self, hold, piece) -> str | None:
+    def _take_back(self, holds, piece) -> str | None:
         """Return once the owner holds the keys no more, with its handover if any."""
         if piece.owner is None:
             return None
-        address = self._address(hold.service, piece.owner)
+        service = holds[0].service
+        address = self._address(service, piece.owner)
         fence = self._next_fence()
         while True:
             if address is not None:
@@ -421,12 +520,13 @@
                             "reason": str(exc),
                         },
                     )
-            until = self._held_until(hold.service, piece.owner)
+            until = self._held_until(service, piece.owner)
             if self._clock.now() >= until:
                 return None
-            if hold.opens_at != until:
-                hold.opens_at = until
-                self._changed(hold.service, hold.first, hold.last)
+            if holds[0].opens_at != until:
+                for hold in holds:
+                    hold.opens_at = until
+                self._changed(service, piece.first, piece.last)
             pause = Instant(self._clock.now() + self._cfg.retry_s)
             self._clock.sleep_until(Instant(min(pause, until)))
 
@@ -452,11 +552,43 @@
             self._next_fence(),
             handover,
         )
-        self._leadership.commit(_replacing(hold.service, new, self._serial))
+        self._leadership.commit(_replacing(hold.service, [new], self._serial))
         granter = self._granter(hold.service, record)
-        granter.grant_held(new)
+        granter.grant_all_held([new])
+        self._join_around(hold, new)
         return new
 
+    def _join_around(self, hold, new):
+        """Make one grant of a range and those next to it that its owner has, too.
+
+        The owner keeps the keys, so its successor as leader need not know: it would
+        be refused the old fences, and give new ones.
+        """
+        ranges = self._map(hold.service)
+        first, last = new.first, new.last
+        if first > FIRST_KEY and self._may_join(hold, ranges.of(first - 1), new):
+            first = ranges.of(first - 1).first
+        if last < LAST_KEY and self._may_join(hold, ranges.of(last + 1), new):
+            last = ranges.of(last + 1).last
+        if (first, last) == (new.first, new.last):
+            return
+        whole = replace(
+            new, first=first, last=last, fence=self._next_fence(), handover=None
+        )
+        self._leadership.amend(_replacing(hold.service, [whole], self._serial))
+        self._granter(hold.service, self._state.targets[new.owner]).grant_all_held(
+            [whole]
+        )
+        # The hold then covers all keys whose rows have changed.
+        hold.first, hold.last = first, last
+
+    def _may_join(self, hold, entry, new):
+        return (
+            (entry.owner, entry.born_ms) == (new.owner, new.born_ms)
+            and not self._is_held(hold.service, entry)
+            and new.owner in self._state.targets
+        )
+
     def _coolest(self, service, former) -> TargetRecord:
         """Return the target that has most room, another than `former` if any."""
         ready = self._ready(service)
@@ -559,24 +691,22 @@
         """Return whether the store has confirmed this host's lead of late."""
         return self.hold_s() == self._cfg.hold_s
 
-    def _changed(self, service=None, first=0, last=0):
+    def _changed(self, service, first, last):
         """Tell all hosts who owns the keys from `first` to `last` now."""
         if not self._leadership.leading:
             return
         self._serial += 1
-        table = self.table()
-        change = None
-        if service is not None:
-            change = TableChange(
-                address_fields(table.leader),
-                table.epoch,
-                table.serial,
+        self._publish(
+            TableChange(
+                address_fields(self._leadership.leader),
+                self._leadership.epoch,
+                self._serial,
                 service,
                 first,
                 last,
-                [row_fields(r) for r in _cut(table.services[service], first, last)],
+                [row_fields(row) for row in self._rows(service, first, last)],
             )
-        self._publish(table, change)
+        )
 
     def _grants_left(self) -> tuple[GrantLeft, ...]:
         now = self._clock.now()
@@ -596,11 +726,13 @@
     return row.first
 
 
-def _replacing(service, entry, serial):
-    """Return the change that puts `entry` into a service's ranges."""
+def _replacing(service, entries, serial):
+    """Return the change that puts `entries` into a service's ranges."""
 
     def change(ownership):
-        ranges = ownership.services[service].with_range(entry)
+        ranges = ownership.services[service]
+        for entry in entries:
+            ranges = ranges.with_range(entry)
         return ownership.with_map(service, ranges, serial)
 
     return change
@@ -616,11 +748,13 @@
         log.exception("ranges: task failed by a fault of this host")
 
 
-def _cut(rows, first, last):
-    """Yield the rows from `first` to `last`, cut at both ends."""
-    for row in sorted(rows, key=lambda row: row.first):
-        if row.first <= last and first <= row.last:
-            yield replace(row, first=max(row.first, first), last=min(row.last, last))
+def _held_row(entry, hold, now):
+    """Return the row of the keys of a range that are changing hands."""
+    left_s = UNKNOWN_S
+    if hold.opens_at is not None:
+        left_s = max(0.001, hold.opens_at - now)
+    first, last = max(entry.first, hold.first), min(entry.last, hold.last)
+    return RouteRow(first, last, None, entry.fence, left_s)
 
 
 def _without(entry: KeyRange, holds: list[Hold]) -> list[KeyRange]:
--- a/src/persimmonspoke/internal/ranges/planner.py
+++ b/src/persimmonspoke/internal/ranges/planner.py
@@ -18,6 +18,8 @@
 RELATIVE_GAP = 0.25  # of the busier target's utilisation
 CHANCE = 2.0  # standard deviations of a measured load that mean nothing
 SPAN_COST = 4.0  # moving a quarter of all keys weighs as much as missing the goal
+MOST_RANGES_PER_TARGET = 4  # orders a target and renewal
+IDLE_RATE = 1.0  # requests a second
 KEYS = LAST_KEY - FIRST_KEY + 1
 
 
@@ -95,6 +97,37 @@
     return PlannedMove(replace(entry, first=first, last=last), coolest)
 
 
+def plan_merge(
+    service: ServiceId,
+    ranges: RangeMap,
+    seats: tuple[Seat, ...],
+    loads: Loads,
+    closed: frozenset[TargetId],
+    held: Iterable[tuple[int, int]],
+) -> PlannedMove | None:
+    """Return the move of an idle piece that lets its neighbours be one grant again.
+
+    Each range of a target is an order at every renewal, so pieces that were split
+    off for a load that is over are given back; None while there are few.
+    """
+    if len(ranges.ranges) <= MOST_RANGES_PER_TARGET * len(seats):
+        return None
+    open_to = {seat.target_id for seat in seats} - closed
+    held = tuple(held)
+    best = None
+    for before, entry, after in zip(
+        ranges.ranges, ranges.ranges[1:], ranges.ranges[2:], strict=False
+    ):
+        if before.owner != after.owner or not {entry.owner, before.owner} <= open_to:
+            continue
+        if any(before.first <= last and first <= after.last for first, last in held):
+            continue
+        rate = loads.rate(service, entry)
+        if rate <= IDLE_RATE and (best is None or rate < best[0]):
+            best = (rate, PlannedMove(entry, before.owner))
+    return best[1] if best else None
+
+
 def best_run(
     keys: list[tuple[int, float]], wanted: float
 ) -> tuple[int, int, float] | None:
--- a/src/persimmonspoke/internal/ranges/ranges.py
+++ b/src/persimmonspoke/internal/ranges/ranges.py
@@ -70,9 +70,11 @@
 
     def between(self, first: int, last: int) -> tuple[KeyRange, ...]:
         """Return the ranges from `first` to `last`, cut at both ends."""
+        start = max(0, bisect_right(self._firsts, first) - 1)
+        stop = bisect_right(self._firsts, last)
         return tuple(
             replace(entry, first=max(entry.first, first), last=min(entry.last, last))
-            for entry in self.ranges
+            for entry in self.ranges[start:stop]
             if entry.overlaps(first, last)
         )
 
--- a/src/persimmonspoke/internal/ranges/routes.py
+++ b/src/persimmonspoke/internal/ranges/routes.py
@@ -39,15 +39,21 @@
     The targets check who may send what, so a route needs no lease: one that is out
     of date costs a refusal.
 
+    Parameters
+    ----------
+    leaving_grace_s : float
+        How long a leaving owner still gets requests, while its keys are moved.
+
     Attributes
     ----------
     table : RangeTable or None
         The newest one.
     """
 
-    def __init__(self, state: RoutingState, clock: Clock):
+    def __init__(self, state: RoutingState, clock: Clock, leaving_grace_s: float):
         self._state = state
         self._clock = clock
+        self._leaving_grace_s = leaving_grace_s
         self._taken_at = clock.now()
         self._firsts: dict[ServiceId, list[int]] = {}
         self._refused: dict[tuple[ServiceId, TargetId, int], Instant] = {}
@@ -121,6 +127,8 @@
         routed = self._state.service_of(service.service)
         if record is None or routed is None or record.service != service.service:
             raise NoOwnerYet("the owner has left")
+        if self._has_left(row.owner):
+            raise NoOwnerYet("the owner is leaving")
         return Route(
             page=PageKey(team, service.service, WHOLE),
             shard=ShardId(int(key)),
@@ -157,6 +165,7 @@
             row is not None
             and row.owner == route.target.target_id
             and row.fence == route.epoch
+            and not self._has_left(row.owner)
         )
 
     def refused(self, route: Route) -> None:
@@ -182,6 +191,11 @@
         """Return a context that does nothing: the target counts its work itself."""
         return nullcontext()
 
+    def _has_left(self, target_id):
+        """Return whether a target has been leaving for longer than it may get work."""
+        since = self._state.leaves_since(target_id)
+        return since is not None and self._clock.now() - since >= self._leaving_grace_s
+
     def _row(self, service, key) -> RouteRow | None:
         firsts = self._firsts.get(service)
         if not firsts:
--- a/src/persimmonspoke/internal/ranges/settings.py
+++ b/src/persimmonspoke/internal/ranges/settings.py
@@ -31,6 +31,9 @@
         How much slower a target's clock may run, as the platform says.
     transit_s : float
         Added to the end of each grant for the clocks' resolution.
+    leaving_grace_s : float
+        How long a leaving owner still gets requests, while its keys are moved; the
+        platform allows 2 s from the store's answer.
     settle_s : float
         How long targets may register before keys are first dealt out.
     plan_s : float
@@ -52,6 +55,7 @@
     retry_s: Seconds = 0.2
     clock_drift: Annotated[float, Field(ge=0, lt=0.1)] = 0.02
     transit_s: Seconds = 0.05
+    leaving_grace_s: Seconds = 1.4
     settle_s: Seconds = 1.0
     plan_s: Seconds = 0.3
     load_s: Seconds = 2.0
--- a/src/persimmonspoke/internal/routing/state.py
+++ b/src/persimmonspoke/internal/routing/state.py
@@ -78,6 +78,7 @@
         self._read: dict[str, tuple[int, TargetRecord | None]] = {}
         self._missing: dict[TargetId, Instant] = {}
         self._entries: dict[ServiceId, ServiceEntry] = {}
+        self._leaving: dict[TargetId, Instant] = {}
         self.table: RouteTable | None = None
         self.targets: dict[TargetId, TargetRecord] = {}
 
@@ -111,6 +112,10 @@
         services = self.table.cfg.services.values()
         return tuple(sorted(s.service for s in services if s.divided))
 
+    def leaves_since(self, target_id: TargetId) -> Instant | None:
+        """Return when this host learned that a target leaves; None if it does not."""
+        return self._leaving.get(target_id)
+
     def _refresh_config(self):
         stored = self._board.get(self._config_key)
         if stored is None or stored.version == self._config_version:
@@ -152,6 +157,11 @@
             return False
         self._log_changes(found)
         self.targets = found
+        self._leaving = {
+            target_id: self._leaving.get(target_id, now)
+            for target_id, record in found.items()
+            if record.state is TargetState.LEAVING
+        }
         return True
 
     def _record(self, stored):
--- a/tests/cover/test_ranges.py
+++ b/tests/cover/test_ranges.py
@@ -1,6 +1,7 @@
 """Key ranges: their owners, the plans to move them, and who may order what."""
 
 import unittest
+from dataclasses import replace
 
 import eventlet
 
@@ -9,6 +10,7 @@
     Seat,
     best_run,
     cut_evenly,
+    plan_merge,
     plan_move,
 )
 from persimmonspoke.internal.ranges.ranges import KeyRange, RangeMap, divide_evenly
@@ -90,6 +92,41 @@
         self.assertEqual([(p.first, p.last) for p in pieces], [(0, 200), (201, 999)])
 
 
+class TestMerges(unittest.TestCase):
+    """Pieces that were split off for a load that is over."""
+
+    def setUp(self):
+        self.loads = Loads(2.0)
+        self.loads.decay(0.0)
+        self.seats = tuple(Seat(name, 2) for name in "ab")
+        self.map = RangeMap(divide_evenly([("a", 1), ("b", 1)], 1))
+
+    def split(self, count):
+        for number in range(count):
+            piece = KeyRange(100 * number + 50, 100 * number + 60, "b", 1, 10 + number)
+            self.map = self.map.with_range(piece)
+
+    def merge(self):
+        return plan_merge(SERVICE, self.map, self.seats, self.loads, frozenset(), ())
+
+    def test_an_idle_piece_goes_back_to_its_neighbours_owner(self):
+        self.split(20)
+        move = self.merge()
+        self.assertEqual((move.piece.owner, move.to), ("b", "a"))
+
+    def test_a_few_pieces_stay_where_they_are(self):
+        self.split(2)
+        self.assertIsNone(self.merge())
+
+    def test_a_busy_piece_stays_where_it_is(self):
+        self.split(4)
+        for step in range(40):
+            rows = [(SERVICE, 100 * n + 55, 1) for n in range(4)]
+            self.loads.add(rows, ())
+            self.loads.decay(0.2 * (step + 1))
+        self.assertEqual(self.merge().piece.owner, "a")
+
+
 class FleetCase(unittest.TestCase):
     """Hosts and targets in virtual time; no key may ever have two holders."""
 
@@ -157,6 +194,32 @@
         self.assert_all_held()
 
 
+class TestManyPieces(FleetCase):
+    """A target that owns very many ranges, after a day of moving hot keys."""
+
+    def setUp(self):
+        super().setUp()
+        self.keeper = self.fleet.leader().keeper
+        for first in range(97, 64000, 800):
+            entry = self.keeper._map(SERVICE).of(first)
+            piece = replace(entry, first=first, last=first + 203)
+            self.keeper._start_move(SERVICE, piece, "t0")
+            self.fleet.run_for(0.02)
+        self.fleet.run_for(2)
+
+    def test_it_is_emptied_within_the_bound_when_it_leaves(self):
+        self.assertGreater(len(self.keeper._map(SERVICE).owned_by("t0")), 40)
+        self.fleet.records["t0"] = record("t0", TargetState.LEAVING)
+        self.fleet.run_for(1.5)
+        self.assertEqual(self.fleet.targets["t0"].held(), set())
+        self.assert_all_held()
+
+    def test_pieces_next_to_each_other_become_one_grant(self):
+        ranges = self.keeper._map(SERVICE).ranges
+        pairs = zip(ranges, ranges[1:], strict=False)
+        self.assertFalse([a for a, b in pairs if a.owner == b.owner == "t0"])
+
+
 class TestLostTargets(FleetCase):
     def test_a_silent_target_loses_its_keys_once_its_holds_have_lapsed(self):
         self.fleet.targets["t0"].silent = True
--- a/tests/fakes/range_fleet.py
+++ b/tests/fakes/range_fleet.py
@@ -67,7 +67,7 @@
         )
         self.state.table = RouteTable(fleet.config)
         self.state.targets = fleet.records
-        self.routes = RangeRoutes(self.state, self.clock)
+        self.routes = RangeRoutes(self.state, self.clock, 1.4)
         self.reporter = Reporter(
             cfg,
             self.clock,
