--- a/src/persimmonspoke/internal/callers/attempts.py
+++ b/src/persimmonspoke/internal/callers/attempts.py
@@ -269,7 +269,10 @@
         target_req = self._target_request(req, body, route, slot.target_id)
         began = self._clock.now()
         flight = nullcontext() if route is None else self._routes.in_flight(route)
-        target = req.entry.targets[slot.target_id] if route is None else route.target
+        if route is None:
+            target = slot.target or req.entry.targets[slot.target_id]
+        else:
+            target = route.target
         flight.__enter__()
         try:
             answer = self._requests.send(target, target_req)
--- a/src/persimmonspoke/internal/desk/scheduler.py
+++ b/src/persimmonspoke/internal/desk/scheduler.py
@@ -28,7 +28,7 @@
 from persimmonspoke.internal.desk.settings import DeskSettings
 from persimmonspoke.internal.peers.api import PeerAddress, PeerLink
 from persimmonspoke.internal.routing.config import TargetState
-from persimmonspoke.internal.routing.state import RoutingState
+from persimmonspoke.internal.routing.state import RoutingState, target_config
 from persimmonspoke.internal.scheduling.api import Slot, SlotOutcome, Ticket
 from persimmonspoke.internal.scheduling.groups import GroupId, rank_lenders
 from persimmonspoke.internal.scheduling.lenders import Members
@@ -54,12 +54,13 @@
 class DeskSlot:
     """One slot in use; see `scheduling.api.Slot`."""
 
-    __slots__ = ("_scheduler", "_open", "usual_s")
+    __slots__ = ("_scheduler", "_open", "usual_s", "target")
 
-    def __init__(self, scheduler, entry, usual_s):
+    def __init__(self, scheduler, entry, usual_s, target):
         self._scheduler = scheduler
         self._open = entry
         self.usual_s = usual_s
+        self.target = target
 
     @property
     def target_id(self) -> TargetId:
@@ -189,9 +190,17 @@
                 raise Overloaded(
                     "no slot in time", retry_after_s=round(answer.retry_after_s, 3)
                 )
-            return DeskSlot(self, entry, answer.usual_s)
+            return DeskSlot(self, entry, answer.usual_s, self._lent_target(entry))
         raise DeadlinePassed("no slot became free in time")
 
+    def _lent_target(self, entry):
+        """Return the target's newest entry; the desk may know it before this host."""
+        record = self._state.targets.get(entry.target_id)
+        routed = self._state.service_of(entry.ask.service)
+        if record is None or routed is None or record.service != routed.service:
+            raise NoOwnerYet(f"target {entry.target_id} is not known here")
+        return target_config(record, routed)
+
     def _submit(self, entry):
         """Send the request to its desk, which may be on this host."""
         desk = self._desk_of(entry.ask.service)
--- a/src/persimmonspoke/internal/scheduling/api.py
+++ b/src/persimmonspoke/internal/scheduling/api.py
@@ -8,6 +8,7 @@
 from persimmonspoke.internal.questionnaire.configuration import (
     Precedence,
     ServiceConfig,
+    TargetConfig,
 )
 
 
@@ -51,6 +52,10 @@
     def target_id(self) -> TargetId:
         """The target whose slot this is."""
 
+    @property
+    def target(self) -> TargetConfig | None:
+        """That target's entry, if it may be newer than what the request knows."""
+
     def done(self, outcome: SlotOutcome) -> None:
         """Give the slot back; a second call does nothing."""
 
--- a/src/persimmonspoke/internal/scheduling/permits.py
+++ b/src/persimmonspoke/internal/scheduling/permits.py
@@ -58,6 +58,11 @@
         """The target whose slot this is."""
         return self._choice.target_id
 
+    @property
+    def target(self) -> None:
+        """Return nothing: the request chose among entries that it knows."""
+        return None
+
     def done(self, outcome: SlotOutcome) -> None:
         """Give the slot back; a second call does nothing."""
         if self._open:
--- a/tests/fakes/caller_parts.py
+++ b/tests/fakes/caller_parts.py
@@ -113,6 +113,7 @@
     def __init__(self, scheduler, target_id):
         self._scheduler = scheduler
         self.target_id = target_id
+        self.target = None
         self._over = False
 
     def done(self, outcome):
