--- a/src/persimmonspoke/internal/desk/scheduler.py
+++ b/src/persimmonspoke/internal/desk/scheduler.py
@@ -163,8 +163,9 @@
         service = ticket.service
         objective = ticket.deadline if ticket.objective is None else ticket.objective
         avoid = []
-        if not service.divided and len(candidates) < len(service.targets):
-            avoid = [
+        if not service.divided:
+            avoid = self._leaving(service.service)
+            avoid += [
                 target.target_id
                 for target in service.targets
                 if target.target_id not in candidates
@@ -193,12 +194,23 @@
             return DeskSlot(self, entry, answer.usual_s, self._lent_target(entry))
         raise DeadlinePassed("no slot became free in time")
 
+    def _leaving(self, service):
+        """Return the targets that leave, as far as this host knows."""
+        return [
+            record.target_id
+            for record in self._state.targets.values()
+            if record.service == service and record.state is TargetState.LEAVING
+        ]
+
     def _lent_target(self, entry):
         """Return the target's newest entry; the desk may know it before this host."""
         record = self._state.targets.get(entry.target_id)
         routed = self._state.service_of(entry.ask.service)
         if record is None or routed is None or record.service != routed.service:
             raise NoOwnerYet(f"target {entry.target_id} is not known here")
+        if not routed.divided and record.state is TargetState.LEAVING:
+            # The desk may be on a host that the news do not reach.
+            raise NoOwnerYet(f"target {entry.target_id} is leaving")
         return target_config(record, routed)
 
     def _submit(self, entry):
--- /dev/null
+++ b/tests/cover/test_desk_scheduler.py
@@ -0,0 +1,130 @@
+"""The scheduler that asks desks for slots, on one host and between hosts."""
+
+import unittest
+
+import eventlet
+
+from persimmonspoke.errors import DeadlinePassed, NoOwnerYet, Overloaded
+from persimmonspoke.ids import HostId, Instant
+from persimmonspoke.internal.desk.scheduler import DeskScheduler
+from persimmonspoke.internal.desk.settings import DeskSettings
+from persimmonspoke.internal.news.board import NewsBoard
+from persimmonspoke.internal.peers.api import PeerAddress
+from persimmonspoke.internal.routing.config import (
+    RoutedService,
+    RoutingConfig,
+    TargetState,
+)
+from persimmonspoke.internal.routing.state import RoutingState
+from persimmonspoke.internal.routing.table import RouteTable
+from persimmonspoke.internal.scheduling.api import SlotOutcome, Ticket
+from tests.fakes.caller_parts import service, target
+from tests.fakes.network import FakeLink, FakeNetwork
+from tests.fakes.process import FakeClock, FakeProcess
+from tests.fakes.range_fleet import SERVICE, record
+
+POOL = service(SERVICE, (target("t0"), target("t1")), shard_count=0)
+
+
+class OneHost:
+    """One host with a scheduler; all hosts know each other."""
+
+    def __init__(self, number, network, everybody, records):
+        self.process = FakeProcess(f"h{number}.1", f"10.0.0.{number}")
+        self.clock = FakeClock(self.process)
+        address = PeerAddress(HostId(self.process.name), self.process.machine, 7000)
+        everybody.append(address)
+        self.me = lambda: address
+        self.live = lambda: tuple(everybody)
+        self.address_of = {a.host_id: a for a in everybody}.get
+        self.everybody = everybody
+        link = FakeLink(network, self.process, address)
+        self.state = RoutingState(
+            NewsBoard(self.clock), self.clock, "", "", None, None, lambda: None
+        )
+        services = {SERVICE: RoutedService(SERVICE, 100, False)}
+        self.state.table = RouteTable(RoutingConfig(1, (), services))
+        self.state.targets = dict(records)
+        self.scheduler = DeskScheduler(
+            DeskSettings(), self.clock, link, self, self.state, "a"
+        )
+        self.task = eventlet.spawn(self.scheduler.run)
+
+    def ticket(self, left_s=0.5):
+        now = self.clock.now()
+        return Ticket(
+            "platform",
+            POOL,
+            None,
+            False,
+            Instant(now + left_s),
+            objective=Instant(now + left_s),
+        )
+
+    def acquire(self, left_s=0.5):
+        return self.scheduler.acquire(self.ticket(left_s), ("t0", "t1"))
+
+
+class SchedulerCase(unittest.TestCase):
+    hosts = 2
+
+    def setUp(self):
+        self.network = FakeNetwork()
+        self.records = {name: record(name) for name in ("t0", "t1")}
+        everybody = []
+        self.fleet = [
+            OneHost(number, self.network, everybody, self.records)
+            for number in range(self.hosts)
+        ]
+        for host in self.fleet:
+            host.address_of = {a.host_id: a for a in everybody}.get
+        self.addCleanup(lambda: [host.task.kill() for host in self.fleet])
+
+    def desk_host(self):
+        service_desk = self.fleet[0].scheduler._desk_of(SERVICE).host_id
+        return next(h for h in self.fleet if h.me().host_id == service_desk)
+
+
+class TestSlotsOfAFleet(SchedulerCase):
+    def test_no_slot_is_lent_to_two_hosts(self):
+        slots = [self.fleet[n % 2].acquire() for n in range(4)]
+        used = sorted(slot.target_id for slot in slots)
+        self.assertEqual(used, ["t0", "t0", "t1", "t1"])
+        with self.assertRaises((Overloaded, DeadlinePassed)):
+            self.fleet[0].acquire(0.05)
+
+    def test_a_slot_that_is_given_back_goes_to_the_next(self):
+        slots = [self.fleet[n % 2].acquire() for n in range(4)]
+        waiting = eventlet.spawn(self.fleet[1].acquire, 3.0)
+        eventlet.sleep(0.05)
+        slots[0].done(SlotOutcome.ANSWERED)
+        self.assertEqual(waiting.wait().target_id, slots[0].target_id)
+
+    def test_a_killed_desk_is_replaced_while_requests_wait(self):
+        desk = self.desk_host()
+        other = next(h for h in self.fleet if h is not desk)
+        desk.process.kill()
+        desk.task.kill()
+        self.assertIn(other.acquire(3.0).target_id, ("t0", "t1"))
+
+
+class TestTargetsThatTheDeskSeesOtherwise(SchedulerCase):
+    def test_a_target_that_leaves_is_not_used_though_the_desk_does_not_know(self):
+        desk = self.desk_host()
+        other = next(h for h in self.fleet if h is not desk)
+        other.state.targets["t0"] = record("t0", TargetState.LEAVING)
+        used = {other.acquire().target_id for _ in range(2)}
+        self.assertEqual(used, {"t1"})
+
+    def test_a_target_that_only_the_desk_knows_is_not_used_yet(self):
+        desk = self.desk_host()
+        other = next(h for h in self.fleet if h is not desk)
+        del other.state.targets["t0"], other.state.targets["t1"]
+        with self.assertRaises(NoOwnerYet):
+            other.acquire()
+        eventlet.sleep(0.5)
+        self.assertEqual(other.scheduler.in_use(), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
