--- /dev/null
+++ b/tests/cover/test_routing.py
@@ -0,0 +1,252 @@
+"""Routes, splits, configurations and targets as one host takes them in."""
+
+import unittest
+
+from persimmonspoke.errors import MalformedDocument, UnknownPath
+from persimmonspoke.internal.news.board import NewsBoard
+from persimmonspoke.internal.routing.config import (
+    RouteConfig,
+    RouteKind,
+    RoutingConfig,
+    SplitPart,
+    TargetState,
+)
+from persimmonspoke.internal.routing.splits import SplitWheel
+from persimmonspoke.internal.routing.state import RoutingState
+from persimmonspoke.internal.routing.table import RouteTable
+from persimmonspoke.internal.store.api import Listing, Stored
+from persimmonspoke.platform import documents
+from tests.fakes.caller_parts import HubClock
+
+
+def route(name="r", host="shop.example", prefix="/a/", parts=(("stock", 1.0),)):
+    return RouteConfig(
+        name=name,
+        host=host,
+        prefix=prefix,
+        kind=RouteKind.SAFE,
+        timeout_s=1.0,
+        objective_s=0.3,
+        rank=1,
+        max_attempts=2,
+        parts=tuple(SplitPart(*part) for part in parts),
+    )
+
+
+class TestRouteTable(unittest.TestCase):
+    def setUp(self):
+        routes = (route("short", prefix="/a/"), route("long", prefix="/a/b/"))
+        self.table = RouteTable(RoutingConfig(1, routes, {}))
+
+    def find(self, path, host="shop.example"):
+        return self.table.find(host, path).name
+
+    def test_the_longest_prefix_wins(self):
+        self.assertEqual(self.find("/a/b/c"), "long")
+        self.assertEqual(self.find("/a/bc"), "short")
+
+    def test_the_prefix_itself_belongs_to_the_route(self):
+        self.assertEqual(self.find("/a/b/"), "long")
+        self.assertEqual(self.find("/a/b"), "short")
+
+    def test_case_and_port_of_the_host_do_not_matter(self):
+        self.assertEqual(self.find("/a/x", "SHOP.example:8080"), "short")
+
+    def test_other_hosts_and_paths_have_no_route(self):
+        for host, path in (("other.example", "/a/b/"), ("shop.example", "/b/")):
+            with self.assertRaises(UnknownPath):
+                self.find(path, host)
+
+
+class TestSplits(unittest.TestCase):
+    def test_every_short_run_keeps_close_to_the_weights(self):
+        wheel = SplitWheel()
+        split = route(parts=(("one", 90.0), ("two", 10.0)))
+        picks = [wheel.pick(split) for _ in range(200)]
+        for start in range(0, 180, 20):
+            self.assertEqual(picks[start : start + 20].count("two"), 2)
+
+    def test_a_part_without_weight_gets_nothing(self):
+        wheel = SplitWheel()
+        split = route(parts=(("one", 1.0), ("two", 0.0)))
+        self.assertEqual({wheel.pick(split) for _ in range(50)}, {"one"})
+
+
+def config_value(version=1, service="stock", **fields):
+    """Return a configuration as the platform stores it."""
+    value = {
+        "version": version,
+        "routes": {
+            "columns": [
+                "name",
+                "host",
+                "path_prefix",
+                "route_kind",
+                "timeout_s",
+                "target_latency_s",
+                "priority",
+                "traffic_split",
+                "max_attempts",
+                "service",
+            ],
+            "rows": [
+                ["r", "h", "/a/", "unsafe", 1, 0.4, 1, None, 2, service],
+                [
+                    "s",
+                    "h",
+                    "/b/",
+                    "safe",
+                    2,
+                    None,
+                    None,
+                    [
+                        {"service": service, "weight": 90},
+                        {"service": "x", "weight": 10},
+                    ],
+                    None,
+                    None,
+                ],
+            ],
+        },
+        "services": {
+            "columns": ["name", "max_connections", "sharded"],
+            "rows": [[service, 110, True], ["x", 50, None]],
+        },
+        "limits": {"idle_timeout_s": 12},
+    }
+    return {**value, **fields}
+
+
+def target_value(**fields):
+    """Return a target's entry as the platform stores it."""
+    value = {
+        "service": "stock",
+        "address": "10.0.0.1:8080",
+        "zone": "a",
+        "slots": 2,
+        "state": "ready",
+        "warmup_left_s": 0,
+        "sequence": 4,
+        "born": 1700000000000,
+    }
+    return {**value, **fields}
+
+
+class TestDocuments(unittest.TestCase):
+    """The adapter decodes the platform's documents into the project's types."""
+
+    def test_rows_become_routes_and_services(self):
+        cfg = documents.decode_config(config_value())
+        first, second = cfg.routes
+        self.assertEqual((first.kind, first.objective_s), (RouteKind.PROTECTED, 0.4))
+        self.assertEqual(first.parts, (SplitPart("stock", 1.0),))
+        self.assertEqual([part.weight for part in second.parts], [90.0, 10.0])
+        self.assertEqual((second.objective_s, second.max_attempts), (2.0, 1))
+        self.assertTrue(cfg.services["stock"].divided)
+        self.assertFalse(cfg.services["x"].divided)
+        self.assertEqual(cfg.limits.idle_timeout_s, 12.0)
+
+    def test_a_configuration_with_a_missing_or_odd_field_is_malformed(self):
+        for fields in (
+            {"version": None},
+            {"routes": []},
+            {"services": {"columns": ["name"], "rows": [["a"]]}},
+        ):
+            with self.subTest(fields), self.assertRaises(MalformedDocument):
+                documents.decode_config(config_value(**fields))
+
+    def test_a_target_has_its_address_state_and_birth(self):
+        found = documents.decode_target("i-1", target_value(state="draining"))
+        self.assertEqual((found.ip, found.port), ("10.0.0.1", 8080))
+        self.assertIs(found.state, TargetState.LEAVING)
+        self.assertEqual(found.born_ms, 1700000000000)
+
+    def test_entries_of_other_writers_are_malformed(self):
+        for fields in (
+            {"state": "lost"},
+            {"address": "10.0.0.1"},
+            {"address": 5},
+            {"slots": "2"},
+            {"slots": True},
+            {"service": ""},
+            {"born": 1.5},
+        ):
+            with self.subTest(fields), self.assertRaises(MalformedDocument):
+                documents.decode_target("i-1", target_value(**fields))
+
+
+class TestRoutingState(unittest.TestCase):
+    def setUp(self):
+        self.clock = HubClock()
+        self.board = NewsBoard(self.clock)
+        self.outage = None
+        self.state = RoutingState(
+            self.board,
+            self.clock,
+            documents.CONFIG_KEY,
+            documents.TARGETS_PREFIX,
+            documents.decode_config,
+            documents.decode_target,
+            lambda: self.outage,
+        )
+        self.version = 0
+
+    def put(self, key, value):
+        self.version += 1
+        self.board.observe(Stored(key, value, self.version))
+        self.state.refresh()
+
+    def put_target(self, name, **fields):
+        self.put(f"servers/{name}", target_value(**fields))
+
+    def list_targets(self, *names):
+        """Take in a listing in which only `names` are left."""
+        prefix = documents.TARGETS_PREFIX
+        before = self.board.snapshot(prefix)
+        items = tuple(before[prefix + name] for name in names)
+        self.board.observe_listing(Listing(items, self.version), before)
+        self.state.refresh()
+
+    def test_an_older_configuration_never_replaces_a_newer_one(self):
+        self.put("config/main", config_value(version=7))
+        self.put("config/main", config_value(version=5))
+        self.assertEqual(self.state.generation(), 7)
+
+    def test_a_configuration_that_cannot_be_read_leaves_the_one_before(self):
+        self.put("config/main", config_value(version=7))
+        self.put("config/main", {"unreadable": "x"})
+        self.assertEqual(self.state.generation(), 7)
+        self.put("config/main", config_value(version=8))
+        self.assertEqual(self.state.generation(), 8)
+
+    def test_an_entry_of_another_writer_names_no_target_and_the_others_hold(self):
+        self.put_target("good")
+        self.put_target("bad", state="lost")
+        self.assertEqual(set(self.state.targets), {"good"})
+
+    def test_a_target_whose_entry_is_removed_is_gone_at_once(self):
+        self.put_target("one")
+        self.put_target("two")
+        self.list_targets("two")
+        self.assertEqual(set(self.state.targets), {"two"})
+
+    def test_an_entry_that_lapsed_in_an_outage_is_kept_until_it_must_be_back(self):
+        self.put_target("one")
+        self.outage = self.clock.now()
+        self.list_targets()
+        self.assertEqual(set(self.state.targets), {"one"})
+        self.clock.sleep_until(self.clock.now() + 2.3)
+        self.state.refresh()
+        self.assertEqual(set(self.state.targets), set())
+
+    def test_a_leaving_target_of_an_undivided_service_is_no_candidate(self):
+        self.put("config/main", config_value())
+        self.put_target("one", service="x")
+        self.put_target("two", service="x", state="draining")
+        entry = self.state._entries["x"]
+        self.assertEqual(entry.target_ids, ("one",))
+        self.assertIsNotNone(self.state.leaves_since("two"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/loopback/test_platform_adapter.py
@@ -0,0 +1,278 @@
+"""The platform's calls, against a small stand-in over real sockets."""
+
+import json
+import unittest
+from urllib.parse import parse_qs
+
+import eventlet
+import eventlet.wsgi
+
+from persimmonspoke.errors import (
+    InvalidSettings,
+    OrderConnectionLost,
+    OrderOutcomeUnknown,
+    StoreCompacted,
+    StoreConflict,
+    StoreMissing,
+    StoreUnavailable,
+    TargetFenced,
+)
+from persimmonspoke.ids import Instant
+from persimmonspoke.internal.clock import SystemClock
+from persimmonspoke.internal.ranges.api import RangeGrant, RangeRelease
+from persimmonspoke.internal.targets.api import TargetAddress
+from persimmonspoke.platform.objects import ObjectStore
+from persimmonspoke.platform.orders import HttpRangeOrders
+from persimmonspoke.platform.settings_file import read_settings
+
+LONG_S = 30
+
+SETTINGS = """\
+node_name=front-1
+ip=10.1.0.18
+zone=a
+listen.front=10.1.0.18:8381
+listen.ready=10.1.0.18:8388
+internal_ports=7200,7215
+something.new=1
+bounds=drain_s=2,grace_s=6,retry_budget_ratio=0.2,retry_budget_min=56,closed=true
+platform.address=10.200.1.7:8384
+"""
+
+
+class ObjectsApp:
+    """The object store of the platform's page, as far as the adapter uses it.
+
+    Attributes
+    ----------
+    page : int
+        Objects on one page of a listing.
+    refuse : int or None
+        Status with which all calls are turned away.
+    """
+
+    def __init__(self):
+        self.objects = {}
+        self.events = []
+        self.revision = 100
+        self.page = 2
+        self.refuse = None
+        self.oldest = 0
+
+    def __call__(self, environ, start_response):
+        status, body = self.answer(environ)
+        data = json.dumps(body).encode()
+        fields = [("Content-Type", "application/json"), ("Content-Length", len(data))]
+        start_response(f"{status} x", [(n, str(v)) for n, v in fields])
+        return [data]
+
+    def answer(self, environ):
+        if self.refuse:
+            return self.refuse, {}
+        _, _, kind, *rest = environ["PATH_INFO"].split("/")
+        query = {k: v[0] for k, v in parse_qs(environ.get("QUERY_STRING", "")).items()}
+        method = environ["REQUEST_METHOD"]
+        if method == "GET":
+            return self.read(kind, rest, query)
+        size = int(environ.get("CONTENT_LENGTH") or 0)
+        body = json.loads(environ["wsgi.input"].read(size)) if size else {}
+        return self.write(method, kind, rest, query, body)
+
+    def read(self, kind, rest, query):
+        if rest:
+            found = self.objects.get((kind, rest[0]))
+            return (200, found) if found else (404, {})
+        if "watch" in query:
+            since = int(query["watch"])
+            if since < self.oldest:
+                return 410, {}
+            events = [e for r, k, e in self.events if r > since and k == kind]
+            return 200, {"events": events, "current_rev": self.revision}
+        names = sorted(n for k, n in self.objects if k == kind)
+        names = [n for n in names if n > query.get("after", "")]
+        items = [self.objects[kind, n] for n in names[: self.page]]
+        more = len(names) > self.page
+        return 200, {"items": items, "has_more": more, "current_rev": self.revision}
+
+    def write(self, method, kind, rest, query, body):
+        meta = body.get("metadata", {})
+        name = rest[0] if rest else meta["name"]
+        known = self.objects.get((kind, name))
+        asked = meta.get("revision", query.get("revision"))
+        if method == "POST" and known:
+            return 409, known
+        if method != "POST" and (
+            known is None or int(asked) != known["metadata"]["revision"]
+        ):
+            return (409, known) if known else (404, {})
+        self.revision += 1
+        if method == "DELETE":
+            gone = self.objects.pop((kind, name))
+            self.events.append((self.revision, kind, {"object": gone, "deleted": True}))
+            return 200, {}
+        found = {
+            "metadata": {"name": name, "revision": self.revision},
+            "spec": body["spec"],
+            "status": None,
+        }
+        self.objects[kind, name] = found
+        self.events.append((self.revision, kind, {"object": found, "deleted": False}))
+        return 200, found
+
+
+class ServerCase(unittest.TestCase):
+    """Serves one WSGI application on a port that the kernel chose."""
+
+    def serve(self, app):
+        listener = eventlet.listen(("127.0.0.1", 0))
+        task = eventlet.spawn(
+            eventlet.wsgi.server, listener, app, log_output=False, debug=False
+        )
+        self.addCleanup(task.kill)
+        return listener.getsockname()
+
+    def deadline(self, left_s=LONG_S):
+        return Instant(self.clock.now() + left_s)
+
+    def setUp(self):
+        self.clock = SystemClock()
+
+
+class TestObjectStore(ServerCase):
+    def setUp(self):
+        super().setUp()
+        self.app = ObjectsApp()
+        ip, port = self.serve(self.app)
+        self.store = ObjectStore(f"{ip}:{port}", self.clock)
+
+    def create(self, name, value):
+        return self.store.create(f"kind/{name}", value, self.deadline())
+
+    def test_an_object_is_created_read_replaced_and_deleted(self):
+        made = self.create("a", {"x": 1})
+        self.assertEqual(self.store.get("kind/a", self.deadline()), made)
+        new = self.store.update("kind/a", {"x": 2}, made.version, self.deadline())
+        self.assertGreater(new.version, made.version)
+        self.store.delete("kind/a", new.version, self.deadline())
+        with self.assertRaises(StoreMissing):
+            self.store.get("kind/a", self.deadline())
+
+    def test_another_version_is_a_conflict(self):
+        made = self.create("a", {"x": 1})
+        with self.assertRaises(StoreConflict):
+            self.create("a", {"x": 2})
+        with self.assertRaises(StoreConflict):
+            self.store.update("kind/a", {"x": 2}, made.version - 1, self.deadline())
+
+    def test_a_listing_reads_all_pages(self):
+        for name in "abcde":
+            self.create(name, {"x": name})
+        self.app.objects["other", "z"] = {"metadata": {"name": "z", "revision": 1}}
+        listing = self.store.list("kind/", self.deadline())
+        self.assertEqual([i.key for i in listing.items], [f"kind/{n}" for n in "abcde"])
+        self.assertEqual(listing.revision, self.app.revision)
+
+    def test_a_watch_returns_changes_and_deletions(self):
+        made = self.create("a", {"x": 1})
+        since = self.app.revision
+        self.store.delete("kind/a", made.version, self.deadline())
+        listing = self.store.watch("kind/", since, self.deadline(0.1))
+        self.assertEqual([(i.key, i.value) for i in listing.items], [("kind/a", {})])
+
+    def test_a_dropped_history_is_told(self):
+        self.app.oldest = 1000
+        with self.assertRaises(StoreCompacted):
+            self.store.watch("kind/", 5, self.deadline(0.1))
+
+    def test_a_write_that_was_turned_away_did_not_happen(self):
+        for status in (429, 503):
+            self.app.refuse = status
+            with self.assertRaises(StoreUnavailable):
+                self.create("a", {"x": 1})
+
+    def test_a_spec_of_another_type_is_kept_as_unreadable(self):
+        self.app.objects["kind", "a"] = {
+            "metadata": {"name": "a", "revision": 3},
+            "spec": "bytes",
+        }
+        self.assertIn("unreadable", self.store.get("kind/a", self.deadline()).value)
+
+
+class TestRangeOrders(ServerCase):
+    def setUp(self):
+        super().setUp()
+        self.received = []
+        self.status = "200 OK"
+        self.pause_s = 0.0
+        ip, port = self.serve(self.app)
+        self.target = TargetAddress("t", ip, port)
+        self.orders = HttpRangeOrders(self.clock)
+
+    def app(self, environ, start_response):
+        body = environ["wsgi.input"].read(int(environ["CONTENT_LENGTH"]))
+        self.received.append((environ["PATH_INFO"], json.loads(body)))
+        eventlet.sleep(self.pause_s)
+        fields = [("Content-Length", "0"), ("Persimmonspoke-Handover", "h-1")]
+        start_response(self.status, fields)
+        return [b""]
+
+    def test_a_grant_and_a_release_say_what_the_page_says(self):
+        self.orders.grant(self.target, RangeGrant(1, 5, 7, 2.5, "h-0"), self.deadline())
+        given = self.orders.release(self.target, RangeRelease(2, 3, 8), self.deadline())
+        self.assertEqual(given, "h-1")
+        self.assertEqual(
+            self.received,
+            [
+                (
+                    "/grant",
+                    {"from": 1, "to": 5, "fence": 7, "hold_s": 2.5, "handover": "h-0"},
+                ),
+                ("/release", {"from": 2, "to": 3, "fence": 8}),
+            ],
+        )
+
+    def test_a_higher_fence_is_told(self):
+        self.status = "409 Conflict"
+        with self.assertRaises(TargetFenced):
+            self.orders.grant(self.target, RangeGrant(1, 5, 7, 2.5), self.deadline())
+
+    def test_no_answer_in_time_is_an_unknown_outcome(self):
+        self.pause_s = 0.5
+        with self.assertRaises(OrderOutcomeUnknown):
+            self.orders.grant(self.target, RangeGrant(1, 5, 7, 2.5), self.deadline(0.1))
+
+    def test_a_connection_that_the_target_closed_is_told_before_the_next_order(self):
+        listener = eventlet.listen(("127.0.0.1", 0))
+        ip, port = listener.getsockname()
+
+        def once():
+            sock, _ = listener.accept()
+            sock.recv(4096)
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            sock.close()
+
+        eventlet.spawn(once)
+        target = TargetAddress("t", ip, port)
+        self.orders.grant(target, RangeGrant(1, 5, 7, 2.5), self.deadline())
+        eventlet.sleep(0.05)
+        with self.assertRaises(OrderConnectionLost):
+            self.orders.grant(target, RangeGrant(1, 5, 7, 2.5), self.deadline())
+
+
+class TestSettingsFile(unittest.TestCase):
+    def test_what_is_used_is_read_and_the_rest_ignored(self):
+        cfg = read_settings(SETTINGS)
+        self.assertEqual((cfg.host, cfg.caller_port), ("front-1", 8381))
+        self.assertEqual((cfg.peer_port, cfg.ready_port), (7200, 8388))
+        self.assertEqual((cfg.bounds.drain_s, cfg.bounds.retry_floor), (2.0, 56))
+        self.assertEqual(cfg.bounds.hold_max_s, 10.0)
+
+    def test_a_missing_or_odd_field_is_named(self):
+        with self.assertRaisesRegex(InvalidSettings, "zone is missing"):
+            read_settings(SETTINGS.replace("zone=a\n", ""))
+        with self.assertRaisesRegex(InvalidSettings, "can't be read"):
+            read_settings(SETTINGS.replace(":8381", ":x"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/loopback/test_unframed_answers.py
@@ -0,0 +1,124 @@
+"""Answers without a length, answers given twice, and bytes that nobody asked for."""
+
+import socket
+import struct
+import unittest
+
+import eventlet
+
+from persimmonspoke.errors import AnswerLost
+from persimmonspoke.ids import Instant, RequestId
+from persimmonspoke.internal.clock import SystemClock
+from persimmonspoke.internal.targets.connections import TargetPools
+from persimmonspoke.internal.targets.http_requests import HttpTargetRequests
+from persimmonspoke.internal.targets.request_api import TargetRequest
+from persimmonspoke.internal.targets.settings import TargetSettings
+from persimmonspoke.platform import headers
+from tests.fakes.raw_target import RawTarget
+
+HEAD = (
+    "HTTP/1.1 200 OK\r\n"
+    "Persimmonspoke-Request-Id: {id}\r\n"
+    "Persimmonspoke-Server-Signature: s\r\n"
+)
+
+
+def reset(sock):
+    """Close the connection by a reset."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+class AnswerCase(unittest.TestCase):
+    def setUp(self):
+        self.clock = SystemClock()
+        pools = TargetPools(TargetSettings(), self.clock, lambda target: 4)
+        self.client = HttpTargetRequests(pools, self.clock, headers)
+
+    def target(self, *scripts):
+        raw = RawTarget(*scripts)
+        self.addCleanup(raw.stop)
+        return raw.config()
+
+    def ask(self, target, request_id="r1", left_s=5.0):
+        req = TargetRequest(
+            method="GET",
+            path="/a/",
+            headers=(),
+            body=b"",
+            deadline=Instant(self.clock.now() + left_s),
+            request_id=RequestId(request_id),
+            protected=True,
+            target_id=target.target_id,
+        )
+        return b"".join(self.client.send(target, req).chunks())
+
+
+class TestAnswersWithoutALength(AnswerCase):
+    def answer(self, end):
+        def script(conn):
+            conn.receive()
+            conn.sock.sendall((HEAD.format(id="r1") + "\r\nhello").encode())
+            eventlet.sleep(0.05)
+            end(conn.sock)
+
+        return self.ask(self.target(script))
+
+    def test_one_that_ends_with_its_connection_is_whole(self):
+        def end(sock):
+            sock.shutdown(socket.SHUT_WR)
+
+        self.assertEqual(self.answer(end), b"hello")
+
+    def test_one_whose_connection_is_reset_is_lost(self):
+        with self.assertRaises(AnswerLost):
+            self.answer(reset)
+
+
+class TestExtraBytes(AnswerCase):
+    def framed(self, request_id, body):
+        head = HEAD.format(id=request_id) + f"Content-Length: {len(body)}\r\n\r\n"
+        return head.encode() + body
+
+    def test_a_late_second_answer_is_skipped_and_the_right_one_returned(self):
+        def script(conn):
+            conn.receive()
+            conn.sock.sendall(self.framed("r1", b"one"))
+            conn.receive()
+            conn.sock.sendall(self.framed("r1", b"one") + self.framed("r2", b"two"))
+            eventlet.sleep(1)
+
+        target = self.target(script)
+        self.assertEqual(self.ask(target, "r1"), b"one")
+        self.assertEqual(self.ask(target, "r2"), b"two")
+
+    def test_a_connection_with_bytes_behind_its_answer_is_not_used_again(self):
+        def extra(conn):
+            conn.receive()
+            conn.sock.sendall(self.framed("r1", b"one") + self.framed("x", b"bad"))
+            eventlet.sleep(1)
+
+        def plain(conn):
+            conn.receive()
+            conn.sock.sendall(self.framed("r2", b"two"))
+            eventlet.sleep(1)
+
+        target = self.target(extra, plain)
+        self.assertEqual(self.ask(target, "r1"), b"one")
+        self.assertEqual(self.ask(target, "r2"), b"two")
+
+    def test_an_answer_without_a_signature_is_lost(self):
+        def script(conn):
+            conn.receive()
+            conn.sock.sendall(
+                b"HTTP/1.1 200 OK\r\nPersimmonspoke-Request-Id: r1\r\n"
+                b"Content-Length: 2\r\n\r\nok"
+            )
+            eventlet.sleep(1)
+
+        with self.assertRaises(AnswerLost):
+            self.ask(self.target(script))
+
+
+if __name__ == "__main__":
+    unittest.main()
