--- a/src/persimmonspoke/internal/observe/bounded_logs.py
+++ b/src/persimmonspoke/internal/observe/bounded_logs.py
@@ -1,16 +1,19 @@
 """Logs on standard output that never make the process wait."""
 
 import logging
-import os
 import sys
 from collections import deque
 
 import eventlet
+from eventlet import patcher
 from pythonjsonlogger.json import JsonFormatter
 
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.observe.logs import FIELDS, RENAMED
 
+# The green module's write would wait where this one says that it would have to.
+os = patcher.original("os")
+
 LINES_PER_S = 300  # a request makes one line, and a host takes under 200 a second
 MOST_WAITING_BYTES = 1 << 20
 FLUSH_S = 0.1
--- a/tests/cover/test_ranges.py
+++ b/tests/cover/test_ranges.py
@@ -303,6 +303,38 @@
         self.fleet.run_for(3)
         self.assert_all_held()
 
+    def isolate(self, host):
+        """Cut a host off from all others and from the store, not from targets."""
+        others = {h.process.machine for h in self.fleet.hosts if h is not host}
+        self.fleet.network.cut({host.process.machine}, others)
+        host.store.faults.silent = True
+
+    def new_leader_without(self, former, target):
+        """Return the next leader, after cutting it off from `target`."""
+        self.fleet.run_for(3)
+        hosts = [h for h in self.fleet.hosts if h is not former]
+        new = next(h for h in hosts if h.leadership.leading)
+        new.orders._reaches = lambda name: name != target
+        return new
+
+    def test_a_former_leader_that_is_cut_off_stops_before_its_keys_are_moved(self):
+        former = self.fleet.leader()
+        self.isolate(former)
+        new = self.new_leader_without(former, "t0")
+        self.fleet.run_for(30)
+        ranges = new.leadership.ownership.services[SERVICE]
+        self.assertNotIn("t0", ranges.owners())
+        self.assertFalse(former.leadership.may_order())
+        self.assert_all_held()
+
+    def test_keys_are_not_moved_while_a_former_leader_may_still_grant_them(self):
+        former = self.fleet.leader()
+        self.isolate(former)
+        new = self.new_leader_without(former, "t0")
+        self.fleet.run_for(8)
+        self.assertIn("t0", new.leadership.ownership.services[SERVICE].owners())
+        self.assertTrue(self.fleet.targets["t0"].held())
+
     def test_a_new_leader_waits_for_a_silent_former_one_before_it_moves_keys(self):
         former = self.fleet.leader()
         others = [h.process.machine for h in self.fleet.hosts if h is not former]
