--- a/tests/cover/test_ranges.py
+++ b/tests/cover/test_ranges.py
@@ -140,6 +140,7 @@
     def end(self):
         self.fleet.stop()
         self.assertEqual(self.fleet.doubles, [])
+        self.assertEqual(self.fleet.low_fences(), [])
         self.assertEqual(self.fleet.network.crashes, [])
 
     def assert_all_held(self):
@@ -303,6 +304,29 @@
         self.fleet.run_for(3)
         self.assert_all_held()
 
+    def test_a_replaced_leader_that_reaches_the_store_stops_at_its_next_write(self):
+        former = self.fleet.leader()
+        others = {h.process.machine for h in self.fleet.hosts if h is not former}
+        self.fleet.network.cut({former.process.machine}, others)
+        self.fleet.run_for(4)
+        self.assertFalse(former.leadership.may_order())
+        self.assert_all_held()
+
+    def test_a_new_leaders_fences_are_above_all_that_went_before(self):
+        former = self.fleet.leader()
+        for name in ("t0", "t1"):
+            self.fleet.records[name] = record(name, TargetState.LEAVING)
+            self.fleet.run_for(1)
+            self.fleet.records[name] = record(name)
+        former.kill()
+        self.fleet.hosts.remove(former)
+        self.fleet.run_for(3)
+        for name in ("t2", "t3"):
+            self.fleet.records[name] = record(name, TargetState.LEAVING)
+            self.fleet.run_for(1)
+        self.assert_all_held()
+        self.assertEqual(self.fleet.low_fences(), [])
+
     def isolate(self, host):
         """Cut a host off from all others and from the store, not from targets."""
         others = {h.process.machine for h in self.fleet.hosts if h is not host}
--- a/tests/fakes/range_fleet.py
+++ b/tests/fakes/range_fleet.py
@@ -149,6 +149,21 @@
         leading = [h for h in self.hosts if h.leadership.may_order()]
         return leading[0] if leading else None
 
+    def low_fences(self):
+        """Return the takings of a key by a fence not above all that others had."""
+        takings = sorted(
+            (at, key, fence, name)
+            for name, target in self.targets.items()
+            for at, key, fence in target.taken
+        )
+        highest, low = {}, []
+        for at, key, fence, name in takings:
+            others = {n: f for n, f in highest.get(key, {}).items() if n != name}
+            if any(fence <= other for other in others.values()):
+                low.append((at, key, fence, name))
+            highest.setdefault(key, {})[name] = fence
+        return low
+
     def unheld(self):
         """Return the sampled keys that no target holds now."""
         held = set().union(*(t.held() for t in self.targets.values()))
--- a/tests/slow/test_range_schedules.py
+++ b/tests/slow/test_range_schedules.py
@@ -121,6 +121,7 @@
                 try:
                     schedule.play()
                     self.assertEqual(schedule.fleet.doubles, [])
+                    self.assertEqual(schedule.fleet.low_fences(), [])
                     self.assertEqual(schedule.fleet.unheld(), [])
                     self.assertEqual(schedule.fleet.network.crashes, [])
                 finally:
