--- a/src/persimmonspoke/daemon/routed.py
+++ b/src/persimmonspoke/daemon/routed.py
@@ -19,6 +19,7 @@
 from persimmonspoke.internal.callers.server import serve_callers
 from persimmonspoke.internal.clock import SystemClock
 from persimmonspoke.internal.desk.scheduler import DeskScheduler
+from persimmonspoke.internal.desk.settings import DeskSettings
 from persimmonspoke.internal.fleet.hosts import HOSTS_PREFIX, Hosts
 from persimmonspoke.internal.fleet.leadership import Leadership
 from persimmonspoke.internal.fleet.messages import HostEntry
@@ -39,7 +40,11 @@
 from persimmonspoke.platform import documents, headers
 from persimmonspoke.platform.objects import ObjectStore
 from persimmonspoke.platform.orders import HttpRangeOrders
-from persimmonspoke.platform.settings_file import PlatformSettings, read_settings
+from persimmonspoke.platform.settings_file import (
+    PlatformBounds,
+    PlatformSettings,
+    read_settings,
+)
 
 LISTEN_BACKLOG = 1024
 FOLLOW_S = 0.5
@@ -121,7 +126,7 @@
         )
         self.reporter.keeper = self.keeper
         self.scheduler = DeskScheduler(
-            cfg.desk,
+            _within_bounds(cfg.desk, platform.bounds),
             self.clock,
             self.link,
             self.hosts,
@@ -312,5 +317,15 @@
         return any(watcher.silent_since is not None for watcher in self.watchers)
 
 
+def _within_bounds(cfg: DeskSettings, bounds: PlatformBounds) -> DeskSettings:
+    """Return the settings with a retry budget of half of what the platform allows.
+
+    The other half is for hosts that do not see each other.
+    """
+    share = min(cfg.retry_share, bounds.retry_ratio / 2)
+    saved = max(1.0, bounds.retry_floor / 2)
+    return cfg.model_copy(update={"retry_share": share, "retry_saved": saved})
+
+
 def _listen(ip, port):
     return eventlet.listen((ip, port), backlog=LISTEN_BACKLOG, reuse_port=False)
--- a/src/persimmonspoke/internal/desk/scheduler.py
+++ b/src/persimmonspoke/internal/desk/scheduler.py
@@ -382,4 +382,6 @@
         budget = self._budgets.get(service)
         if budget is None:
             budget = self._budgets[service] = RetryBudget(self._cfg)
+        share = self._cfg.retry_saved / max(1, len(self._members.live()))
+        budget.limit(min(self._cfg.retry_burst, share))
         return budget
--- a/src/persimmonspoke/internal/desk/settings.py
+++ b/src/persimmonspoke/internal/desk/settings.py
@@ -40,6 +40,9 @@
         Repeats allowed, as a share of the requests of this host.
     retry_burst : float
         Repeats that a service may save up on this host.
+    retry_saved : float
+        The same on all hosts together; half of what the platform allows each service
+        besides its share.
     """
 
     model_config = ConfigDict(extra="forbid", frozen=True)
@@ -59,3 +62,4 @@
     far_factor: Annotated[float, Field(ge=1)] = 1.5
     retry_share: Share = 0.1
     retry_burst: Annotated[float, Field(ge=1)] = 4.0
+    retry_saved: Annotated[float, Field(ge=1)] = 25.0
--- a/src/persimmonspoke/internal/scheduling/retry_budget.py
+++ b/src/persimmonspoke/internal/scheduling/retry_budget.py
@@ -17,6 +17,11 @@
         self._burst = cfg.retry_burst
         self._tokens = 0.0
 
+    def limit(self, burst: float) -> None:
+        """Let no more than `burst` retries be saved up, but always one."""
+        self._burst = max(burst, self._price())
+        self._tokens = min(self._tokens, self._burst)
+
     def tried(self) -> None:
         """Count one request that starts to wait for a slot."""
         self._tokens = min(self._burst, self._tokens + self._share)
@@ -27,8 +32,10 @@
         The retry waits for a slot again and is counted there; the price makes up
         for that, so that retries earn no further retries.
         """
-        price = 1.0 + self._share
-        if self._tokens < price - 1e-9:
+        if self._tokens < self._price() - 1e-9:
             return False
-        self._tokens -= price
+        self._tokens -= self._price()
         return True
+
+    def _price(self):
+        return 1.0 + self._share
--- a/tests/cover/test_desk_scheduler.py
+++ b/tests/cover/test_desk_scheduler.py
@@ -128,3 +128,18 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class TestRetriesOfAFleet(SchedulerCase):
+    hosts = 20
+
+    def test_what_all_hosts_have_saved_up_stays_within_the_services_allowance(self):
+        retries = 0
+        for host in self.fleet:
+            ticket = host.ticket()
+            for _ in range(200):
+                host.scheduler._budget(SERVICE).tried()
+            while host.scheduler.may_retry(ticket):
+                retries += 1
+        self.assertGreaterEqual(retries, self.hosts)
+        self.assertLessEqual(retries, DeskSettings().retry_saved)
