--- a/src/persimmonspoke/internal/ranges/granter.py
+++ b/src/persimmonspoke/internal/ranges/granter.py
@@ -22,13 +22,17 @@
 
 log = logging.getLogger(__name__)
 
+TRIES = 2  # the second one tells a lost answer from a lost target
+AT_ONCE = 4  # orders to one target; each costs it a connection
+NEVER = Instant(float("-inf"))
+
 
 class Trust(Enum):
     """Whether a target answers its orders."""
 
     ANSWERS = "answers"
     SILENT = "silent"
-    """It left two orders unanswered; its keys are taken back."""
+    """It has answered no order for too long; its keys are taken back."""
 
 
 class Granter:
@@ -41,8 +45,6 @@
 
     Attributes
     ----------
-    until : Instant
-        Until then the target may hold keys by orders of this host.
     running : bool
         Whether the task that renews is alive.
     """
@@ -64,13 +66,16 @@
         self._wake = Event()
         self._life = 0
         self._lives: dict[int, int] = {}
+        self._late: set[int] = set()
         self.service = record.service
         self.born_ms = record.born_ms
         self.address = address
         self.trust = Trust.ANSWERS
         self.running = False
-        self.until = Instant(float("-inf"))
-        self.probe_at = Instant(float("-inf"))
+        self._until = NEVER
+        self._unanswered: dict[object, Instant] = {}
+        self._answered_at = clock.now()
+        self.probe_at = NEVER
         self.granted: set[tuple[int, int, int]] = set()
 
     @property
@@ -78,6 +83,15 @@
         """The target."""
         return self.address.target_id
 
+    @property
+    def until(self) -> Instant:
+        """Until then the target may hold keys by orders of this host."""
+        return max(self._until, *self._unanswered.values(), NEVER)
+
+    def held_before(self, until: Instant) -> None:
+        """Take note of holds by orders to the same target at an earlier address."""
+        self._until = max(self._until, until)
+
     def run(self) -> None:
         """Renew until the target has become silent."""
         try:
@@ -92,10 +106,11 @@
             current = self._ledger.grantable(self.service, self.target_id)
             fences = {entry.fence for entry in current}
             self._lives = {f: n for f, n in self._lives.items() if f in fences}
+            self._late &= fences
+            pool = eventlet.GreenPool(AT_ONCE)
             for entry in current:
-                if self.trust is Trust.SILENT:
-                    return
-                self.grant(entry)
+                pool.spawn_n(self.grant, entry)
+            pool.waitall()
             left_s = renew_at - self._clock.now()
             if left_s > 0:
                 with eventlet.Timeout(left_s, False):
@@ -117,11 +132,14 @@
             log.debug("ranges: target still silent", extra={"reason": str(exc)})
             return
         log.info("ranges: target answers again", extra={"target": self.target_id})
+        self._answered_at = self._clock.now()
         self.trust = Trust.ANSWERS
         self._granters.tend_soon()
 
     def grant(self, entry: KeyRange) -> bool:
         """Grant one range; return whether the target has it now."""
+        if self.trust is Trust.SILENT:
+            return False
         try:
             return self._try(entry)
         except AuthorityLapsed as exc:
@@ -139,36 +157,64 @@
 
     def _try(self, entry, new=False):
         """Send the grant, and once more if the first one did not succeed."""
-        refused = False
-        for hold_s in (self._granters.hold_s(), self._cfg.probe_hold_s):
-            other_life = self._lives.get(entry.fence, self._life) != self._life
-            if not new and (refused or other_life):
-                # Another life may answer now; it must not get the old fence.
+        refused = reached = False
+        for _ in range(TRIES):
+            if not new and self._needs_fence(entry, refused):
                 entry = self._ledger.refence(self.service, entry)
             if entry is None or not (
                 new or self._ledger.is_current(self.service, entry)
             ):
                 return False
+            life = self._life
             try:
-                self._send(entry, hold_s)
+                self._send(entry, self._hold_s())
             except TargetFenced:
                 log.info("ranges: grant refused", extra=self._fields(entry))
+                self._answered_at = self._clock.now()
                 refused = True
             except TargetError as exc:
                 refused = False
-                if not isinstance(exc, OrderOutcomeUnknown):
+                reached = isinstance(exc, OrderOutcomeUnknown)
+                if reached:
+                    self._late.add(entry.fence)
+                else:
                     self._life += 1
                 log.info(
                     "ranges: grant unanswered",
                     extra={**self._fields(entry), "reason": str(exc)},
                 )
             else:
-                self._note_granted(entry)
+                self._note_granted(entry, life)
                 return True
         if not refused:
-            self._become_silent()
+            self._doubt(reached)
         return False
 
+    def _hold_s(self):
+        """Return how long the next grant lasts; a target in doubt gets a short one."""
+        if self._clock.now() - self._answered_at > self._cfg.doubt_s:
+            return self._cfg.probe_hold_s
+        return self._granters.hold_s()
+
+    def _needs_fence(self, entry, refused):
+        """Return whether a range has to be granted under a higher fence.
+
+        Another life of the target must not get the old one; and an order that is
+        carried out late would end newer grants of the same fence before their time.
+        """
+        other_life = self._lives.get(entry.fence, self._life) != self._life
+        return refused or other_life or entry.fence in self._late
+
+    def _doubt(self, reached):
+        """Give the target up, unless it may only have lost the answers.
+
+        The keys of a target that got a grant can't go to another one before that
+        grant lapses, so there is time to ask again.
+        """
+        silent_s = self._clock.now() - self._answered_at
+        if not reached or silent_s >= self._cfg.silent_s:
+            self._become_silent()
+
     def _fields(self, entry):
         """Return what a log line says about an order."""
         return {
@@ -182,25 +228,29 @@
         order = RangeGrant(entry.first, entry.last, entry.fence, hold_s, entry.handover)
         longest_s = self._cfg.longest(hold_s)
         deadline = Instant(self._clock.now() + self._cfg.order_s)
-        known = self.until
         # Should this task be ended while it waits, the order counts at its longest.
-        self.until = Instant(max(known, deadline + longest_s))
-        # The lease is checked last; no other task runs before the order is written.
-        self._granters.check_lease()
+        order_id = object()
+        self._unanswered[order_id] = Instant(deadline + longest_s)
         try:
+            # The lease is checked last; no other task runs before the order is written.
+            self._granters.check_lease()
             self._orders.grant(self.address, order, deadline)
         finally:
-            self.until = Instant(max(known, self._clock.now() + longest_s))
+            del self._unanswered[order_id]
+            self._until = max(self._until, Instant(self._clock.now() + longest_s))
 
-    def _note_granted(self, entry):
+    def _note_granted(self, entry, life):
         self.trust = Trust.ANSWERS
-        self._lives[entry.fence] = self._life
+        self._answered_at = self._clock.now()
+        self._lives[entry.fence] = life
         key = (entry.first, entry.last, entry.fence)
         if key not in self.granted:
             self.granted.add(key)
             self._granters.opened(self.service, entry)
 
     def _become_silent(self):
+        if self.trust is Trust.SILENT:
+            return
         self.trust = Trust.SILENT
         log.warning(
             "ranges: target is silent, its keys are taken back",
@@ -208,6 +258,7 @@
                 "target": self.target_id,
                 "service": self.service,
                 "may_hold_for_s": round(self.until - self._clock.now(), 2),
+                "unanswered_for_s": round(self._clock.now() - self._answered_at, 2),
             },
         )
         self._granters.tend_soon()
--- a/src/persimmonspoke/internal/ranges/granters.py
+++ b/src/persimmonspoke/internal/ranges/granters.py
@@ -115,7 +115,7 @@
                 self, record, address, self._cfg, self._clock, self._orders
             )
             if until is not None:
-                granter.until = until
+                granter.held_before(until)
             self._granters[key] = granter
         if not granter.running and granter.trust is Trust.ANSWERS:
             granter.running = True
--- a/src/persimmonspoke/internal/ranges/settings.py
+++ b/src/persimmonspoke/internal/ranges/settings.py
@@ -20,9 +20,14 @@
         Length of a grant while the store is silent, when a lost leader can't be
         replaced.
     probe_hold_s : float
-        Length of a grant to a target that left the last one unanswered.
+        Length of a grant to a target in doubt.
     order_s : float
         Time allowed to one grant.
+    doubt_s : float
+        Time without any answer from which a target gets short grants only.
+    silent_s : float
+        Time without any answer after which a target that takes orders counts as
+        lost; no longer than its last grant may last anyway.
     release_s : float
         Time allowed to one release, which waits for the target's work in hand.
     retry_s : float
@@ -55,7 +60,9 @@
     renew_s: Seconds = 0.6
     outage_hold_s: Seconds = 8.0
     probe_hold_s: Seconds = 1.0
-    order_s: Seconds = 0.5
+    order_s: Seconds = 0.35
+    doubt_s: Seconds = 1.0
+    silent_s: Seconds = 2.4
     release_s: Seconds = 1.5
     retry_s: Seconds = 0.2
     clock_drift: Annotated[float, Field(ge=0, lt=0.1)] = 0.02
--- a/tests/cover/test_ranges.py
+++ b/tests/cover/test_ranges.py
@@ -17,6 +17,7 @@
 from persimmonspoke.internal.ranges.ranges import KeyRange, RangeMap, divide_evenly
 from persimmonspoke.internal.routing.config import TargetState
 from tests.fakes.range_fleet import SERVICE, RangeFleet, record
+from tests.fakes.range_targets import SAMPLED_KEYS
 
 
 class TestRangeMap(unittest.TestCase):
@@ -222,6 +223,33 @@
         self.assertFalse([a for a, b in pairs if a.owner == b.owner == "t0"])
 
 
+class TestLostAnswers(FleetCase):
+    """Three of ten orders are carried out late and never answered."""
+
+    def setUp(self):
+        super().setUp()
+        for number, target in enumerate(self.fleet.targets.values()):
+            target.late_s, target.late_share = 4.0, 0.3
+            target.drawn.seed(number)
+
+    def test_targets_that_answer_now_and_then_keep_their_keys(self):
+        before = self.owners()
+        for _ in range(60):
+            self.fleet.run_for(0.2)
+            self.assertEqual(self.owners(), before)
+
+    def test_nearly_all_keys_stay_held(self):
+        unheld = []
+        for _ in range(60):
+            self.fleet.run_for(0.2)
+            unheld.append(len(self.fleet.unheld()) / len(SAMPLED_KEYS))
+        self.assertLess(sum(unheld) / len(unheld), 0.02)
+
+    def owners(self):
+        ranges = self.fleet.leader().keeper.ledger.map(SERVICE).ranges
+        return [(entry.first, entry.owner) for entry in ranges]
+
+
 class TestLostTargets(FleetCase):
     def test_a_silent_target_loses_its_keys_once_its_holds_have_lapsed(self):
         self.fleet.targets["t0"].silent = True
--- a/tests/fakes/range_targets.py
+++ b/tests/fakes/range_targets.py
@@ -1,5 +1,6 @@
 """Targets that hold key ranges by grants, as the platform's targets do."""
 
+import random
 from dataclasses import dataclass, field
 
 import eventlet
@@ -37,6 +38,8 @@
         Whether orders get no answer and no effect.
     late_s : float
         Orders get no answer and take effect after so many seconds; 0 for at once.
+    late_share : float
+        Share of the orders that this happens to, drawn from `drawn`.
     work_s : float
         How long a release waits for work in hand.
     """
@@ -45,6 +48,8 @@
     rate: float = 1.0
     silent: bool = False
     late_s: float = 0.0
+    late_share: float = 1.0
+    drawn: random.Random = field(default_factory=lambda: random.Random(7))
     work_s: float = 0.0
     fences: dict = field(default_factory=dict)
     holds: dict = field(default_factory=dict)
@@ -52,6 +57,10 @@
     orders: list = field(default_factory=list)
     taken: list = field(default_factory=list)
 
+    def is_late(self):
+        """Return whether the next order gets no answer."""
+        return self.late_s > 0 and self.drawn.random() < self.late_share
+
     def grant(self, order, arrived, excused=False):
         """Carry out a grant that arrived at the virtual time `arrived`."""
         keys = _sampled(order)
@@ -59,7 +68,8 @@
             raise TargetFenced("a higher fence was seen")
         end = arrived + order.hold_s / self.rate
         for key in keys:
-            if self.fences.get(key, 0) < order.fence:
+            # A grant that arrives after its time gives no key.
+            if self.fences.get(key, 0) < order.fence and end > virtual_hub.now():
                 self.taken.append((virtual_hub.now(), key, order.fence))
             self.fences[key] = order.fence
             if excused and key not in self.held():
@@ -103,7 +113,7 @@
     def grant(self, target, order, deadline):
         """Grant or renew the holding of keys."""
         found = self._target(target)
-        if found.late_s:
+        if found.is_late():
             arrived = virtual_hub.now()
             eventlet.spawn_after(found.late_s, _quietly, found.grant, order, arrived)
             self._wait_until(deadline)
@@ -114,7 +124,7 @@
     def release(self, target, order, deadline):
         """Take keys back."""
         found = self._target(target)
-        if found.late_s:
+        if found.is_late():
             eventlet.spawn_after(found.late_s, found.release, order)
             self._wait_until(deadline)
             raise OrderOutcomeUnknown("no answer in time")
