--- a/src/persimmonspoke/daemon/main.py
+++ b/src/persimmonspoke/daemon/main.py
@@ -10,13 +10,16 @@
 # All that opens sockets has to be imported after this line.
 eventlet.monkey_patch()
 
-import argparse
 import json
 import logging
-import pathlib
 import signal
 import sys
 
+from persimmonspoke.daemon.command import (
+    on_signal,
+    settings_parser,
+    stop_on_signals,
+)
 from persimmonspoke.daemon.daemon import Daemon, ExitStatus
 from persimmonspoke.daemon.settings import Settings
 from persimmonspoke.errors import InvalidSettings
@@ -34,7 +37,10 @@
 
 def main(argv: list[str] | None = None) -> int:
     """Run the daemon; return its exit status."""
-    args = _parser().parse_args(argv)
+    parser = settings_parser(
+        "persimmonspoked", "Route requests to the targets that own their keys.", EPILOG
+    )
+    args = parser.parse_args(argv)
     try:
         text = args.settings.read_text()
         settings = load_checked(Settings, text, str(args.settings))
@@ -55,10 +61,8 @@
         print(f"cannot listen: {exc}", file=sys.stderr)
         return ExitStatus.FAILED
     start_logs(settings.observe.log_level, daemon.host_id)
-    # A handler runs between two steps of any task, so it only starts a new one.
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: eventlet.spawn(daemon.stop))
-    signal.signal(signal.SIGUSR1, lambda *_: eventlet.spawn(_print_dump, daemon))
+    stop_on_signals(daemon.stop)
+    on_signal(signal.SIGUSR1, lambda: _print_dump(daemon))
     return daemon.run()
 
 
@@ -67,26 +71,5 @@
     print(json.dumps(daemon.dump()), flush=True)
 
 
-def _parser():
-    """Return the parser of the command line."""
-    parser = argparse.ArgumentParser(
-        prog="persimmonspoked",
-        description="Route requests to the targets that own their keys.",
-        epilog=EPILOG,
-        formatter_class=argparse.RawDescriptionHelpFormatter,
-    )
-    parser.add_argument(
-        "--settings",
-        type=pathlib.Path,
-        required=True,
-        metavar="FILE",
-        help="settings in YAML",
-    )
-    parser.add_argument(
-        "--check", action="store_true", help="check the settings and end"
-    )
-    return parser
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- a/src/persimmonspoke/daemon/routed_main.py
+++ b/src/persimmonspoke/daemon/routed_main.py
@@ -13,12 +13,15 @@
 # All that opens sockets has to be imported after this line.
 eventlet.monkey_patch()
 
-import argparse
-import pathlib
 import signal
 import sys
 from enum import IntEnum
 
+from persimmonspoke.daemon.command import (
+    on_signal,
+    settings_parser,
+    stop_on_signals,
+)
 from persimmonspoke.daemon.routed import RoutedDaemon
 from persimmonspoke.daemon.routed_settings import RoutedSettings
 from persimmonspoke.errors import InvalidSettings
@@ -26,6 +29,10 @@
 from persimmonspoke.internal.observe.bounded_logs import start_bounded_logs
 from persimmonspoke.platform.settings_file import read_settings, settings_path
 
+DESCRIPTION = """\
+Route requests to the targets that own their keys, on the users' platform, whose
+settings file the environment names."""
+
 EPILOG = """\
 exit status: 0 stopped in an orderly way; 1 failed; 2 the settings are invalid.
 signals: SIGTERM and SIGINT stop gracefully; SIGHUP reads the platform's settings
@@ -42,7 +49,8 @@
 
 def main(argv: list[str] | None = None) -> int:
     """Run the daemon; return its exit status."""
-    args = _parser().parse_args(argv)
+    parser = settings_parser("persimmonspoke-routed", DESCRIPTION, EPILOG)
+    args = parser.parse_args(argv)
     try:
         text = args.settings.read_text()
         cfg = load_checked(RoutedSettings, text, str(args.settings))
@@ -66,36 +74,12 @@
         return ExitStatus.FAILED
     handler = start_bounded_logs(cfg.observe.log_level, daemon.host_id, daemon.clock)
     daemon.metrics.gauge("log.lines_dropped", lambda: handler.dropped)
-    # A handler runs between two steps of any task, so it only starts a new one.
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: eventlet.spawn(daemon.stop))
-    signal.signal(signal.SIGHUP, lambda *_: eventlet.spawn(daemon.reload))
+    stop_on_signals(daemon.stop)
+    on_signal(signal.SIGHUP, daemon.reload)
     daemon.run()
     handler.flush_some()
     return ExitStatus.STOPPED
 
 
-def _parser():
-    """Return the parser of the command line."""
-    parser = argparse.ArgumentParser(
-        prog="persimmonspoke-routed",
-        description="Route requests to the targets that own their keys, on the "
-        "users' platform, whose settings file the environment names.",
-        epilog=EPILOG,
-        formatter_class=argparse.RawDescriptionHelpFormatter,
-    )
-    parser.add_argument(
-        "--settings",
-        type=pathlib.Path,
-        required=True,
-        metavar="FILE",
-        help="the project's own settings, in YAML",
-    )
-    parser.add_argument(
-        "--check", action="store_true", help="check these settings and end"
-    )
-    return parser
-
-
 if __name__ == "__main__":
     sys.exit(main())
