--- a/src/persimmonspoke/errors.py
+++ b/src/persimmonspoke/errors.py
@@ -269,6 +269,10 @@
         self.opens_at = opens_at
 
 
+class OwnerChanged(NoOwnerYet):
+    """The key got another owner while the request waited; it may ask there at once."""
+
+
 class Overloaded(NotRun):
     """The request was shed before any target saw it."""
 
--- a/src/persimmonspoke/internal/callers/attempts.py
+++ b/src/persimmonspoke/internal/callers/attempts.py
@@ -223,6 +223,8 @@
         began = self._clock.now()
         try:
             slot = self._scheduler.acquire(ticket, candidates)
+        except errors.OwnerChanged:
+            return None
         except errors.NoOwnerYet:
             # The owner takes no new work, so its shards are about to move.
             self._metrics.incr("callers.waits_for_owner")
@@ -242,6 +244,9 @@
             if not isinstance(exc, (*NOT_RUN_ERRORS, errors.AnswerLost)):
                 raise
             self._note(exc, route, slot, progress)
+            if isinstance(exc, errors.RouteLapsed):
+                # Nothing was written, and the next look may find another owner.
+                progress.sends -= 1
             self._check_retry(exc, req, body, ticket, progress)
         self._pause(req, route, progress)
         return None
--- a/src/persimmonspoke/internal/desk/scheduler.py
+++ b/src/persimmonspoke/internal/desk/scheduler.py
@@ -2,6 +2,7 @@
 
 import itertools
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 import eventlet
@@ -11,10 +12,18 @@
     DeadlinePassed,
     NoOwnerYet,
     Overloaded,
+    OwnerChanged,
     PeerError,
     PeerRefused,
 )
-from persimmonspoke.ids import DataCentreId, HostId, Instant, ServiceId, TargetId
+from persimmonspoke.ids import (
+    DataCentreId,
+    HostId,
+    Instant,
+    KeyText,
+    ServiceId,
+    TargetId,
+)
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.desk.desk import Desk, TargetSlots
 from persimmonspoke.internal.desk.messages import (
@@ -141,6 +150,17 @@
             self._withdraw(entry)
             raise
 
+    def owners_changed(
+        self, owner_of: Callable[[ServiceId, KeyText], TargetId | None]
+    ) -> None:
+        """Have requests that wait for a key's former owner look for the new one."""
+        for entry in list(self._open.values()):
+            ask, ticket = entry.ask, entry.ticket
+            if ask.owner is None or entry.target_id or entry.answered.ready():
+                continue
+            if owner_of(ask.service, ticket.key) != ask.owner:
+                entry.answered.send(OwnerChanged("the key has another owner now"))
+
     def may_retry(self, ticket: Ticket) -> bool:
         """Take one retry from the service's budget; return whether there was one."""
         return self._budget(ticket.service.service).take()
@@ -187,6 +207,8 @@
         left_s = entry.ticket.deadline - self._clock.now()
         with eventlet.Timeout(max(0.0, left_s), False):
             answer = entry.answered.wait()
+            if isinstance(answer, OwnerChanged):
+                raise answer
             if isinstance(answer, Refused):
                 raise Overloaded(
                     "no slot in time", retry_after_s=round(answer.retry_after_s, 3)
@@ -316,7 +338,7 @@
 
     def _on_lent(self, lent: Lent) -> None:
         entry = self._open.get(lent.serial)
-        if entry is None or entry.target_id is not None:
+        if entry is None or entry.answered.ready():
             # The request has ended or got a slot elsewhere; notes will tell.
             return
         entry.desk = lent.desk
--- a/src/persimmonspoke/internal/ranges/routes.py
+++ b/src/persimmonspoke/internal/ranges/routes.py
@@ -2,6 +2,7 @@
 
 import logging
 from bisect import bisect_right
+from collections.abc import Callable
 from contextlib import AbstractContextManager, nullcontext
 from dataclasses import replace
 
@@ -48,6 +49,8 @@
     ----------
     table : RangeTable or None
         The newest one.
+    on_change : callable
+        Called whenever a newer table has been taken in.
     """
 
     def __init__(self, state: RoutingState, clock: Clock, leaving_grace_s: float):
@@ -60,6 +63,7 @@
         self._to_report: list[tuple[ServiceId, int, int]] = []
         self._changed = Event()
         self.table: RangeTable | None = None
+        self.on_change: Callable[[], None] = lambda: None
 
     def take(self, table: RangeTable) -> bool:
         """Take in a table; return whether it is newer than the one before."""
@@ -105,6 +109,12 @@
         }
         fired, self._changed = self._changed, Event()
         fired.send(None)
+        self.on_change()
+
+    def owner(self, service: ServiceId, key: KeyText) -> TargetId | None:
+        """Return who owns `key`; None while it is changing hands."""
+        row = self._row(service, key)
+        return None if row is None else row.owner
 
     def known(self) -> tuple[int, int]:
         """Return epoch and serial of the table."""
--- a/tests/cover/test_callers_attempts.py
+++ b/tests/cover/test_callers_attempts.py
@@ -1,6 +1,7 @@
 """What becomes of a request whose attempts fail, in virtual time."""
 
 import unittest
+from dataclasses import replace
 
 import eventlet
 
@@ -8,6 +9,8 @@
     AnswerLost,
     NoOwnerYet,
     Overloaded,
+    OwnerChanged,
+    RouteLapsed,
     TargetDraining,
     TargetFenced,
     TargetRefusedConnection,
@@ -16,6 +19,7 @@
 )
 from persimmonspoke.internal.callers.app import make_caller_app
 from persimmonspoke.internal.callers.settings import CallerSettings
+from persimmonspoke.internal.routing.config import RouteConfig, RouteKind
 from persimmonspoke.internal.targets.request_api import NOT_RUN_ERRORS
 from tests.fakes.caller_parts import (
     FirstCandidate,
@@ -206,6 +210,31 @@
         self.assertAlmostEqual(took_s, 2.0, delta=0.02)
 
 
+class TestOwnersThatChange(HostCase):
+    """Keys move while requests for them wait or are about to be sent."""
+
+    def setUp(self):
+        super().setUp()
+        route = RouteConfig("r", "", "/", RouteKind.SAFE, 5, 1, 1, 2, ())
+        read = self.app._reader.read
+        self.app._reader.read = lambda *args: replace(read(*args), route=route)
+
+    def test_a_lapsed_route_uses_up_no_attempt_of_the_request(self):
+        self.steps(*[Step(RouteLapsed("moved"))] * 3, Step(FakeAnswer()))
+        self.assertEqual(self.read().status, 200)
+
+    def test_a_target_that_refused_does(self):
+        self.steps(*[Step(TargetFenced("not mine"))] * 2, Step(FakeAnswer()))
+        self.assertEqual(self.read().status, 503)
+
+    def test_a_request_whose_owner_changed_asks_again_without_a_pause(self):
+        self.scheduler.errors = [OwnerChanged("moved")] * 3
+        self.steps(Step(FakeAnswer()))
+        reply, took_s = self.timed(self.read)
+        self.assertEqual(reply.status, 200)
+        self.assertLess(took_s, 0.01)
+
+
 class TestRetryBudget(HostCase):
     def test_an_empty_budget_ends_repeats_that_cost_the_target_work(self):
         self.scheduler.retries = 2
--- a/tests/cover/test_desk_scheduler.py
+++ b/tests/cover/test_desk_scheduler.py
@@ -4,7 +4,12 @@
 
 import eventlet
 
-from persimmonspoke.errors import DeadlinePassed, NoOwnerYet, Overloaded
+from persimmonspoke.errors import (
+    DeadlinePassed,
+    NoOwnerYet,
+    Overloaded,
+    OwnerChanged,
+)
 from persimmonspoke.ids import HostId, Instant
 from persimmonspoke.internal.desk.scheduler import DeskScheduler
 from persimmonspoke.internal.desk.settings import DeskSettings
@@ -143,3 +148,42 @@
                 retries += 1
         self.assertGreaterEqual(retries, self.hosts)
         self.assertLessEqual(retries, DeskSettings().retry_saved)
+
+
+class TestKeysThatMoveWhileRequestsWait(SchedulerCase):
+    def wait_for(self, host, owner):
+        now = host.clock.now()
+        ticket = Ticket(
+            "platform",
+            service(SERVICE, (target("t0"), target("t1")), shard_count=1),
+            "7",
+            False,
+            Instant(now + 3),
+            objective=Instant(now + 3),
+        )
+        return host.scheduler.acquire(ticket, (owner,))
+
+    def test_a_request_that_waits_for_the_former_owner_looks_again_at_once(self):
+        host = self.fleet[0]
+        slots = [self.wait_for(host, "t0") for _ in range(2)]
+        waiting = eventlet.spawn(self.wait_for, host, "t0")
+        eventlet.sleep(0.05)
+        host.scheduler.owners_changed(lambda service, key: "t1")
+        began = host.clock.now()
+        with self.assertRaises(OwnerChanged):
+            waiting.wait()
+        self.assertLess(host.clock.now() - began, 0.01)
+        eventlet.sleep(0.5)
+        slots[0].done(SlotOutcome.ANSWERED)
+        eventlet.sleep(0.5)
+        desk = self.desk_host().scheduler._desks[SERVICE]
+        self.assertEqual(desk.waiting(), 0)
+
+    def test_one_that_has_its_slot_or_whose_key_stays_is_left_alone(self):
+        host = self.fleet[0]
+        slots = [self.wait_for(host, "t0") for _ in range(2)]
+        waiting = eventlet.spawn(self.wait_for, host, "t0")
+        eventlet.sleep(0.05)
+        host.scheduler.owners_changed(lambda service, key: "t0")
+        slots[0].done(SlotOutcome.ANSWERED)
+        self.assertEqual(waiting.wait().target_id, "t0")
--- a/tests/fakes/caller_parts.py
+++ b/tests/fakes/caller_parts.py
@@ -130,9 +130,12 @@
         self.outcomes = []
         self.given = 0
         self.error = None
+        self.errors = []
 
     def acquire(self, ticket, candidates):
         """Return a slot, or raise what the test asks for."""
+        if self.errors:
+            raise self.errors.pop(0)
         if self.error is not None:
             raise self.error
         if eventlet.hubs.get_hub().clock() >= ticket.deadline:
