--- a/src/persimmonspoke/internal/desk/desk.py
+++ b/src/persimmonspoke/internal/desk/desk.py
@@ -220,8 +220,10 @@
             # It goes where there is room, and takes nobody's chance.
             in_time = wait_s + service_s <= entry.ask.left_s
             return in_time and wait_s <= self._cfg.late_wait_s
-        ends_in_s = wait_s + self._cfg.long_factor * service_s
-        return ends_in_s <= entry.ask.objective_left_s
+        left_s = entry.ask.objective_left_s
+        # Without a short queue slots would idle between two requests.
+        short_s = min(self._cfg.short_queue * service_s, left_s - service_s)
+        return wait_s <= max(left_s - self._cfg.long_factor * service_s, short_s)
 
     def _expected_wait_s(self, queue, entry, now) -> float | None:
         """Return how long the request would wait; None if nobody can tell."""
--- a/src/persimmonspoke/internal/desk/settings.py
+++ b/src/persimmonspoke/internal/desk/settings.py
@@ -26,6 +26,9 @@
     long_factor : float
         Length of a long answer, in usual ones: a request joins a queue if even a
         long answer would come before its objective.
+    short_queue : float
+        Length of a short queue, in usual answers: a request joins one if only a usual
+        answer would come in time.
     late_wait_s : float
         Longest queue that a request joins which misses its objective anyway.
     stuck_factor, stuck_s : float
@@ -55,6 +58,7 @@
     long_factor: Annotated[float, Field(ge=1)] = (
         2.2  # nine of ten and the queue's own spread
     )
+    short_queue: Annotated[float, Field(ge=0)] = 1.0  # 0.5 left slots idle
     late_wait_s: Seconds = 0.1
     stuck_factor: Seconds = 5.0
     stuck_s: Seconds = 0.3
--- a/src/persimmonspoke/internal/ranges/settings.py
+++ b/src/persimmonspoke/internal/ranges/settings.py
@@ -43,8 +43,8 @@
         How long targets may register before keys are first dealt out.
     plan_s : float
         How often the load is looked at.
-    merge_s : float
-        Pause between two moves that only join ranges.
+    even_s : float
+        Pause between two rounds of moves while no target is overloaded.
     load_s : float
         Time constant of the decay of measured load.
     burst_s : float
@@ -70,7 +70,7 @@
     leaving_grace_s: Seconds = 1.4
     settle_s: Seconds = 1.0
     plan_s: Seconds = 0.1
-    merge_s: Seconds = 0.3
+    even_s: Seconds = 0.3
     load_s: Seconds = 2.0
     burst_s: Seconds = 0.5
     moves: Annotated[int, Field(ge=1)] = 3
