--- a/src/persimmonspoke/daemon/routed_settings.py
+++ b/src/persimmonspoke/daemon/routed_settings.py
@@ -43,4 +43,4 @@
     ranges: RangeSettings = RangeSettings()
     desk: DeskSettings = DeskSettings()
     targets: TargetSettings = TargetSettings(proved_alive_s=3.0, idle_s=6.0)
-    timers: Timers = Timers()
+    timers: Timers = Timers(gather_s=0.15)  # a tenth of the shortest bound on news
--- a/src/persimmonspoke/internal/news/watcher.py
+++ b/src/persimmonspoke/internal/news/watcher.py
@@ -97,4 +97,6 @@
         for stored in listing.items:
             self._board.observe(stored)
         self.confirmed_at = asked
+        if listing.items and self._timers.gather_s:
+            self._clock.sleep_until(Instant(self._clock.now() + self._timers.gather_s))
         return listing.revision
--- a/src/persimmonspoke/internal/ranges/planner.py
+++ b/src/persimmonspoke/internal/ranges/planner.py
@@ -21,7 +21,7 @@
 SPAN_COST = 4.0  # moving a quarter of all keys weighs as much as missing the goal
 MOST_RANGES_PER_TARGET = 12  # orders a target and renewal
 IDLE_RATE = 0.3  # requests a second
-GIANT = 0.5  # of its owner's slots; such a key is no part of a run
+DOMINANT = 0.5  # of its owner's slots; such a key is no part of a run
 LEAST_RELIEF = 0.04  # of a target's slots; less is not worth a move
 KEYS = LAST_KEY - FIRST_KEY + 1
 
@@ -109,7 +109,7 @@
     return None
 
 
-def giants(
+def dominant_keys(
     service: ServiceId, entries: Iterable[KeyRange], loads: Loads, cost: float
 ) -> dict[int, float]:
     """Return the keys that alone keep much of a target busy, with their rates.
@@ -125,7 +125,7 @@
         key: rate
         for entry in entries
         for key, rate in loads.keys(service, entry)
-        if rate * cost >= GIANT
+        if rate * cost >= DOMINANT
     }
 
 
@@ -144,7 +144,7 @@
     `least` of its slots.
     """
     held = tuple(held)
-    fixed = giants(service, entries, loads, cost)
+    fixed = dominant_keys(service, entries, loads, cost)
     best = None
     for entry in entries:
         if any(entry.overlaps(first, last) for first, last in held):
--- a/src/persimmonspoke/internal/ranges/spread.py
+++ b/src/persimmonspoke/internal/ranges/spread.py
@@ -9,7 +9,7 @@
     PlannedMove,
     Seat,
     best_piece,
-    giants,
+    dominant_keys,
     utilisations,
     whole_move,
 )
@@ -20,7 +20,7 @@
 TAKER_RELIEF = 0.08  # of utilisation, by which one more taker must help
 LEAST_RELIEF = 0.015  # of an overloaded target's slots; less is not worth a move
 MOST_TAKERS = 6  # a hot class's share is within six targets' slots
-FASTER = 0.8  # of the time that a giant key takes now, at most, to be worth a move
+FASTER = 0.8  # of the time that a dominant key takes now, at most, to be worth a move
 
 
 def plan_spread(
@@ -42,7 +42,7 @@
     for target_id in sorted(view.cost, key=view.busy.__getitem__, reverse=True):
         if not view.is_overloaded(target_id):
             continue
-        plan = _move_giant(view, target_id) or _divide(view, target_id)
+        plan = _move_dominant(view, target_id) or _divide(view, target_id)
         if plan is not None:
             return plan
     return None
@@ -73,17 +73,17 @@
 
     def is_overloaded(self, target_id):
         """Return whether a target's load is too much, and hardly so by chance."""
-        if self.giants(target_id):
+        if self.dominant_keys(target_id):
             # So many requests for one key do not come by chance.
             return self.busy[target_id] >= OVERLOADED
         cost, rate = self.cost[target_id], self.rates[target_id]
         chance = CHANCE * cost * self.loads.deviation(rate)
         return self.busy[target_id] - chance >= OVERLOADED
 
-    def giants(self, target_id):
-        """Return a target's giant keys, with their rates."""
+    def dominant_keys(self, target_id):
+        """Return a target's dominant keys, with their rates."""
         owned = self.ranges.owned_by(target_id)
-        return giants(self.service, owned, self.loads, self.cost[target_id])
+        return dominant_keys(self.service, owned, self.loads, self.cost[target_id])
 
     def range_of(self, key) -> KeyRange | None:
         """Return a key as a range of its own; None if it is being moved."""
@@ -95,9 +95,9 @@
         return any(piece.overlaps(first, last) for first, last in self.held)
 
 
-def _move_giant(view, target_id) -> PlannedMove | None:
-    """Return the move of a target's heaviest giant key to a faster one, if any."""
-    found = view.giants(target_id)
+def _move_dominant(view, target_id) -> PlannedMove | None:
+    """Return the move of a target's heaviest dominant key to a faster one, if any."""
+    found = view.dominant_keys(target_id)
     if not found:
         return None
     key = max(found, key=found.__getitem__)
@@ -106,8 +106,8 @@
         return None
 
     def after(name):
-        """Return how busy a target would be by its giant keys alone."""
-        rates = [r for k, r in view.giants(name).items() if k != key]
+        """Return how busy a target would be by its dominant keys alone."""
+        rates = [r for k, r in view.dominant_keys(name).items() if k != key]
         return view.cost[name] * (sum(rates) + found[key])
 
     best = min(view.cost, key=lambda name: (after(name), name))
@@ -119,7 +119,7 @@
 def _divide(view, target_id) -> PlannedMove | None:
     """Return the move that divides a target's excess among less busy ones."""
     cost = view.cost[target_id]
-    fixed = sum(view.giants(target_id).values())
+    fixed = sum(view.dominant_keys(target_id).values())
     movable = view.rates[target_id] - fixed
     others = sorted(view.cost.keys() - {target_id}, key=view.busy.__getitem__)
     takers, level = _takers(view, others, movable, fixed * cost, cost)
@@ -137,11 +137,11 @@
 
 
 def _busiest_rest(view, target_id) -> KeyRange | None:
-    """Return the busiest run of a target's keys without a giant one, if any matters.
+    """Return the busiest run of a target's keys without a dominant one, if any.
 
     Such a target should give away even keys that were not asked for of late.
     """
-    fixed = view.giants(target_id)
+    fixed = view.dominant_keys(target_id)
     best, most = None, LEAST_RELIEF / view.cost[target_id]
     for entry in view.ranges.owned_by(target_id):
         inside = sorted(key for key in fixed if entry.first <= key <= entry.last)
--- a/src/persimmonspoke/internal/timers.py
+++ b/src/persimmonspoke/internal/timers.py
@@ -40,6 +40,9 @@
         Time allowed to one call of the store.
     watch_s : float
         Longest time that one watch call waits.
+    gather_s : float
+        Pause after a watch call that brought changes, so that the next one brings
+        several where stores charge for calls.
     """
 
     model_config = ConfigDict(extra="forbid", frozen=True)
@@ -57,6 +60,7 @@
     hold_s: Seconds = 1.0
     store_call_s: Seconds = 3.0
     watch_s: Seconds = 10.0
+    gather_s: Annotated[float, Field(ge=0)] = 0.0
 
     @model_validator(mode="after")
     def _leases_outlast_two_renewals(self):
--- a/tests/cover/test_news.py
+++ b/tests/cover/test_news.py
@@ -9,8 +9,10 @@
 from persimmonspoke.internal.news.board import NewsBoard
 from persimmonspoke.internal.news.messages import NewsReply
 from persimmonspoke.internal.news.relay import RelayReader
+from persimmonspoke.internal.news.watcher import StoreWatcher
 from persimmonspoke.internal.peers.api import PeerAddress
 from persimmonspoke.internal.store.api import Listing, Stored
+from persimmonspoke.internal.timers import Timers
 from tests.fakes import virtual_hub
 
 
@@ -59,6 +61,44 @@
         self.assertAlmostEqual(virtual_hub.now() - began, 2, places=3)
 
 
+class _CountedStore:
+    """A store whose objects change every 10 ms for a while; counts the watches."""
+
+    def __init__(self, changes):
+        self.began = virtual_hub.now()
+        self.changes = changes
+        self.watches = 0
+
+    def list(self, prefix, deadline):
+        return Listing((), 1)
+
+    def watch(self, prefix, revision, deadline):
+        self.watches += 1
+        while virtual_hub.now() < deadline:
+            newest = min(self.changes, int(100 * (virtual_hub.now() - self.began)))
+            if newest > revision:
+                new = range(revision + 1, newest + 1)
+                return Listing(tuple(Stored(f"k{n}", {"n": n}, n) for n in new), newest)
+            eventlet.sleep(0.01)
+        return Listing((), revision)
+
+
+class TestStoreWatcher(unittest.TestCase):
+    def follow(self, gather_s):
+        store = _CountedStore(changes=100)
+        board = NewsBoard(HubClock())
+        timers = Timers(gather_s=gather_s)
+        task = eventlet.spawn(StoreWatcher(store, board, HubClock(), timers).run)
+        eventlet.sleep(2)
+        task.kill()
+        self.assertIsNotNone(board.get("k100"))
+        return store.watches
+
+    def test_changes_that_come_in_series_are_read_in_few_calls(self):
+        self.assertGreater(self.follow(gather_s=0.0), 50)
+        self.assertLessEqual(self.follow(gather_s=0.15), 9)
+
+
 class _Link:
     """Answers for one relay; the other is silent."""
 
