--- a/src/persimmonspoke/internal/desk/desk.py
+++ b/src/persimmonspoke/internal/desk/desk.py
@@ -24,6 +24,7 @@
 )
 from persimmonspoke.internal.desk.settings import DeskSettings
 from persimmonspoke.internal.desk.targets import NEVER, Loan, SlotTarget
+from persimmonspoke.internal.desk.waiting import Waiting, may_wait
 from persimmonspoke.internal.scheduling.api import SlotOutcome
 
 log = logging.getLogger(__name__)
@@ -35,35 +36,6 @@
 STUCK_RETRY_S = 0.4
 
 
-@dataclass(slots=True, eq=False)
-class Waiting:
-    """A request in a queue of the desk.
-
-    Attributes
-    ----------
-    late : bool
-        Whether it misses its objective even if it starts at once.
-    """
-
-    ask: Ask
-    asked_at: Instant
-    objective: Instant
-    deadline: Instant
-    late: bool
-
-    @property
-    def name(self) -> tuple[HostId, int]:
-        """Return what names the request among those of all hosts."""
-        return self.ask.host, self.ask.serial
-
-    def turn(self) -> tuple[int, bool, Instant]:
-        """Return what the queue is sorted by: rank, then the nearest objective.
-
-        What is late already goes behind what can still be in time.
-        """
-        return self.ask.rank, self.late, self.objective
-
-
 @dataclass(frozen=True, slots=True)
 class TargetSlots:
     """A target as the registry describes it."""
@@ -136,7 +108,7 @@
         arrivals.note(ask.rank, self._usual.of(ask.kind), now)
         queue = self._queues.setdefault(ask.owner, [])
         wait_s = self._expected_wait_s(queue, entry, now)
-        if not self._is_worth_waiting(entry, wait_s, now):
+        if not may_wait(self._cfg, entry, wait_s, self._least_s(ask)):
             self._refuse(entry, wait_s, now)
             return
         queue.append(entry)
@@ -209,22 +181,6 @@
         """Return how many requests wait."""
         return len(self._waiting)
 
-    def _is_worth_waiting(self, entry, wait_s, now):
-        """Return whether the request is expected to be answered in time."""
-        if wait_s is None:
-            return False
-        if wait_s <= 0:
-            return True
-        service_s = self._least_s(entry.ask)
-        if entry.late:
-            # It goes where there is room, and takes nobody's chance.
-            in_time = wait_s + service_s <= entry.ask.left_s
-            return in_time and wait_s <= self._cfg.late_wait_s
-        left_s = entry.ask.objective_left_s
-        # Without a short queue slots would idle between two requests.
-        short_s = min(self._cfg.short_queue * service_s, left_s - service_s)
-        return wait_s <= max(left_s - self._cfg.long_factor * service_s, short_s)
-
     def _expected_wait_s(self, queue, entry, now) -> float | None:
         """Return how long the request would wait; None if nobody can tell."""
         targets = self._usable(entry.ask.owner, now)
--- a/src/persimmonspoke/internal/fleet/leadership.py
+++ b/src/persimmonspoke/internal/fleet/leadership.py
@@ -25,6 +25,7 @@
 from persimmonspoke.ids import Instant, TargetId, Version
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.fleet.hosts import Hosts
+from persimmonspoke.internal.fleet.inquiries import NOT_HEARD_S, Inquiries
 from persimmonspoke.internal.fleet.messages import (
     GrantLeft,
     LeaderKnown,
@@ -44,7 +45,6 @@
 from persimmonspoke.internal.store.writes import write
 
 LOOK_S = 0.1
-NOT_HEARD_S = 1e6
 
 log = logging.getLogger(__name__)
 
@@ -90,8 +90,7 @@
         self._heard_at = clock.now()
         self._read_at = NEVER
         self._asked_at = NEVER
-        self._seen_version = Version(0)
-        self._seen_at = NEVER
+        self._inquiries = Inquiries(cfg, clock, link, hosts)
         self.store_answered_at = clock.now()
         self._resigned = False
         self.leader: PeerAddress | None = None
@@ -283,7 +282,9 @@
             self._take_over(Ownership(None, 0), Version(0))
             return
         except StoreError:
-            self._ask_others()
+            known = self._inquiries.newer_leader(self.epoch)
+            if known is not None:
+                self.follow(known.leader, known.epoch)
             raise
         found = decode(stored.value)
         if (self.leader, self.epoch) != suspect:
@@ -295,46 +296,11 @@
             # Whoever is named may be gone since long, so it must answer soon.
             self._heard_at = Instant(now - self._cfg.suspect_s)
             return
-        if found.leader is None or self._is_lost_for_all(stored.version):
+        if found.leader is None or self._inquiries.is_lost_for_all(
+            self.leader, stored.version
+        ):
             self._take_over(found, stored.version)
 
-    def _is_lost_for_all(self, version):
-        """Return whether the leader is lost, rather than this host cut off.
-
-        Most other hosts have to agree.  A host that reaches few of them goes by the
-        object alone, which a living leader writes again and again.
-        """
-        now = self._clock.now()
-        if version != self._seen_version:
-            self._seen_version, self._seen_at = version, now
-        others = [
-            entry.address
-            for entry in self._hosts.recorded()
-            if entry.address != self.leader
-        ]
-        calls = [eventlet.spawn(self._heard_by, address) for address in others]
-        answers = [call.wait() for call in calls]
-        known = [heard_s for heard_s in answers if heard_s is not None]
-        if any(heard_s < self._cfg.suspect_s for heard_s in known):
-            log.info("leader: lost here, and not to others")
-            return False
-        if 2 * len(known) >= len(others):
-            return True
-        return now - self._seen_at >= self._cfg.unchanged_s
-
-    def _heard_by(self, address) -> float | None:
-        """Return how long ago a host heard its leader; None if it is silent.
-
-        A host that follows somebody else has not heard this leader.
-        """
-        deadline = Instant(self._clock.now() + self._cfg.call_s)
-        query = LeaderQuery(self._hosts.me().host_id)
-        try:
-            known = self._link.call(address, query, deadline)
-        except PeerError:
-            return None
-        return known.heard_s if known.leader == self.leader else NOT_HEARD_S
-
     def _may_be_lost(self, silence):
         """Return whether the leader is dead, or silent for this host's patience."""
         if self.leader == self._hosts.me():
@@ -345,16 +311,17 @@
             log.info("leader: dead", extra={"leader": self.leader.host_id})
             return True
         if liveness is Liveness.SILENT:
-            patience = self._cfg.silent_s + self._rank() * self._cfg.step_s
+            patience = (
+                self._cfg.silent_s
+                + self._inquiries.rank(self.leader) * self._cfg.step_s
+            )
             return silence >= patience
         return self._has_resigned()
 
     def _has_resigned(self):
         """Ask the leader itself whether it still leads."""
-        deadline = Instant(self._clock.now() + self._cfg.call_s)
-        me = self._hosts.me().host_id
         try:
-            known = self._link.call(self.leader, LeaderQuery(me), deadline)
+            known = self._inquiries.ask(self.leader)
         except PeerError as exc:
             log.info("leader: no answer", extra={"reason": str(exc)})
             return False
@@ -366,30 +333,6 @@
             return False
         return True
 
-    def _ask_others(self):
-        """Ask the other hosts who leads, since the store does not say."""
-        me = self._hosts.me().host_id
-        for entry in self._hosts.recorded():
-            deadline = Instant(self._clock.now() + self._cfg.call_s)
-            try:
-                known = self._link.call(entry.address, LeaderQuery(me), deadline)
-            except PeerError:
-                continue
-            if known.leader is not None and known.epoch > self.epoch:
-                self.follow(known.leader, known.epoch)
-                return
-
-    def _rank(self):
-        """Return how many other candidates go before this host."""
-        lost = self.leader.host_id if self.leader else None
-        before = [
-            entry
-            for entry in self._hosts.entries()
-            if entry.address.host_id != lost
-            and entry.address.host_id < self._hosts.me().host_id
-        ]
-        return len(before)
-
     def _take_over(self, found: Ownership, version: Version):
         former = found.leader
         ownership = found.led_by(self._hosts.me(), found.epoch + 1)
--- a/src/persimmonspoke/internal/ranges/keeper.py
+++ b/src/persimmonspoke/internal/ranges/keeper.py
@@ -65,6 +65,7 @@
             cfg, clock, state, orders, self.ledger, self.granters, self._loads
         )
         self._began_at: Instant | None = None
+        self._registered: dict[ServiceId, tuple[frozenset[TargetId], Instant]] = {}
         self._even_at = clock.now()
         leadership.longest_grant_s = cfg.longest(cfg.outage_hold_s)
         leadership.on_lead = self._on_lead
@@ -110,6 +111,7 @@
 
     def _on_lead(self):
         self._began_at = self._clock.now()
+        self._registered = {}
         self.granters.begin()
         for service in self._leadership.ownership.services:
             self.granters.start(service)
@@ -168,8 +170,7 @@
     def _deal_out(self, service):
         """Give all keys of a service to its targets for the first time."""
         ready = self.granters.ready(service)
-        settled = self._clock.now() - self._began_at >= self._cfg.settle_s
-        if not ready or not settled:
+        if not ready or not self._has_settled(service, ready):
             return
         owners = [(record.target_id, record.born_ms) for record in ready]
         first = self.ledger.next_fences(len(owners))
@@ -185,6 +186,16 @@
         )
         self.granters.start(service)
 
+    def _has_settled(self, service, ready):
+        """Return whether no more targets register, or keys have waited for long."""
+        now = self._clock.now()
+        known = frozenset(record.target_id for record in ready)
+        before, since = self._registered.get(service, (None, now))
+        if known != before:
+            self._registered[service] = (known, since := now)
+        waited_s = now - self._began_at
+        return now - since >= self._cfg.settle_s or waited_s >= self._cfg.settle_most_s
+
     def _plan(self):
         """Even out the targets' load by planned moves."""
         for loads in (self._loads, self._recent):
--- a/src/persimmonspoke/internal/ranges/planner.py
+++ b/src/persimmonspoke/internal/ranges/planner.py
@@ -18,7 +18,7 @@
 LEAST_GAP = 0.12  # difference of utilisation below which a move gains nothing
 RELATIVE_GAP = 0.25  # of the busier target's utilisation
 CHANCE = 2.0  # standard deviations of a measured load that mean nothing
-SPAN_COST = 4.0  # moving a quarter of all keys weighs as much as missing the goal
+SPAN_COST = 4.0  # moving a quarter of all keys weighs as much as moving nothing
 MOST_RANGES_PER_TARGET = 12  # orders a target and renewal
 IDLE_RATE = 0.3  # requests a second
 DOMINANT = 0.5  # of its owner's slots; such a key is no part of a run
@@ -137,6 +137,7 @@
     cost: float,
     held: Iterable[tuple[int, int]],
     least: float = LEAST_RELIEF,
+    span_cost: float = SPAN_COST,
 ) -> KeyRange | None:
     """Return the part of one of a target's ranges whose load is next to `wanted`.
 
@@ -150,7 +151,7 @@
         if any(entry.overlaps(first, last) for first, last in held):
             continue
         for keys in _between(loads.keys(service, entry), fixed):
-            run = best_run(keys, wanted)
+            run = best_run(keys, wanted, span_cost)
             if run is not None and (best is None or run[2] < best[1][2]):
                 best = (entry, run)
     if best is None:
@@ -206,7 +207,7 @@
 
 
 def best_run(
-    keys: list[tuple[int, float]], wanted: float
+    keys: list[tuple[int, float]], wanted: float, span_cost: float = SPAN_COST
 ) -> tuple[int, int, float] | None:
     """Return first key, last key and miss of the run whose load is next to `wanted`.
 
@@ -221,7 +222,7 @@
         for stop in {max(start + 1, end - 1), min(end, len(keys))}:
             miss = abs(sums[stop] - sums[start] - wanted)
             span = keys[stop - 1][0] - keys[start][0]
-            rank = miss / wanted + SPAN_COST * span / KEYS
+            rank = miss / wanted + span_cost * span / KEYS
             if best is None or rank < best[0]:
                 best = (rank, (keys[start][0], keys[stop - 1][0], miss))
     return best[1] if best else None
--- a/src/persimmonspoke/internal/ranges/settings.py
+++ b/src/persimmonspoke/internal/ranges/settings.py
@@ -39,8 +39,9 @@
     leaving_grace_s : float
         How long a leaving owner still gets requests, while its keys are moved; the
         platform allows 2 s from the store's answer.
-    settle_s : float
-        How long targets may register before keys are first dealt out.
+    settle_s, settle_most_s : float
+        Keys are first dealt out once no target has registered for `settle_s`, and
+        after `settle_most_s` in any case.
     plan_s : float
         How often the load is looked at.
     even_s : float
@@ -69,6 +70,7 @@
     transit_s: Seconds = 0.05
     leaving_grace_s: Seconds = 1.4
     settle_s: Seconds = 1.0
+    settle_most_s: Seconds = 4.0
     plan_s: Seconds = 0.1
     even_s: Seconds = 0.3
     load_s: Seconds = 2.0
--- a/src/persimmonspoke/internal/ranges/spread.py
+++ b/src/persimmonspoke/internal/ranges/spread.py
@@ -19,6 +19,7 @@
 OVERLOADED = 0.8  # utilisation from which a target's queue outlasts an objective
 TAKER_RELIEF = 0.08  # of utilisation, by which one more taker must help
 LEAST_RELIEF = 0.015  # of an overloaded target's slots; less is not worth a move
+SPAN_COST = 0.5  # as in the planner; under overload even most keys may move
 MOST_TAKERS = 6  # a hot class's share is within six targets' slots
 FASTER = 0.8  # of the time that a dominant key takes now, at most, to be worth a move
 
@@ -129,7 +130,7 @@
         excess = movable - max(0.0, level - fixed * cost) / cost
         owned = view.ranges.owned_by(target_id)
         given = (view.service, owned, view.loads, excess, cost, view.held)
-        piece = best_piece(*given, LEAST_RELIEF) if excess > 0 else None
+        piece = best_piece(*given, LEAST_RELIEF, SPAN_COST) if excess > 0 else None
     if piece is None:
         return None
     room = [(name, level / view.cost[name] - view.rates[name]) for name in takers]
--- a/tests/cover/test_hot_run_load.py
+++ b/tests/cover/test_hot_run_load.py
@@ -36,9 +36,9 @@
         for keys that were changing hands.
     """
 
-    def __init__(self, keys, share, seed, speeds=(1.0,)):
+    def __init__(self, keys, share, seed, speeds=(1.0,), registered=None):
         self.random = random.Random(seed)
-        self.fleet = RangeFleet(hosts=3, targets=TARGETS)
+        self.fleet = RangeFleet(hosts=3, targets=TARGETS, registered=registered)
         self.fleet.run_for(4)
         self.share = share
         self.service_s = {
@@ -156,3 +156,17 @@
                 self.assertEqual(keeper.ledger.map(SERVICE).of(run.first).owner, owner)
         finally:
             run.fleet.stop()
+
+
+class TestLateTargets(unittest.TestCase):
+    """All keys were dealt out when a single target had registered."""
+
+    def test_a_target_that_owns_everything_is_relieved_within_seconds(self):
+        run = HotRun(1, 0.0, seed=1, registered=1)
+        try:
+            for name in run.fleet.targets:
+                run.fleet.register(name)
+            run.offer(RUN_S, hot=False)
+            self.assertLess(max(run.excess[-10:]), 0.05, run.excess)
+        finally:
+            run.fleet.stop()
--- a/tests/cover/test_owner_queue_load.py
+++ b/tests/cover/test_owner_queue_load.py
@@ -12,6 +12,7 @@
 from unittest import mock
 
 from persimmonspoke.ids import Instant
+from persimmonspoke.internal.desk import desk as desk_module
 from persimmonspoke.internal.desk.desk import Desk, TargetSlots
 from persimmonspoke.internal.desk.messages import Ask, Done, Lent
 from persimmonspoke.internal.desk.settings import DeskSettings
@@ -138,9 +139,7 @@
         for speed in (0.7, 1.0, 1.6):
             with self.subTest(speed=speed):
                 ours = worth_of(1.5, speed)
-                with mock.patch.object(
-                    Desk, "_is_worth_waiting", lambda desk, entry, wait_s, now: True
-                ):
+                with mock.patch.object(desk_module, "may_wait", return_value=True):
                     self.assertGreater(ours, worth_of(1.5, speed))
 
     def test_nearly_all_are_served_while_slots_suffice(self):
--- a/tests/cover/test_ranges.py
+++ b/tests/cover/test_ranges.py
@@ -166,6 +166,28 @@
         )
 
 
+class TestDealingOutSlowly(unittest.TestCase):
+    """Targets register one after the other while the fleet starts."""
+
+    def test_keys_are_dealt_out_among_all_that_register_in_one_go(self):
+        fleet = RangeFleet(hosts=3, targets=8, registered=1)
+        self.addCleanup(fleet.stop)
+        for name in fleet.targets:
+            fleet.register(name)
+            fleet.run_for(0.4)
+        fleet.run_for(2)
+        owners = fleet.leader().keeper.ledger.map(SERVICE).owners()
+        self.assertEqual(owners, set(fleet.targets))
+
+    def test_keys_do_not_wait_for_ever_for_targets_that_keep_coming(self):
+        fleet = RangeFleet(hosts=3, targets=20, registered=1)
+        self.addCleanup(fleet.stop)
+        for name in fleet.targets:
+            fleet.register(name)
+            fleet.run_for(0.4)
+        self.assertEqual(fleet.unheld(), [])
+
+
 class TestLeavingTargets(FleetCase):
     def leave(self, name):
         self.fleet.records[name] = record(name, TargetState.LEAVING)
--- a/tests/fakes/range_fleet.py
+++ b/tests/fakes/range_fleet.py
@@ -122,14 +122,15 @@
 class RangeFleet:
     """Some hosts, some targets, and a check that no key has two holders."""
 
-    def __init__(self, hosts=3, targets=4):
+    def __init__(self, hosts=3, targets=4, registered=None):
         self.network = FakeNetwork()
         self.platform = FakePlatformStore()
         self.runs = 1
         self.targets = {
             f"t{number}": FakeRangeTarget(f"t{number}") for number in range(targets)
         }
-        self.records = {name: record(name) for name in self.targets}
+        names = list(self.targets)[:registered]
+        self.records = {name: record(name) for name in names}
         service = RoutedService(SERVICE, 100, True)
         self.config = RoutingConfig(1, (), {SERVICE: service})
         self.hosts = [RangeHost(self, number) for number in range(hosts)]
@@ -144,6 +145,10 @@
         for host in self.hosts:
             host.kill()
 
+    def register(self, name):
+        """Have a target register itself."""
+        self.records[name] = record(name)
+
     def leader(self):
         """Return the host that leads, or None."""
         leading = [h for h in self.hosts if h.leadership.may_order()]
