--- a/tests/cover/test_ranges.py
+++ b/tests/cover/test_ranges.py
@@ -328,6 +328,26 @@
         self.assertEqual(worst, 0)
         self.assertIsNotNone(self.fleet.leader())
 
+    def test_a_new_leader_keeps_the_lead_though_it_has_not_asked_the_store_for_long(
+        self,
+    ):
+        lost = self.fleet.leader()
+        epoch = lost.leadership.epoch
+        self.fleet.run_for(5)
+        lost.kill()
+        self.fleet.hosts.remove(lost)
+        self.fleet.run_for(8)
+        self.assertEqual(self.fleet.leader().leadership.epoch, epoch + 1)
+
+    def test_of_a_dead_leader_only_its_last_grants_are_waited_for(self):
+        lost = self.fleet.leader()
+        lost.kill()
+        self.fleet.hosts.remove(lost)
+        self.fleet.run_for(2)
+        leadership = self.fleet.leader().leadership
+        left_s = leadership.former_until - self.fleet.leader().clock.now()
+        self.assertLessEqual(left_s, leadership.longest_grant_s)
+
     def test_a_leader_that_stands_still_changes_nothing_when_it_wakes(self):
         frozen = self.fleet.leader()
         frozen.process.pause()
--- a/tests/fakes/range_fleet.py
+++ b/tests/fakes/range_fleet.py
@@ -75,7 +75,7 @@
             self.hosts,
             self.leadership,
             self.routes,
-            lambda: 0.0,
+            self.store_age_s,
         )
         self.orders = FakeRangeOrders(self.process, fleet.targets)
         self.keeper = Keeper(
@@ -101,6 +101,10 @@
             )
         ]
 
+    def store_age_s(self):
+        """Return the time since the store last answered this host."""
+        return self.clock.now() - self.leadership.store_answered_at
+
     def alive(self):
         """Return whether the process has not been killed."""
         return not self.process.killed
