--- a/src/persimmonspoke/cli/arguments.py
+++ b/src/persimmonspoke/cli/arguments.py
@@ -4,6 +4,7 @@
 
 DEFAULT_ADMIN_URL = "http://127.0.0.1:7200"
 DEFAULT_TIMEOUT_S = 30.0
+DEFAULT_BEFORE_S = 10.0  # longer than any hold of keys by a usual grant
 
 _EPILOG = """\
 exit statuses:
@@ -13,6 +14,7 @@
   3  conflict: another operator's revision was accepted first
   4  accepted, but not in force on every live host in time
   5  no answer; an apply may have taken effect, the message says how to find out
+  6  no log line names the request
 
 first steps:
   persimmonspoke questionnaire check questionnaire.yaml
@@ -32,6 +34,7 @@
     )
     commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
     _add_questionnaire(commands)
+    _add_explain(commands)
     remote = [_remote_options()]
     commands.add_parser(
         "status",
@@ -92,6 +95,32 @@
     _add_apply(actions, remote)
 
 
+def _add_explain(commands):
+    """Add the command that tells a request's story."""
+    entry = commands.add_parser(
+        "explain",
+        parents=[_local_options()],
+        help="tell what happened to a request, from log files; needs no host",
+        description="Print a request's log lines in the order of time, with those "
+        "about its service, its key and the targets that it reached. Says which hosts' "
+        "lines are missing.",
+    )
+    entry.add_argument("request_id", metavar="ID")
+    entry.add_argument(
+        "files",
+        nargs="*",
+        metavar="FILE",
+        help="logs of any hosts, also compressed (.gz); standard input by default",
+    )
+    entry.add_argument(
+        "--before",
+        type=_seconds,
+        metavar="SECONDS",
+        default=DEFAULT_BEFORE_S,
+        help="how far back to look before the request (default: %(default)s)",
+    )
+
+
 def _add_apply(actions, remote):
     """Add the command that has a questionnaire accepted."""
     entry = actions.add_parser(
--- a/src/persimmonspoke/cli/exit_status.py
+++ b/src/persimmonspoke/cli/exit_status.py
@@ -9,6 +9,7 @@
     ConfigurationEdited,
     InvalidSettings,
     NotInForce,
+    NotInLogs,
     UnreadableFile,
 )
 
@@ -28,6 +29,7 @@
     NOT_IN_FORCE = 4
     UNREACHABLE = 5
     """No answer; for `apply`, the outcome may be unknown."""
+    NOT_IN_LOGS = 6
 
 
 @singledispatch
@@ -52,6 +54,11 @@
     return ExitStatus.FAILURE
 
 
+@exit_status.register
+def _(exc: NotInLogs):
+    return ExitStatus.NOT_IN_LOGS
+
+
 @exit_status.register
 def _(exc: NotInForce):
     return ExitStatus.NOT_IN_FORCE
--- a/src/persimmonspoke/cli/main.py
+++ b/src/persimmonspoke/cli/main.py
@@ -8,12 +8,14 @@
 from persimmonspoke.cli.arguments import make_parser
 from persimmonspoke.cli.client import AdminClient, HttpTransport, Transport
 from persimmonspoke.cli.exit_status import ExitStatus, exit_status
+from persimmonspoke.cli.explain import explain
 from persimmonspoke.cli.report import Report, failure_report
 from persimmonspoke.errors import PersimmonspokeError
 from persimmonspoke.internal.clock import Clock, SystemClock
 
 MakeTransport = Callable[[str, float], Transport]
 _LOCAL = {
+    "explain": explain,
     "check": questionnaire_commands.check,
     "generate": questionnaire_commands.generate_configuration,
 }
--- a/src/persimmonspoke/errors.py
+++ b/src/persimmonspoke/errors.py
@@ -149,6 +149,10 @@
         self.hosts = tuple(hosts)
 
 
+class NotInLogs(PersimmonspokeError):
+    """No log line that was read names the request."""
+
+
 class StoreError(PersimmonspokeError):
     """A call to the platform's object API did not succeed."""
 
