--- a/src/persimmonspoke/internal/desk/waiting.py
+++ b/src/persimmonspoke/internal/desk/waiting.py
@@ -6,6 +6,8 @@
 from persimmonspoke.internal.desk.messages import Ask
 from persimmonspoke.internal.desk.settings import DeskSettings
 
+LEAST_CHANCE = 0.5  # of a usual answer; in less time hardly any answer comes
+
 
 @dataclass(slots=True, eq=False)
 class Waiting:
@@ -48,7 +50,7 @@
     service_s : float
         How long a usual answer takes then.
     """
-    if wait_s is None:
+    if wait_s is None or entry.ask.left_s < LEAST_CHANCE * service_s:
         return False
     if wait_s <= 0:
         return True
--- a/src/persimmonspoke/internal/fleet/leadership.py
+++ b/src/persimmonspoke/internal/fleet/leadership.py
@@ -305,7 +305,8 @@
         """Return whether the leader is dead, or silent for this host's patience."""
         if self.leader == self._hosts.me():
             return True
-        liveness = self._probe(self.leader)
+        deadline = Instant(self._clock.now() + self._cfg.call_s)
+        liveness = self._link.probe(self.leader, deadline)
         if liveness is Liveness.DEAD:
             log.info("leader: dead", extra={"leader": self.leader.host_id})
             return True
@@ -383,25 +384,12 @@
             except PeerError:
                 if former is None or address.host_id != former.host_id:
                     return
-                if self._probe(address) is Liveness.DEAD:
-                    self._former_died(former)
-                    return
                 continue
             self._hosts.heard(address.host_id)
             if former is not None and seen.host_id == former.host_id:
                 self._former_stopped(seen)
             return
 
-    def _probe(self, address):
-        deadline = Instant(self._clock.now() + self._cfg.call_s)
-        return self._link.probe(address, deadline)
-
-    def _former_died(self, former):
-        """Wait no longer for the former leader's lease, only for its last grants."""
-        until = Instant(self._clock.now() + self.longest_grant_s)
-        self.former_until = min(self.former_until, until)
-        log.info("leader: the former leader is dead", extra={"host": former.host_id})
-
     def _former_stopped(self, seen):
         now = self._clock.now()
         self.former_grants = {
--- a/src/persimmonspoke/internal/ranges/granter.py
+++ b/src/persimmonspoke/internal/ranges/granter.py
@@ -169,7 +169,10 @@
         refused = reached = False
         for _ in range(TRIES):
             if not new and self._needs_fence(entry, refused):
-                entry = self._ledger.refence(self.service, entry)
+                # An owner that never confirmed the range still needs the handover.
+                confirmed = entry.fence in self._lives
+                handover = None if confirmed else entry.handover
+                entry = self._ledger.refence(self.service, entry, handover)
             if entry is None or not (
                 new or self._ledger.is_current(self.service, entry)
             ):
--- a/src/persimmonspoke/internal/ranges/ledger.py
+++ b/src/persimmonspoke/internal/ranges/ledger.py
@@ -169,11 +169,13 @@
         now = ranges.of(entry.first)
         return now.same_grant(entry) and now.last >= entry.last
 
-    def refence(self, service: ServiceId, entry: KeyRange) -> KeyRange | None:
+    def refence(
+        self, service: ServiceId, entry: KeyRange, handover: str | None
+    ) -> KeyRange | None:
         """Give a range a new fence; return it, or None if it has changed hands."""
         if not self.is_current(service, entry):
             return None
-        new = replace(entry, fence=self.next_fences(), handover=None)
+        new = replace(entry, fence=self.next_fences(), handover=handover)
         self.amend(service, new)
         self.changed(service, new.first, new.last)
         return new
--- a/tests/cover/test_desk.py
+++ b/tests/cover/test_desk.py
@@ -174,6 +174,22 @@
         self.assertIn(self.ask(), self.lent())
 
 
+class TestTooLate(DeskCase):
+    """Requests that come with hardly any time left."""
+
+    def test_one_that_no_answer_can_reach_is_refused_though_slots_are_free(self):
+        for _ in range(60):
+            self.done(self.ask(), took_s=0.1)
+        late = self.ask(objective_s=-0.9, left_s=0.016)
+        self.assertIn(late, self.refused())
+        self.assertNotIn(late, self.lent())
+
+    def test_one_that_is_late_and_may_still_be_answered_gets_a_free_slot(self):
+        for _ in range(60):
+            self.done(self.ask(), took_s=0.1)
+        self.assertIn(self.ask(objective_s=-0.1, left_s=0.15), self.lent())
+
+
 class TestMixedRanks(DeskCase):
     """Short urgent requests and long ones that may wait share the targets."""
 
--- a/tests/cover/test_ranges.py
+++ b/tests/cover/test_ranges.py
@@ -339,14 +339,17 @@
         self.fleet.run_for(8)
         self.assertEqual(self.fleet.leader().leadership.epoch, epoch + 1)
 
-    def test_of_a_dead_leader_only_its_last_grants_are_waited_for(self):
+    def test_a_leader_that_refuses_connections_may_still_order_until_its_lease_ends(
+        self,
+    ):
+        # A cut between hosts may refuse connections, and leave those to targets.
         lost = self.fleet.leader()
         lost.kill()
         self.fleet.hosts.remove(lost)
         self.fleet.run_for(2)
         leadership = self.fleet.leader().leadership
         left_s = leadership.former_until - self.fleet.leader().clock.now()
-        self.assertLessEqual(left_s, leadership.longest_grant_s)
+        self.assertGreater(left_s, leadership.lease_s)
 
     def test_a_leader_that_stands_still_changes_nothing_when_it_wakes(self):
         frozen = self.fleet.leader()
