--- a/src/persimmonspoke/internal/ranges/granter.py
+++ b/src/persimmonspoke/internal/ranges/granter.py
@@ -24,7 +24,6 @@
 
 TRIES = 2  # the second one tells a lost answer from a lost target
 AT_ONCE = 4  # orders to one target; each costs it a connection
-LATE_S = 0.2  # a dozen orders are answered in less
 NEVER = Instant(float("-inf"))
 
 
@@ -67,7 +66,7 @@
         self._wake = Event()
         self._life = 0
         self._lives: dict[int, int] = {}
-        self._late: set[int] = set()
+        self._confirmed: set[int] = set()
         self.service = record.service
         self.born_ms = record.born_ms
         self.address = address
@@ -107,7 +106,7 @@
             current = self._ledger.grantable(self.service, self.target_id)
             fences = {entry.fence for entry in current}
             self._lives = {f: n for f, n in self._lives.items() if f in fences}
-            self._late &= fences
+            self._confirmed &= fences
             self._grant_all(current)
             left_s = renew_at - self._clock.now()
             if left_s > 0:
@@ -115,11 +114,14 @@
                     self._wake.wait()
 
     def _grant_all(self, entries):
-        """Grant ranges one by one; once an answer is late, several at a time."""
-        began = self._clock.now()
+        """Grant ranges one by one; after a lost answer, several at a time.
+
+        They need new fences then, so they may go by connections of their own.
+        """
+        life = self._life
         pool = eventlet.GreenPool(AT_ONCE)
         for entry in entries:
-            if self._clock.now() - began < LATE_S:
+            if self._life == life:
                 self.grant(entry)
             else:
                 pool.spawn_n(self.grant, entry)
@@ -165,19 +167,23 @@
                 self._try(entry, new=True)
 
     def _try(self, entry, new=False):
-        """Send the grant, and once more if the first one did not succeed."""
+        """Send the grant, and once more if the first one did not succeed.
+
+        After any failure the next connection may reach another process at the same
+        address, and an order that is carried out late would end newer grants of its
+        fence; so each range is then granted under a higher one.
+        """
         refused = reached = False
         for _ in range(TRIES):
-            if not new and self._needs_fence(entry, refused):
+            if refused or self._lives.get(entry.fence, self._life) != self._life:
                 # An owner that never confirmed the range still needs the handover.
-                confirmed = entry.fence in self._lives
-                handover = None if confirmed else entry.handover
-                entry = self._ledger.refence(self.service, entry, handover)
+                handover = None if entry.fence in self._confirmed else entry.handover
+                entry = self._ledger.refence(self.service, entry, handover, held=new)
             if entry is None or not (
                 new or self._ledger.is_current(self.service, entry)
             ):
                 return False
-            life = self._life
+            self._lives.setdefault(entry.fence, self._life)
             try:
                 self._send(entry, self._hold_s())
             except TargetFenced:
@@ -187,16 +193,13 @@
             except TargetError as exc:
                 refused = False
                 reached = isinstance(exc, OrderOutcomeUnknown)
-                if reached:
-                    self._late.add(entry.fence)
-                else:
-                    self._life += 1
+                self._life += 1
                 log.info(
                     "ranges: grant unanswered",
                     extra={**self._fields(entry), "reason": str(exc)},
                 )
             else:
-                self._note_granted(entry, life)
+                self._note_granted(entry)
                 return True
         if not refused:
             self._doubt(reached)
@@ -208,15 +211,6 @@
             return self._cfg.probe_hold_s
         return self._granters.hold_s()
 
-    def _needs_fence(self, entry, refused):
-        """Return whether a range has to be granted under a higher fence.
-
-        Another life of the target must not get the old one; and an order that is
-        carried out late would end newer grants of the same fence before their time.
-        """
-        other_life = self._lives.get(entry.fence, self._life) != self._life
-        return refused or other_life or entry.fence in self._late
-
     def _doubt(self, reached):
         """Give the target up, unless it may only have lost the answers.
 
@@ -251,10 +245,10 @@
             del self._unanswered[order_id]
             self._until = max(self._until, Instant(self._clock.now() + longest_s))
 
-    def _note_granted(self, entry, life):
+    def _note_granted(self, entry):
         self.trust = Trust.ANSWERS
         self._answered_at = self._clock.now()
-        self._lives[entry.fence] = life
+        self._confirmed.add(entry.fence)
         key = (entry.first, entry.last, entry.fence)
         if key not in self.granted:
             self.granted.add(key)
--- a/src/persimmonspoke/internal/ranges/ledger.py
+++ b/src/persimmonspoke/internal/ranges/ledger.py
@@ -170,10 +170,16 @@
         return now.same_grant(entry) and now.last >= entry.last
 
     def refence(
-        self, service: ServiceId, entry: KeyRange, handover: str | None
+        self, service: ServiceId, entry: KeyRange, handover: str | None, held: bool
     ) -> KeyRange | None:
-        """Give a range a new fence; return it, or None if it has changed hands."""
-        if not self.is_current(service, entry):
+        """Give a range a new fence; return it, or None if it has changed hands.
+
+        Parameters
+        ----------
+        held : bool
+            Whether its keys are held because it is just being given to its owner.
+        """
+        if not held and not self.is_current(service, entry):
             return None
         new = replace(entry, fence=self.next_fences(), handover=handover)
         self.amend(service, new)
--- a/tests/cover/test_ranges.py
+++ b/tests/cover/test_ranges.py
@@ -5,6 +5,7 @@
 
 import eventlet
 
+from persimmonspoke.errors import OrderOutcomeUnknown
 from persimmonspoke.internal.ranges.loads import Loads
 from persimmonspoke.internal.ranges.planner import (
     Seat,
@@ -272,6 +273,44 @@
         return [(entry.first, entry.owner) for entry in ranges]
 
 
+class TestAddressesThatGetAnotherProcess(FleetCase):
+    """A target that left an order unanswered may have another process by now."""
+
+    def setUp(self):
+        super().setUp()
+        self.keeper = self.fleet.leader().keeper
+        for first in (20000, 30000, 40000):
+            piece = replace(
+                self.keeper.ledger.map(SERVICE).of(first), first=first, last=first + 900
+            )
+            self.keeper.start_move(SERVICE, whole_move(piece, "t0"))
+            self.fleet.run_for(0.3)
+        self.fences = []
+        orders = self.fleet.leader().orders
+        self.sent, orders.grant = orders.grant, self.grant
+        self.lose = 0
+
+    def grant(self, target, order, deadline):
+        if target.target_id == "t0":
+            self.fences.append(order.fence)
+            if self.lose:
+                self.lose -= 1
+                self.before = set(self.fences)
+                self.fences.clear()
+                eventlet.sleep(0.35)
+                raise OrderOutcomeUnknown("no answer in time")
+        self.sent(target, order, deadline)
+
+    def test_after_a_lost_answer_no_range_is_granted_under_a_fence_sent_before(self):
+        self.fleet.run_for(1)
+        self.assertGreater(len(set(self.fences)), 3)
+        self.lose = 1
+        self.fleet.run_for(2)
+        self.assertGreater(len(self.fences), 3)
+        self.assertFalse(self.before & set(self.fences))
+        self.assert_all_held()
+
+
 class TestLostTargets(FleetCase):
     def test_a_silent_target_loses_its_keys_once_its_holds_have_lapsed(self):
         self.fleet.targets["t0"].silent = True
