--- a/src/persimmonspoke/errors.py
+++ b/src/persimmonspoke/errors.py
@@ -296,6 +296,10 @@
     """This host accepts no requests: it has no lease, is draining or is stopping."""
 
 
+class RouteUnreadable(NotRun):
+    """The configuration's entry for this path, or for its service, can't be read."""
+
+
 class MalformedRequest(NotRun):
     """The request violates HTTP or the service's configuration."""
 
--- a/src/persimmonspoke/internal/callers/refusals.py
+++ b/src/persimmonspoke/internal/callers/refusals.py
@@ -91,6 +91,11 @@
     return Refusal(HTTPStatus.SERVICE_UNAVAILABLE, "host_closed")
 
 
+@refusal.register
+def _(exc: errors.RouteUnreadable) -> Refusal:
+    return Refusal(HTTPStatus.SERVICE_UNAVAILABLE, "route_unreadable")
+
+
 @refusal.register
 def _(exc: errors.Overloaded) -> Refusal:
     status = HTTPStatus.SERVICE_UNAVAILABLE
--- a/src/persimmonspoke/internal/fleet/hosts.py
+++ b/src/persimmonspoke/internal/fleet/hosts.py
@@ -5,7 +5,7 @@
 import eventlet
 
 from persimmonspoke.errors import StoreError, StoreMissing
-from persimmonspoke.ids import DataCentreId, HostId, Instant
+from persimmonspoke.ids import DataCentreId, HostId, Instant, Version
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.fleet.messages import HostEntry
 from persimmonspoke.internal.fleet.settings import FleetSettings
@@ -15,6 +15,7 @@
 from persimmonspoke.internal.store.writes import WRITE_ID, new_write_id, write
 
 HOSTS_PREFIX = "persimmonspoke-hosts/"
+MAX_PORT = 65535
 RETRY_S = 0.5  # pause after a failed registration
 
 log = logging.getLogger(__name__)
@@ -44,6 +45,7 @@
         self._clock = clock
         self._store = store
         self._cache = cache
+        self._decoded: dict[str, tuple[Version, HostEntry | None]] = {}
         self._live: tuple[HostEntry, ...] = ()
         self._live_until = Instant(float("-inf"))
         self._last_contact_at: dict[HostId, Instant] = {}
@@ -84,7 +86,7 @@
         """Return the hosts that have a record in the store, without this one."""
         entries = []
         for stored in self._cache.items(HOSTS_PREFIX):
-            entry = _decode(stored)
+            entry = self._decode(stored)
             if entry is not None and entry.name != self.my_entry.name:
                 entries.append(entry)
         return tuple(entries)
@@ -160,6 +162,13 @@
                 eventlet.spawn_n(self.remove, entry.name, deadline)
                 self._last_contact_at[entry.address.host_id] = now
 
+    def _decode(self, stored):
+        """Return the host of a record; decode each version of it only once."""
+        known = self._decoded.get(stored.key)
+        if known is None or known[0] != stored.version:
+            known = self._decoded[stored.key] = (stored.version, _decode(stored))
+        return known[1]
+
     def _is_present(self, entry):
         """Return whether a host had contact with this one within `present_s`."""
         last_contact_at = self._last_contact_at.get(entry.address.host_id)
@@ -189,9 +198,15 @@
 def _decode(stored) -> HostEntry | None:
     """Return the host that a record describes; None if another writer made it."""
     value = stored.value
-    try:
-        address = PeerAddress(HostId(value["host_id"]), value["ip"], value["port"])
-        return HostEntry(address, value["name"], DataCentreId(value["data_centre"]))
-    except KeyError:
-        log.warning("fleet: record can't be read", extra={"key": stored.key})
+    texts = [value.get(name) for name in ("host_id", "ip", "name", "data_centre")]
+    port = value.get("port")
+    valid_port = type(port) is int and 0 < port <= MAX_PORT
+    if not valid_port or not all(isinstance(t, str) and t for t in texts):
+        log.warning(
+            "fleet: record can't be read",
+            extra={"key": stored.key, "version": stored.version},
+        )
         return None
+    host_id, ip, name, data_centre = texts
+    address = PeerAddress(HostId(host_id), ip, port)
+    return HostEntry(address, name, DataCentreId(data_centre))
--- a/src/persimmonspoke/internal/fleet/leadership.py
+++ b/src/persimmonspoke/internal/fleet/leadership.py
@@ -14,6 +14,7 @@
 
 from persimmonspoke.errors import (
     AuthorityLapsed,
+    MalformedDocument,
     PeerError,
     PeerRefused,
     StoreConflict,
@@ -129,7 +130,7 @@
                     self._confirm()
                 else:
                     self._watch()
-            except (StoreError, AuthorityLapsed) as exc:
+            except (StoreError, AuthorityLapsed, MalformedDocument) as exc:
                 log.info(
                     "leader: the check of the leadership failed",
                     extra={"leading": self.leading, "reason": repr(exc)},
--- a/src/persimmonspoke/internal/routing/config.py
+++ b/src/persimmonspoke/internal/routing/config.py
@@ -12,6 +12,8 @@
     SAFE = "safe"
     PROTECTED = "protected"
     """At most one execution for each request of a caller."""
+    UNREADABLE = "unreadable"
+    """Not known, because the route can't be read; its requests are refused."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,14 +83,39 @@
     idle_timeout_s: float = 15.0
 
 
+@dataclass(frozen=True, slots=True)
+class UnreadableField:
+    """A field of a document that can't be read; the rest of the document is used.
+
+    Attributes
+    ----------
+    entry : str
+        Name of the route, service or table that the field belongs to.
+    value : str
+        The value, shortened.
+    """
+
+    entry: str
+    name: str
+    value: str
+
+
 @dataclass(frozen=True, slots=True)
 class RoutingConfig:
-    """One version of the whole configuration."""
+    """One version of the whole configuration.
+
+    Attributes
+    ----------
+    unreadable : tuple of UnreadableField
+        Fields that could not be read and were replaced by defaults, or whose entry
+        was left out.
+    """
 
     generation: Generation
     routes: tuple[RouteConfig, ...]
     services: dict[ServiceId, RoutedService]
     limits: CallerLimits = field(default_factory=CallerLimits)
+    unreadable: tuple[UnreadableField, ...] = ()
 
 
 class TargetState(Enum):
--- a/tests/loopback/test_platform_adapter.py
+++ b/tests/loopback/test_platform_adapter.py
@@ -202,6 +202,24 @@
         }
         self.assertIn("unreadable", self.store.get("kind/a", self.deadline()).value)
 
+    def test_an_item_that_cannot_be_read_is_left_out_of_listings_and_watches(self):
+        self.create("a", {"x": 1})
+        since = self.app.revision
+        self.create("c", {"x": 3})
+        for bad in (None, 5, {}, {"metadata": {"name": 1, "revision": "x"}}):
+            self.app.events.append((since + 1, "kind", {"object": bad}))
+        watched = self.store.watch("kind/", since, self.deadline(0.1))
+        self.assertEqual([item.key for item in watched.items], ["kind/c"])
+        self.app.objects["kind", "b"] = {"metadata": {"name": "b"}}
+        listing = self.store.list("kind/", self.deadline())
+        self.assertEqual([item.key for item in listing.items], ["kind/a", "kind/c"])
+
+    def test_an_answer_that_is_no_object_counts_as_no_answer(self):
+        for answer in ([], 5, {"items": 5, "current_rev": 1}, {"items": []}):
+            self.app.read = lambda *args, answer=answer: (200, answer)
+            with self.subTest(answer=answer), self.assertRaises(StoreUnavailable):
+                self.store.list("kind/", self.deadline())
+
 
 class TestRangeOrders(ServerCase):
     def setUp(self):
--- a/tests/loopback/test_zmq_link.py
+++ b/tests/loopback/test_zmq_link.py
@@ -65,6 +65,19 @@
         with self.assertRaises(OSError):
             ZmqLink(taken, self.clock)
 
+    def test_an_answer_of_an_unknown_kind_leaves_the_connection_usable(self):
+        self.b.serve(Echo, lambda msg: msg)
+        me = self.b.address.host_id.encode()
+
+        def answer_twice(sender, number, receiver, kind, body):
+            self.b._message_socket.send([sender, number, me, b"?", b""])
+            answer(sender, number, receiver, kind, body)
+
+        answer, self.b._answer = self.b._answer, answer_twice
+        for text in ("x", "y"):
+            found = self.a.call(self.b.address, Echo(text), self.deadline(2))
+            self.assertEqual(found, Echo(text))
+
     def test_a_message_for_an_earlier_run_is_not_answered(self):
         self.b.serve(Echo, lambda msg: msg)
         earlier = PeerAddress(HostId("b-earlier"), "127.0.0.1", self.b.address.port)
