--- a/src/persimmonspoke/daemon/routed.py
+++ b/src/persimmonspoke/daemon/routed.py
@@ -27,8 +27,9 @@
 from persimmonspoke.internal.fleet.reporter import Reporter
 from persimmonspoke.internal.membership.settings import new_host_id
 from persimmonspoke.internal.news.board import StoreCache
-from persimmonspoke.internal.news.relay import RelayReader, serve_news
-from persimmonspoke.internal.news.watcher import StoreWatcher
+from persimmonspoke.internal.news.relay import serve_news
+from persimmonspoke.internal.news.relays import WeightedHost
+from persimmonspoke.internal.news.updates import Source, StoreUpdates
 from persimmonspoke.internal.observe.served_metrics import ServedMetrics
 from persimmonspoke.internal.peers.api import PeerAddress
 from persimmonspoke.internal.peers.zmq_link import ZmqLink
@@ -50,7 +51,6 @@
 LISTEN_BACKLOG = 1024
 MAX_UPDATE_WAIT_S = 0.5
 EXIT_MARGIN_S = 1.0  # part of the platform's grace period kept for the exit itself
-MIN_OUTAGE_S = 1.0  # after this silence of the store, entries may have expired
 REMOVE_RECORD_TIMEOUT_S = 0.3
 
 log = logging.getLogger(__name__)
@@ -80,20 +80,33 @@
         self.metrics = ServedMetrics()
         self.store = ObjectStore(platform.store_address, self.clock)
         self.cache = StoreCache(self.clock)
+        self._candidates_of: tuple[HostEntry, ...] | None = None
+        self._candidates: tuple[WeightedHost, ...] = ()
         self.link = ZmqLink(
             PeerAddress(self.host_id, platform.ip, platform.peer_port), self.clock
         )
-        entry = HostEntry(self.link.address, platform.host, platform.data_centre)
+        entry = HostEntry(
+            self.link.address,
+            platform.host,
+            platform.data_centre,
+            platform.limits.cores,
+        )
         self.hosts = Hosts(entry, cfg.fleet, self.clock, self.store, self.cache)
-        self.watchers = [
-            StoreWatcher(self.store, self.cache, self.clock, cfg.timers, prefix)
-            for prefix in (
-                documents.CONFIG_PREFIX,
-                documents.TARGETS_PREFIX,
-                HOSTS_PREFIX,
-            )
-        ]
-        self._last_outage_at: Instant | None = None
+        shortest_s = min(platform.bounds.drain_s, platform.bounds.config_apply_s)
+        updates = cfg.updates.within(shortest_s)
+        self.updates = StoreUpdates(
+            updates,
+            cfg.timers.model_copy(update={"gather_s": updates.gather_s}),
+            self.clock,
+            self.store,
+            self.cache,
+            self.link,
+            _weighted(entry),
+            (documents.CONFIG_PREFIX, documents.TARGETS_PREFIX, HOSTS_PREFIX),
+            HOSTS_PREFIX,
+            HOSTS_PREFIX + platform.host,
+            self._relay_candidates,
+        )
         self.state = RoutingState(
             self.cache,
             self.clock,
@@ -101,12 +114,13 @@
             documents.TARGETS_PREFIX,
             documents.decode_config,
             documents.decode_target,
-            self.last_outage_at,
+            self.updates.last_outage_at,
         )
         self.leadership = Leadership(
             cfg.fleet, self.clock, self.store, self.link, self.hosts
         )
-        self.routes = RangeRoutes(self.state, self.clock, cfg.ranges.leaving_grace_s)
+        ranges = cfg.ranges.within(platform.bounds.drain_s, platform.bounds.hold_max_s)
+        self.routes = RangeRoutes(self.state, self.clock, ranges.leaving_grace_s)
         self.leadership.on_ownership_read = self.routes.update_from_ownership
         self.reporter = Reporter(
             cfg.fleet,
@@ -118,7 +132,7 @@
             self.store_age_s,
         )
         self.keeper = Keeper(
-            cfg.ranges,
+            ranges,
             self.clock,
             self.leadership,
             self.state,
@@ -149,6 +163,7 @@
             ("desk.in_use", self.scheduler.in_use),
             ("store.calls", lambda: self.store.calls),
             ("store.age_seconds", self.store_age_s),
+            ("store.read_here", lambda: int(self.updates.source is not Source.RELAYS)),
             ("leading", lambda: int(self.leadership.leading)),
             ("key.moves", lambda: self.keeper.moves),
             ("peers.bytes_sent", lambda: self.link.bytes_sent),
@@ -160,18 +175,9 @@
     def run(self) -> int:
         """Serve until `stop` has finished; return the exit status."""
         self._register_gauges()
-        serve_news(self.link, self.cache, self, self.clock)
-        relays = RelayReader(
-            self.host_id,
-            self.link,
-            self.cache,
-            self.clock,
-            self._relay_addresses,
-            self._store_is_silent,
-        )
+        serve_news(self.link, self.cache, self.updates, self.clock)
         for task in (
-            *(watcher.run for watcher in self.watchers),
-            relays.run,
+            *self.updates.tasks(),
             self.hosts.register,
             self._apply_updates,
             self.leadership.run,
@@ -211,25 +217,13 @@
         )
         self._ended.send(0)
 
-    @property
-    def confirmed_at(self) -> Instant | None:
-        """Latest instant at which all watches were up to date, or None."""
-        confirmed = [watcher.confirmed_at for watcher in self.watchers]
-        return None if None in confirmed else min(confirmed)
-
     def store_age_s(self) -> float:
         """Return the time since the store last answered this host."""
-        answered = [w.confirmed_at for w in self.watchers if w.confirmed_at]
-        last_answer_at = max([self.leadership.store_answered_at, *answered])
-        return self.clock.now() - last_answer_at
-
-    def last_outage_at(self) -> Instant | None:
-        """Return when the store was last silent for `MIN_OUTAGE_S` or more, if ever."""
-        now = self.clock.now()
-        outage_starts = [w.silent_since for w in self.watchers if w.silent_since]
-        if outage_starts and now - min(outage_starts) >= MIN_OUTAGE_S:
-            self._last_outage_at = now
-        return self._last_outage_at
+        answered_at = self.leadership.store_answered_at
+        read_at = self.updates.store_answered_at()
+        if read_at is not None:
+            answered_at = max(answered_at, read_at)
+        return self.clock.now() - answered_at
 
     def _serve_callers(self):
         requests = HttpTargetRequests(self.pools, self.clock, headers)
@@ -272,7 +266,8 @@
 
     def _knows_targets(self):
         """Return whether this host has a configuration and knows any target."""
-        return self.state.table is not None and bool(self.state.targets)
+        knows_any = self.state.table is not None and bool(self.state.targets)
+        return knows_any and self.updates.caught_up()
 
     def _knows_routes(self):
         """Return whether this host knows targets, and owners for keyed services."""
@@ -320,13 +315,17 @@
         """Return how many of a target's connections this host may open."""
         return max(1, target.connections // max(1, len(self.hosts.live())))
 
-    def _relay_addresses(self):
-        """Return the hosts to ask for updates while the store is silent."""
-        me = self.hosts.me()
-        return tuple(address for address in self.hosts.live() if address != me)
+    def _relay_candidates(self):
+        """Return the hosts that may serve as relays; one tuple until they change."""
+        hosts = self.hosts.candidates()
+        if hosts is not self._candidates_of:
+            self._candidates_of = hosts
+            self._candidates = tuple(_weighted(entry) for entry in hosts)
+        return self._candidates
+
 
-    def _store_is_silent(self):
-        return any(watcher.silent_since is not None for watcher in self.watchers)
+def _weighted(entry: HostEntry) -> WeightedHost:
+    return WeightedHost(entry.address, entry.data_centre, entry.cores)
 
 
 def _limit_retries(cfg: DeskSettings, bounds: PlatformBounds) -> DeskSettings:
--- a/src/persimmonspoke/daemon/routed_settings.py
+++ b/src/persimmonspoke/daemon/routed_settings.py
@@ -13,6 +13,7 @@
 from persimmonspoke.internal.checked_yaml import CheckedModel
 from persimmonspoke.internal.desk.settings import DeskSettings
 from persimmonspoke.internal.fleet.settings import FleetSettings
+from persimmonspoke.internal.news.settings import UpdateSettings
 from persimmonspoke.internal.ranges.settings import RangeSettings
 from persimmonspoke.internal.targets.settings import TargetSettings
 from persimmonspoke.internal.timers import Timers
@@ -43,5 +44,5 @@
     ranges: RangeSettings = RangeSettings()
     desk: DeskSettings = DeskSettings()
     targets: TargetSettings = TargetSettings(proved_alive_s=3.0, idle_s=6.0)
-    # A tenth of the shortest limit on the delay of store updates.
-    timers: Timers = Timers(gather_s=0.15)
+    updates: UpdateSettings = UpdateSettings()
+    timers: Timers = Timers(watch_s=4.0)
--- a/src/persimmonspoke/internal/fleet/hosts.py
+++ b/src/persimmonspoke/internal/fleet/hosts.py
@@ -1,10 +1,11 @@
 """The hosts of the fleet: their records in the store, and which are alive."""
 
 import logging
+import math
 
 import eventlet
 
-from persimmonspoke.errors import StoreError, StoreMissing
+from persimmonspoke.errors import StoreConflict, StoreError
 from persimmonspoke.ids import DataCentreId, HostId, Instant, Version
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.fleet.messages import HostEntry
@@ -46,6 +47,10 @@
         self._store = store
         self._cache = cache
         self._decoded: dict[str, tuple[Version, HostEntry | None]] = {}
+        self._recorded: tuple[HostEntry, ...] = ()
+        self._recorded_count = 0
+        self._candidates_of: tuple[HostEntry, ...] | None = None
+        self._candidates: tuple[HostEntry, ...] = ()
         self._live: tuple[HostEntry, ...] = ()
         self._live_until = Instant(float("-inf"))
         self._last_contact_at: dict[HostId, Instant] = {}
@@ -82,14 +87,33 @@
             return tuple(others)
         return (self.my_entry, *others)
 
+    def candidates(self) -> tuple[HostEntry, ...]:
+        """Return the hosts that may do work for others, this one included.
+
+        These are the hosts on the leader's last list, even if it has expired, or all
+        recorded ones.  The result is the same object while nothing has changed.
+        """
+        listed = self._live or self.recorded_hosts()
+        if listed is not self._candidates_of:
+            others = [e for e in listed if e.address != self.me()]
+            self._candidates_of = listed
+            self._candidates = (self.my_entry, *others)
+        if self.leaving:
+            return self._candidates[1:]
+        return self._candidates
+
     def recorded_hosts(self) -> tuple[HostEntry, ...]:
         """Return the hosts that have a record in the store, without this one."""
-        entries = []
-        for stored in self._cache.items(HOSTS_PREFIX):
-            entry = self._decode(stored)
-            if entry is not None and entry.name != self.my_entry.name:
-                entries.append(entry)
-        return tuple(entries)
+        count = self._cache.kind_change_count(HOSTS_PREFIX)
+        if count != self._recorded_count:
+            entries = [
+                entry
+                for stored in self._cache.items(HOSTS_PREFIX)
+                if (entry := self._decode(stored)) is not None
+                and entry.name != self.my_entry.name
+            ]
+            self._recorded, self._recorded_count = tuple(entries), count
+        return self._recorded
 
     def was_restarted(self, host_id: HostId) -> bool:
         """Return whether the store has a record of another run on the same machine."""
@@ -115,19 +139,18 @@
     def register(self) -> None:
         """Write this host's record to the store; retry until it is stored."""
         key = HOSTS_PREFIX + self.my_entry.name
+        version = Version(0)
         while True:
             deadline = Instant(self._clock.now() + self._cfg.store_call_s)
             try:
-                write(
-                    self._store,
-                    self._clock,
-                    key,
-                    self._value(),
-                    self._version(key, deadline),
-                    deadline,
-                )
+                write(self._store, self._clock, key, self._value(), version, deadline)
                 log.info("fleet: registered", extra={"key": key})
                 return
+            except StoreConflict:
+                # An earlier run on this machine has left its record.
+                version = self._version(key)
+                if version:
+                    continue
             except StoreError as exc:
                 log.info("fleet: not registered yet", extra={"reason": repr(exc)})
             self._clock.sleep_until(Instant(self._clock.now() + RETRY_S))
@@ -177,11 +200,14 @@
             and self._clock.now() - last_contact_at <= self._cfg.present_s
         )
 
-    def _version(self, key, deadline):
+    def _version(self, key):
+        """Return the current version of an object, or 0 if that can't be read."""
+        deadline = Instant(self._clock.now() + self._cfg.store_call_s)
         try:
             return self._store.get(key, deadline).version
-        except StoreMissing:
-            return 0
+        except StoreError as exc:
+            log.info("fleet: record not read", extra={"reason": repr(exc)})
+            return Version(0)
 
     def _value(self):
         address = self.me()
@@ -192,6 +218,7 @@
             "port": address.port,
             "name": self.my_entry.name,
             "data_centre": self.my_entry.data_centre,
+            "cores": self.my_entry.cores,
         }
 
 
@@ -209,4 +236,7 @@
         return None
     host_id, ip, name, data_centre = texts
     address = PeerAddress(HostId(host_id), ip, port)
-    return HostEntry(address, name, DataCentreId(data_centre))
+    cores = value.get("cores")
+    if type(cores) not in (int, float) or not 0 < cores < math.inf:
+        cores = 1.0
+    return HostEntry(address, name, DataCentreId(data_centre), cores)
--- a/src/persimmonspoke/internal/fleet/leadership.py
+++ b/src/persimmonspoke/internal/fleet/leadership.py
@@ -45,6 +45,7 @@
 from persimmonspoke.internal.store.api import Store
 from persimmonspoke.internal.store.writes import write
 
+CHECKS_PER_PERIOD = 10
 WATCH_PERIOD_S = 0.1  # between two checks of the leader by a host that follows it
 
 log = logging.getLogger(__name__)
@@ -194,9 +195,14 @@
         self.ownership = change(self.ownership)
 
     def check_store(self) -> None:
-        """Test whether the store answers this host, at most once per `confirm_s`."""
+        """Test whether the store answers this host.
+
+        All hosts together do so about `CHECKS_PER_PERIOD` times per `confirm_s`.
+        """
         now = self._clock.now()
-        if now - self._store_checked_at < self._cfg.confirm_s:
+        hosts = len(self._hosts.candidates())
+        period_s = self._cfg.confirm_s * max(1.0, hosts / CHECKS_PER_PERIOD)
+        if now - self._store_checked_at < period_s:
             return
         self._store_checked_at = now
         eventlet.spawn_n(self._check_store)
@@ -204,7 +210,7 @@
     def _check_store(self):
         deadline = Instant(self._clock.now() + self._cfg.store_call_s)
         try:
-            self._store.get(OWNERSHIP_KEY, deadline)
+            self._store.get_stale(OWNERSHIP_KEY, deadline)
         except StoreError as exc:
             log.debug(
                 "leader: this host can't reach the store either",
--- a/src/persimmonspoke/internal/fleet/messages.py
+++ b/src/persimmonspoke/internal/fleet/messages.py
@@ -15,11 +15,14 @@
     ----------
     name : str
         Name of the machine, which is the same in every run.
+    cores : float
+        Processor time per second that the host can use, as a number of cores.
     """
 
     address: PeerAddress
     name: str
     data_centre: DataCentreId
+    cores: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,7 +89,7 @@
     Attributes
     ----------
     sender : list
-        Host id, IP address, port, name and data centre.
+        Host id, IP address, port, name, data centre and cores.
     fleet : int
         Number of the newest list of hosts that the host has.
     epoch, serial : int
@@ -204,13 +207,20 @@
 def entry_fields(entry: HostEntry) -> list:
     """Return the fields of a host's entry as plain values."""
     address = entry.address
-    return [address.host_id, address.ip, address.port, entry.name, entry.data_centre]
+    return [
+        address.host_id,
+        address.ip,
+        address.port,
+        entry.name,
+        entry.data_centre,
+        entry.cores,
+    ]
 
 
 def entry_from(fields: list) -> HostEntry:
     """Return the host's entry with the given plain values."""
-    host_id, ip, port, name, data_centre = fields
-    return HostEntry(PeerAddress(host_id, ip, port), name, data_centre)
+    host_id, ip, port, name, data_centre, cores = fields
+    return HostEntry(PeerAddress(host_id, ip, port), name, data_centre, cores)
 
 
 def address_fields(address: PeerAddress) -> list:
--- a/src/persimmonspoke/internal/news/api.py
+++ b/src/persimmonspoke/internal/news/api.py
@@ -24,6 +24,9 @@
     def observe(self, stored: StoredObject) -> None:
         """Add an object that this host has read or written itself."""
 
+    def changed_at(self, key: str) -> Instant:
+        """Return the earliest instant at which the known version may be accepted."""
+
     def change_count(self) -> int:
         """Return the number of changes so far."""
 
--- a/src/persimmonspoke/internal/news/board.py
+++ b/src/persimmonspoke/internal/news/board.py
@@ -1,5 +1,7 @@
 """A cache of the store's objects that records the order of their changes."""
 
+from collections import OrderedDict
+
 import eventlet.event
 
 from persimmonspoke.ids import Instant
@@ -19,7 +21,12 @@
     def __init__(self, clock: Clock):
         self._clock = clock
         self._objects: dict[str, StoredObject] = {}
-        self._change_numbers: dict[str, int] = {}
+        self._kinds: dict[str, dict[str, StoredObject]] = {}
+        self._kind_counts: dict[str, int] = {}
+        # In the order of the latest changes, which `changed_since` relies on.
+        self._change_numbers: OrderedDict[str, int] = OrderedDict()
+        self._changed_at: dict[str, Instant] = {}
+        self._learned_at: dict[str, Instant] = {}
         self._count = 0
         self._changed = eventlet.event.Event()
 
@@ -30,24 +37,38 @@
 
     def items(self, prefix: str) -> tuple[StoredObject, ...]:
         """Return the newest known objects whose keys start with `prefix`."""
+        objects = self._kinds.get(prefix, self._objects)
         return tuple(
             found
-            for key, found in sorted(self._objects.items())
+            for key, found in sorted(objects.items())
             if key.startswith(prefix) and found.value
         )
 
-    def observe(self, stored: StoredObject) -> None:
-        """Add an object unless the same or a newer version of it is known."""
+    def kind_change_count(self, prefix: str) -> int:
+        """Return the number of the latest change of an object of the kind `prefix`.
+
+        `prefix` is the first part of the objects' keys, with its slash.
+        """
+        return self._kind_counts.get(prefix, 0)
+
+    def observe(self, stored: StoredObject, changed_at: Instant | None = None) -> None:
+        """Add an object unless the same or a newer version of it is known.
+
+        Parameters
+        ----------
+        changed_at : Instant or None
+            Earliest instant at which the store may have accepted the version; None if
+            it did so just now.
+        """
         known = self._objects.get(stored.key)
-        if known is not None and not _newer(stored, known):
-            return
-        self._objects[stored.key] = stored
-        self._count += 1
-        self._change_numbers[stored.key] = self._count
-        self._wake()
+        if known is None or _newer(stored, known):
+            self._record(stored, changed_at)
 
     def observe_listing(
-        self, listing: Listing, before: dict[str, StoredObject]
+        self,
+        listing: Listing,
+        before: dict[str, StoredObject],
+        changed_at: Instant | None = None,
     ) -> None:
         """Add all objects of a listing, and record deletions of missing ones.
 
@@ -56,13 +77,33 @@
         before : dict of str to StoredObject
             The `snapshot` taken before the listing was requested.  An object that
             has changed since then may be newer than the listing and is kept.
+        changed_at : Instant or None
+            Earliest instant at which the store may have accepted the changes.
         """
         for stored in listing.items:
-            self.observe(stored)
+            self.observe(stored, changed_at)
         listed = {stored.key for stored in listing.items}
         for key, known in before.items():
             if key not in listed and self._objects.get(key) is known:
-                self._record_deletion(known)
+                self._record_deletion(known, changed_at)
+
+    def delete_missing(
+        self, listed: set[str], as_of: Instant, changed_at: Instant | None
+    ) -> bool:
+        """Record the deletion of objects that were missing from the store at `as_of`.
+
+        Return whether every object was known by then; the others may be newer than
+        the list and are kept.
+        """
+        all_known = True
+        for key, known in list(self._objects.items()):
+            if key in listed or not known.value:
+                continue
+            if self._learned_at[key] <= as_of:
+                self._record_deletion(known, changed_at)
+            else:
+                all_known = False
+        return all_known
 
     def snapshot(self, prefix: str = "") -> dict[str, StoredObject]:
         """Return the known objects under `prefix` by key, including deleted ones."""
@@ -74,13 +115,20 @@
 
     def changed_since(self, count: int) -> tuple[StoredObject, ...]:
         """Return the objects changed after the `count`-th change, with deletions."""
-        return tuple(
-            self._objects[key]
-            for key, change_number in sorted(
-                self._change_numbers.items(), key=lambda kv: kv[1]
-            )
-            if change_number > count
-        )
+        found = []
+        for key in reversed(self._change_numbers):
+            if self._change_numbers[key] <= count:
+                break
+            found.append(self._objects[key])
+        return tuple(reversed(found))
+
+    def existing(self) -> tuple[StoredObject, ...]:
+        """Return all objects that exist."""
+        return tuple(found for found in self._objects.values() if found.value)
+
+    def changed_at(self, key: str) -> Instant:
+        """Return the earliest instant at which the known version may be accepted."""
+        return self._changed_at[key]
 
     def wait(self, count: int, deadline: Instant) -> None:
         """Return once `change_count()` exceeds `count`, or at `deadline`."""
@@ -91,13 +139,22 @@
             with eventlet.Timeout(left_s, False):
                 self._changed.wait()
 
-    def _record_deletion(self, known):
+    def _record_deletion(self, known, changed_at=None):
         """Record that an object no longer exists."""
-        if not known.value:
-            return
-        self._objects[known.key] = StoredObject(known.key, {}, known.version)
+        if known.value:
+            self._record(StoredObject(known.key, {}, known.version), changed_at)
+
+    def _record(self, stored, changed_at):
+        now = self._clock.now()
+        kind = stored.key[: stored.key.find("/") + 1]
+        self._objects[stored.key] = stored
+        self._kinds.setdefault(kind, {})[stored.key] = stored
+        self._learned_at[stored.key] = now
+        self._changed_at[stored.key] = now if changed_at is None else changed_at
         self._count += 1
-        self._change_numbers[known.key] = self._count
+        self._kind_counts[kind] = self._count
+        self._change_numbers[stored.key] = self._count
+        self._change_numbers.move_to_end(stored.key)
         self._wake()
 
     def _wake(self):
--- a/src/persimmonspoke/internal/news/messages.py
+++ b/src/persimmonspoke/internal/news/messages.py
@@ -9,11 +9,18 @@
 
 @dataclass(frozen=True, slots=True)
 class NewsItem:
-    """One object of the store; its value is empty if it was deleted."""
+    """One object of the store; its value is empty if it was deleted.
+
+    Attributes
+    ----------
+    age_s : float
+        Time since the store may have accepted this version, at most.
+    """
 
     key: str
     value: dict[str, Any]
     version: Version
+    age_s: float = 0.0
 
 
 @message
@@ -23,6 +30,8 @@
 
     Attributes
     ----------
+    since : int
+        0 requests all objects that exist.
     wait_s : float
         How long the relay may wait for a change before it answers without one.
     """
@@ -42,8 +51,14 @@
     store_age_s : float
         Time since the relay was last known to be up to date with the store; negative
         if it never was.
+    waited_s : float
+        Time from the arrival of the request to this reply.
+    complete : bool
+        Whether `items` are all objects that exist, rather than the changed ones.
     """
 
     items: tuple[NewsItem, ...]
     count: int
     store_age_s: float
+    waited_s: float = 0.0
+    complete: bool = False
--- a/src/persimmonspoke/internal/news/relay.py
+++ b/src/persimmonspoke/internal/news/relay.py
@@ -8,38 +8,61 @@
 
 import logging
 from collections.abc import Callable
+from typing import Protocol
 
 from persimmonspoke.errors import PeerError
 from persimmonspoke.ids import HostId, Instant
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.news.board import StoreCache
 from persimmonspoke.internal.news.messages import NewsItem, NewsReply, NewsRequest
-from persimmonspoke.internal.news.watcher import StoreWatcher
 from persimmonspoke.internal.peers.api import PeerAddress, PeerLink
 from persimmonspoke.internal.store.api import StoredObject
 
 RELAY_WAIT_S = 2.0
 ANSWER_MARGIN_S = 0.5
 RETRY_S = 0.2
+AVOID_S = 2.0
 UNKNOWN_AGE_S = -1.0
 
 log = logging.getLogger(__name__)
 
 
+class UpdateSource(Protocol):
+    """What a relay knows about the age of its cache."""
+
+    @property
+    def confirmed_at(self) -> Instant | None:
+        """Latest instant at which the cache was known to be up to date, or None."""
+
+
 def serve_news(
-    link: PeerLink, cache: StoreCache, watcher: StoreWatcher, clock: Clock
+    link: PeerLink, cache: StoreCache, source: UpdateSource, clock: Clock
 ) -> None:
     """Answer other hosts' requests for store updates from `cache`."""
 
     def answer(req: NewsRequest) -> NewsReply:
-        cache.wait(req.since, Instant(clock.now() + min(req.wait_s, RELAY_WAIT_S)))
+        asked_at = clock.now()
+        complete = not 0 < req.since <= cache.change_count()
+        if complete:
+            objects = cache.existing()
+        else:
+            cache.wait(req.since, Instant(asked_at + min(req.wait_s, RELAY_WAIT_S)))
+            objects = cache.changed_since(req.since)
+        now = clock.now()
         items = tuple(
-            NewsItem(stored.key, stored.value, stored.version)
-            for stored in cache.changed_since(req.since)
+            NewsItem(
+                stored.key,
+                stored.value,
+                stored.version,
+                round(now - cache.changed_at(stored.key), 3),
+            )
+            for stored in objects
+        )
+        confirmed = source.confirmed_at
+        age_s = UNKNOWN_AGE_S if confirmed is None else now - confirmed
+        return NewsReply(
+            items, cache.change_count(), age_s, round(now - asked_at, 3), complete
         )
-        confirmed = watcher.confirmed_at
-        age = UNKNOWN_AGE_S if confirmed is None else clock.now() - confirmed
-        return NewsReply(items, cache.change_count(), age)
 
     link.serve(NewsRequest, answer)
 
@@ -55,6 +78,13 @@
         Returns the addresses of the relays in order of preference.
     enabled : callable
         Returns whether this host currently needs updates from relays.
+    wait_s : float
+        How long a relay may wait for a change.
+    spread : int
+        Number of relays that are asked in turn while all of them answer, so that the
+        loss of one is noticed early and the next one knows what this host has.
+    max_age_s : float
+        A relay that is further behind the store is avoided like a silent one.
 
     Attributes
     ----------
@@ -71,6 +101,9 @@
         clock: Clock,
         relays: Callable[[], tuple[PeerAddress, ...]],
         enabled: Callable[[], bool],
+        wait_s: float = RELAY_WAIT_S,
+        spread: int = 1,
+        max_age_s: float = float("inf"),
     ):
         self._me = me
         self._link = link
@@ -78,7 +111,13 @@
         self._clock = clock
         self._relays = relays
         self._enabled = enabled
+        self._wait_s = wait_s
+        self._spread = spread
+        self._max_age_s = max_age_s
+        self._turn = 0
+        self._hurry = False
         self._since: dict[HostId, int] = {}
+        self._avoid_until: dict[HostId, Instant] = {}
         self.confirmed_at: Instant | None = None
 
     def run(self) -> None:
@@ -88,28 +127,67 @@
                 self._clock.sleep_until(Instant(self._clock.now() + RETRY_S))
 
     def _ask_any(self):
-        """Ask the relays in turn until one answers; return whether one did."""
-        return any(self._ask(relay) for relay in self._relays())
+        """Ask the relays in turn until one has brought this host up to date."""
+        return any(self._ask(relay) for relay in self._ordered())
+
+    def _ordered(self):
+        """Return the relays in the order in which to ask them now."""
+        now = self._clock.now()
+        relays = self._relays()
+        usable = [r for r in relays if self._avoid_until.get(r.host_id, now) <= now]
+        if not usable:
+            # All are avoided, so there is nothing to hurry to.
+            self._hurry = False
+        ordered = usable or list(relays)
+        turn = self._turn % max(1, min(self._spread, len(ordered)))
+        self._turn += 1
+        return [*ordered[turn:], *ordered[:turn]]
 
     def _ask(self, relay):
-        """Ask one relay; return whether it answered."""
+        """Ask one relay; return whether this host is now up to date with it."""
         asked_at = self._clock.now()
-        since = self._since.get(relay.host_id, 0)
-        req = NewsRequest(self._me, since, RELAY_WAIT_S)
-        deadline = Instant(asked_at + RELAY_WAIT_S + ANSWER_MARGIN_S)
+        wait_s = 0.0 if self._hurry else self._wait_s
+        req = NewsRequest(self._me, self._since.get(relay.host_id, 0), wait_s)
+        deadline = Instant(asked_at + wait_s + ANSWER_MARGIN_S)
         try:
             reply = self._link.call(relay, req, deadline)
         except PeerError as exc:
-            log.info("news: a relay is silent", extra={"cause": str(exc)})
+            log.info(
+                "news: a relay is silent",
+                extra={"relay": relay.host_id, "cause": str(exc)},
+            )
+            self._avoid(relay)
             return False
-        self._apply(relay, reply, asked_at)
-        return True
+        self._hurry = False
+        up_to_date = self._apply(relay, reply, asked_at)
+        if reply.store_age_s < 0 or reply.store_age_s > self._max_age_s:
+            log.info(
+                "news: a relay is behind the store",
+                extra={"relay": relay.host_id, "store_age_s": reply.store_age_s},
+            )
+            self._avoid(relay)
+        return up_to_date
+
+    def _avoid(self, relay):
+        self._avoid_until[relay.host_id] = Instant(self._clock.now() + AVOID_S)
+        self._hurry = True
 
     def _apply(self, relay, reply, asked_at):
-        """Apply a relay's answer to the cache."""
+        """Apply a relay's answer; return whether the cache is as new as the relay's."""
+        sent_at = Instant(asked_at + reply.waited_s)  # at the earliest
         for item in reply.items:
-            self._cache.observe(StoredObject(item.key, item.value, item.version))
+            self._cache.observe(
+                StoredObject(item.key, item.value, item.version),
+                Instant(sent_at - item.age_s),
+            )
+        if reply.store_age_s < 0:
+            return False
+        confirmed = Instant(sent_at - reply.store_age_s)
+        if reply.complete:
+            listed = {item.key for item in reply.items}
+            if not self._cache.delete_missing(listed, confirmed, self.confirmed_at):
+                # The relay may lack objects that this host knows: ask for all again.
+                return False
         self._since[relay.host_id] = reply.count
-        if reply.store_age_s >= 0:
-            confirmed = Instant(asked_at - reply.store_age_s)
-            self.confirmed_at = max(confirmed, self.confirmed_at or confirmed)
+        self.confirmed_at = max(confirmed, self.confirmed_at or confirmed)
+        return True
--- a/src/persimmonspoke/internal/news/relays.py
+++ b/src/persimmonspoke/internal/news/relays.py
@@ -1,5 +1,6 @@
 """Selects the relays: the hosts that watch the store on behalf of the others."""
 
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -19,6 +20,38 @@
     data_centre: DataCentreId
 
 
+@dataclass(frozen=True, slots=True)
+class WeightedHost(RelayCandidate):
+    """A live host with the processor share that it can use.
+
+    Attributes
+    ----------
+    cores : float
+        Processor time per second, as a number of cores.
+    """
+
+    cores: float = 1.0
+
+
+def choose_relays_of_fleet(
+    hosts: Iterable[WeightedHost], min_count: int, hosts_per_relay: int
+) -> tuple[WeightedHost, ...]:
+    """Return the relays of a whole fleet; every host gets the same result.
+
+    The hosts with the most processor time come first, and among equal ones those with
+    the lowest hashes of their ids.  The relays are spread over the data centres.
+    """
+    by_rank = sorted(hosts, key=lambda host: (-host.cores, _rank(host)))
+    count = max(min_count, -(-len(by_rank) // hosts_per_relay))
+    chosen: list[WeightedHost] = []
+    while len(chosen) < min(count, len(by_rank)):
+        used = Counter(host.data_centre for host in chosen)
+        others = [host for host in by_rank if host not in chosen]
+        fewest = min(used[host.data_centre] for host in others)
+        chosen.append(next(h for h in others if used[h.data_centre] == fewest))
+    return tuple(chosen)
+
+
 def choose_relays(candidates: Iterable[RelayCandidate]) -> tuple[RelayCandidate, ...]:
     """Return the relays of all data centres; every host gets the same result.
 
--- /dev/null
+++ b/src/persimmonspoke/internal/news/settings.py
@@ -0,0 +1,59 @@
+"""Settings of the updates that a host gets from the store and from relays."""
+
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field
+
+Seconds = Annotated[float, Field(gt=0)]
+
+STALE_SHARE = 0.65
+WAIT_SHARE = 0.2
+CHECK_SHARE = 0.15
+GATHER_SHARE = 0.12
+
+
+class UpdateSettings(BaseModel):
+    """How few hosts read the store, and when another host reads it itself.
+
+    Attributes
+    ----------
+    min_relays : int
+        Number of relays of a small fleet.
+    hosts_per_relay : int
+        Hosts of a large fleet for each relay.
+    wait_s : float
+        How long a relay may wait for a change before it answers.
+    check_s : float
+        How often a host that reads the store checks that the store can be reached.
+    gather_s : float
+        Pause after a watch that returned changes, so that the next one returns several.
+    stale_s : float
+        Time without confirmation after which a host reads the store itself.
+    fallback_s : float
+        How long it then goes on doing so.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    min_relays: Annotated[int, Field(ge=1)] = 2
+    hosts_per_relay: Annotated[int, Field(ge=1)] = 100
+    wait_s: Seconds = 0.4
+    check_s: Seconds = 0.3
+    gather_s: Seconds = 0.24
+    stale_s: Seconds = 1.3
+    fallback_s: Seconds = 3.0
+
+    def within(self, bound_s: float) -> "UpdateSettings":
+        """Return the settings with which updates arrive within `bound_s` seconds.
+
+        A relay's last check and one wait pass before a host that lost its relays
+        notices it; the rest is for its own read and for orders that follow.
+        """
+        return self.model_copy(
+            update={
+                "wait_s": WAIT_SHARE * bound_s,
+                "check_s": CHECK_SHARE * bound_s,
+                "gather_s": GATHER_SHARE * bound_s,
+                "stale_s": STALE_SHARE * bound_s,
+            }
+        )
--- /dev/null
+++ b/src/persimmonspoke/internal/news/updates.py
@@ -0,0 +1,312 @@
+"""The updates of one host's cache of the store.
+
+A store counts each call of each host.  So only a few hosts, the relays, watch it; the
+others ask two relays in turn.  A host that no relay has confirmed for `stale_s` reads
+the store itself for a while, and so do all hosts before they know any relay.
+"""
+
+import logging
+from collections.abc import Callable, Iterable
+from enum import Enum
+
+import xxhash
+
+from persimmonspoke.errors import StoreMissing, StoreUnavailable
+from persimmonspoke.ids import Instant
+from persimmonspoke.internal.clock import Clock
+from persimmonspoke.internal.news.board import StoreCache
+from persimmonspoke.internal.news.relay import RelayReader
+from persimmonspoke.internal.news.relays import (
+    WeightedHost,
+    choose_relays_of_fleet,
+    relays_to_ask,
+)
+from persimmonspoke.internal.news.settings import UpdateSettings
+from persimmonspoke.internal.news.watcher import StoreWatcher
+from persimmonspoke.internal.peers.api import PeerLink
+from persimmonspoke.internal.store.api import Store
+from persimmonspoke.internal.timers import Timers
+
+MIN_MODE_PERIOD_S = 0.05  # between two decisions on the source of updates
+MAX_MODE_PERIOD_S = 0.4
+MAX_JITTER_S = 0.2  # spreads the reads of hosts that lose their relays together
+MAX_CHECK_S = 1.0  # between two checks of a store that does not answer
+RELAYS_ASKED = 2
+
+log = logging.getLogger(__name__)
+
+
+class Source(Enum):
+    """Where a host gets its updates."""
+
+    RELAYS = "relays"
+    STORE = "store"
+    """The host is a relay."""
+    FALLBACK = "fallback"
+    """The store, because the relays have fallen silent or are not known yet."""
+
+
+class StorePath:
+    """Checks by cheap reads whether this host reaches the store.
+
+    Attributes
+    ----------
+    confirmed_at : Instant or None
+        When the latest check was sent that the store has answered.
+    failed : bool
+        Whether the latest check got no answer.
+    took_s : float
+        Duration of the latest check that was answered.
+    """
+
+    def __init__(self, store: Store, clock: Clock, key: str, timeout_s: float):
+        self._store = store
+        self._clock = clock
+        self._key = key
+        self._timeout_s = timeout_s
+        self.confirmed_at: Instant | None = None
+        self.failed = False
+        self.took_s = 0.0
+
+    def check(self) -> bool:
+        """Read one object that may be outdated; return whether the store answered."""
+        sent_at = self._clock.now()
+        try:
+            self._store.get_stale(self._key, Instant(sent_at + self._timeout_s))
+        except StoreMissing:
+            pass  # the store has answered
+        except StoreUnavailable as exc:
+            if not self.failed:
+                log.info("news: the store does not answer", extra={"cause": str(exc)})
+            self.failed = True
+            return False
+        self.failed = False
+        self.confirmed_at = sent_at
+        self.took_s = self._clock.now() - sent_at
+        return True
+
+
+class StoreUpdates:
+    """Keeps the cache of this host up to date.
+
+    Parameters
+    ----------
+    prefixes : tuple of str
+        Prefixes of the objects that hosts need.
+    hosts_prefix : str
+        The one of them under which the records of the hosts are, which a host reads
+        once by itself to find the relays.
+    check_key : str
+        Key of a small object, which need not exist, for checks of the store.
+    hosts : callable
+        Returns all hosts that may serve as relays, this one included; the same tuple
+        while nothing has changed.
+
+    Attributes
+    ----------
+    source : Source
+        Where this host gets its updates at present.
+    """
+
+    def __init__(
+        self,
+        cfg: UpdateSettings,
+        timers: Timers,
+        clock: Clock,
+        store: Store,
+        cache: StoreCache,
+        link: PeerLink,
+        me: WeightedHost,
+        prefixes: Iterable[str],
+        hosts_prefix: str,
+        check_key: str,
+        hosts: Callable[[], tuple[WeightedHost, ...]],
+    ):
+        self._cfg = cfg
+        self._clock = clock
+        self._me = me
+        self._hosts = hosts
+        self._known_hosts: tuple[WeightedHost, ...] | None = None
+        self._relays: tuple[WeightedHost, ...] = ()
+        self._path = StorePath(store, clock, check_key, cfg.check_s)
+        self.source = Source.RELAYS
+        watchers = {
+            prefix: StoreWatcher(store, cache, clock, timers, prefix, self._path)
+            for prefix in prefixes
+        }
+        self._hosts_watcher = watchers[hosts_prefix]
+        self.watchers = tuple(watchers.values())
+        self.relay_reader = RelayReader(
+            me.address.host_id,
+            link,
+            cache,
+            clock,
+            self._relays_to_ask,
+            lambda: self._needs_relays(),
+            cfg.wait_s,
+            RELAYS_ASKED,
+            cfg.stale_s,
+        )
+        share = xxhash.xxh32_intdigest(me.address.host_id) / 2**32
+        self._jitter_s = MAX_JITTER_S * share
+        self._started_at = clock.now()
+        self._fallback_until = Instant(float("-inf"))
+        self._last_outage_at: Instant | None = None
+        self._in_outage = False
+        self._caught_up = False
+
+    def tasks(self) -> tuple[Callable[[], None], ...]:
+        """Return the tasks that the daemon has to run."""
+        watches = [
+            lambda watcher=watcher: watcher.run(self._reads_store)
+            for watcher in self.watchers
+        ]
+        return (
+            self._read_hosts,
+            self._run_mode,
+            self._run_checks,
+            self.relay_reader.run,
+            *watches,
+        )
+
+    @property
+    def confirmed_at(self) -> Instant | None:
+        """Latest instant at which the cache was known to be up to date, or None."""
+        confirmed = [watcher.confirmed_at for watcher in self.watchers]
+        read_at = None if None in confirmed else min(confirmed)
+        instants = [at for at in (read_at, self.relay_reader.confirmed_at) if at]
+        return max(instants, default=None)
+
+    def caught_up(self) -> bool:
+        """Return whether the cache can be used since the start of this host.
+
+        It can once it was up to date.  While the store does not answer this host, what
+        a relay knows is used instead, however old.
+        """
+        if not self._caught_up:
+            confirmed_at = self.confirmed_at
+            self._caught_up = confirmed_at is not None and (
+                not self._is_stale() or self._path.failed
+            )
+        return self._caught_up
+
+    def store_answered_at(self) -> Instant | None:
+        """Return when the store last answered this host itself, if ever."""
+        confirmed = [w.confirmed_at for w in self.watchers if w.confirmed_at]
+        if self._path.confirmed_at is not None:
+            confirmed.append(self._path.confirmed_at)
+        return max(confirmed, default=None)
+
+    def last_outage_at(self) -> Instant | None:
+        """Return when the store was last unreachable from this host, if ever.
+
+        It counts as unreachable while neither relays nor calls of this host show that
+        the cache is up to date.
+        """
+        stale = self._is_stale()
+        if stale and (self._path.failed or self._watch_failed()):
+            self._in_outage = True
+        elif not stale:
+            self._in_outage = False
+        if self._in_outage:
+            self._last_outage_at = self._clock.now()
+        return self._last_outage_at
+
+    def _read_hosts(self):
+        """Read the records of the hosts once, to find the relays."""
+        while self.confirmed_at is None:
+            try:
+                self._hosts_watcher.read_all()
+                return
+            except StoreUnavailable as exc:
+                log.info("news: hosts not read yet", extra={"cause": str(exc)})
+            self._clock.sleep_until(Instant(self._clock.now() + MAX_CHECK_S))
+
+    def _run_mode(self):
+        while True:
+            self._choose_source()
+            self.last_outage_at()
+            now = self._clock.now()
+            left_s = self._stale_at() - now
+            pause_s = min(max(left_s, MIN_MODE_PERIOD_S), MAX_MODE_PERIOD_S)
+            self._clock.sleep_until(Instant(now + pause_s))
+
+    def _choose_source(self):
+        now = self._clock.now()
+        before = self.source
+        if self._is_relay(now):
+            self.source = Source.STORE
+        elif self._is_stale():
+            self.source = Source.FALLBACK
+            self._fallback_until = Instant(now + self._cfg.fallback_s)
+        elif now >= self._fallback_until or before is Source.STORE:
+            self.source = Source.RELAYS
+        if self.source is not before:
+            confirmed_at = self.confirmed_at
+            log.info(
+                "news: source of updates",
+                extra={
+                    "source": self.source.value,
+                    "before": before.value,
+                    "age_s": None if confirmed_at is None else now - confirmed_at,
+                    "relays": [r.address.host_id for r in self._relays],
+                },
+            )
+
+    def _is_relay(self, now):
+        """Return whether this host is a relay.
+
+        A host that knows no other one is not sure yet for a while after its start.
+        """
+        relays = self._current_relays()
+        alone = len(relays) == 1
+        sure = not alone or now - self._started_at > 2 * self._cfg.stale_s
+        return sure and self._me in relays
+
+    def _run_checks(self):
+        """Check the path to the store while this host reads it."""
+        while True:
+            pause_s = self._cfg.check_s
+            if self.source is not Source.RELAYS and not self._path.check():
+                for watcher in self.watchers:
+                    watcher.interrupt()
+                if self.source is Source.FALLBACK:
+                    pause_s = MAX_CHECK_S
+            self._clock.sleep_until(Instant(self._clock.now() + pause_s))
+
+    def _reads_store(self):
+        """Return whether this host watches the store.
+
+        While the store does not answer, only the cheap checks go on.
+        """
+        return self.source is not Source.RELAYS and not self._path.failed
+
+    def _needs_relays(self):
+        """Return whether to ask relays: a relay itself does if it is behind."""
+        return self.source is not Source.STORE or self._is_stale()
+
+    def _is_stale(self):
+        return self._clock.now() > self._stale_at()
+
+    def _stale_at(self):
+        """Return when the cache is outdated unless something confirms it."""
+        confirmed_at = self.confirmed_at or self._started_at
+        return Instant(confirmed_at + self._cfg.stale_s + self._jitter_s)
+
+    def _watch_failed(self):
+        return any(watcher.silent_since is not None for watcher in self.watchers)
+
+    def _current_relays(self):
+        """Return the relays, chosen again when the hosts have changed."""
+        hosts = self._hosts()
+        if hosts is not self._known_hosts:
+            self._known_hosts = hosts
+            self._relays = choose_relays_of_fleet(
+                hosts, self._cfg.min_relays, self._cfg.hosts_per_relay
+            )
+        return self._relays
+
+    def _relays_to_ask(self):
+        return relays_to_ask(
+            self._current_relays(), self._me.address.host_id, self._me.data_centre
+        )
--- a/src/persimmonspoke/internal/news/watcher.py
+++ b/src/persimmonspoke/internal/news/watcher.py
@@ -1,6 +1,9 @@
 """The task that watches the store and applies its changes to the cache."""
 
 import logging
+from typing import Protocol
+
+import eventlet
 
 from persimmonspoke.errors import StoreCompacted, StoreUnavailable
 from persimmonspoke.ids import Instant
@@ -10,10 +13,30 @@
 from persimmonspoke.internal.timers import Timers
 
 RETRY_S = 0.2
+MAX_RETRY_S = 1.0  # the store counts rejected calls, too
+MIN_TRANSIT_S = 0.03
 
 log = logging.getLogger(__name__)
 
 
+class Path(Protocol):
+    """What other calls of this host show about the path to the store.
+
+    Attributes
+    ----------
+    confirmed_at : Instant or None
+        When the latest of them that the store has answered was sent.
+    failed : bool
+        Whether the latest one got no answer.
+    took_s : float
+        Duration of the latest one that was answered.
+    """
+
+    confirmed_at: Instant | None
+    failed: bool
+    took_s: float
+
+
 class StoreWatcher:
     """Lists the store's objects once, then follows their changes by a watch.
 
@@ -21,12 +44,11 @@
     ----------
     prefix : str
         Prefix of the keys of the objects to read; by default all objects are read.
+    path : Path or None
+        What other calls show about the path to the store; None if there are none.
 
     Attributes
     ----------
-    confirmed_at : Instant or None
-        Latest instant at which the cache was known to be up to date with the store:
-        the start of the last call that succeeded.
     silent_since : Instant or None
         When the store stopped answering; None while it answers.
     """
@@ -38,21 +60,48 @@
         clock: Clock,
         timers: Timers,
         prefix: str = "",
+        path: Path | None = None,
     ):
         self._store = store
         self._prefix = prefix
         self._cache = cache
         self._clock = clock
         self._timers = timers
-        self.confirmed_at: Instant | None = None
+        self._path = path
+        self._call_confirmed_at: Instant | None = None
+        self._watch_sent_at: Instant | None = None
+        self._waiting_task = None
         self.silent_since: Instant | None = None
 
+    @property
+    def confirmed_at(self) -> Instant | None:
+        """Latest instant at which the cache was known to be up to date, or None.
+
+        It is the start of the last call that succeeded.  While a watch waits, it is
+        the latest instant at which the store could be reached, because the store
+        would have sent a change.
+        """
+        if self._watch_sent_at is not None and self._path is not None:
+            path_confirmed_at = self._path.confirmed_at
+            if path_confirmed_at and path_confirmed_at > self._watch_sent_at:
+                return path_confirmed_at
+        return self._call_confirmed_at
+
     def run(self, enabled=lambda: True) -> None:
         """Follow the store while `enabled()`; run as a task of the daemon."""
+        retry_s = RETRY_S
         while True:
             if enabled():
                 self._follow(enabled)
-            self._clock.sleep_until(Instant(self._clock.now() + RETRY_S))
+                failed = self.silent_since is not None
+                retry_s = min(2 * retry_s, MAX_RETRY_S) if failed else RETRY_S
+            self._clock.sleep_until(Instant(self._clock.now() + retry_s))
+
+    def interrupt(self) -> None:
+        """End a waiting watch, whose connection may be dead; a new one follows."""
+        if self._waiting_task is not None:
+            lost = StoreUnavailable("the watch was interrupted: the path was lost")
+            eventlet.kill(self._waiting_task, lost)
 
     def read_all(self) -> int:
         """List all objects; return the revision from which to watch."""
@@ -60,8 +109,8 @@
         before = self._cache.snapshot(self._prefix)
         deadline = Instant(asked_at + self._timers.store_call_s)
         listing = self._store.list(self._prefix, deadline)
-        self._cache.observe_listing(listing, before)
-        self.confirmed_at = asked_at
+        self._cache.observe_listing(listing, before, self.confirmed_at)
+        self._call_confirmed_at = asked_at
         if self.silent_since is not None:
             log.info(
                 "news: the store answers again",
@@ -96,10 +145,30 @@
         """Wait for one batch of changes; return the revision that follows it."""
         asked_at = self._clock.now()
         deadline = Instant(asked_at + self._timers.watch_s)
-        listing = self._store.watch(self._prefix, revision, deadline)
+        self._watch_sent_at, self._waiting_task = asked_at, eventlet.getcurrent()
+        try:
+            listing = self._store.watch(self._prefix, revision, deadline)
+        finally:
+            self._watch_sent_at = self._waiting_task = None
+        answered_at = self._answered_at(asked_at)
+        # A watch that waited returned at once when the change came.
+        waited = answered_at > asked_at
         for stored in listing.items:
-            self._cache.observe(stored)
-        self.confirmed_at = asked_at
+            self._cache.observe(
+                stored, answered_at if waited else self._call_confirmed_at
+            )
+        self._call_confirmed_at = answered_at
         if listing.items and self._timers.gather_s:
             self._clock.sleep_until(Instant(self._clock.now() + self._timers.gather_s))
         return listing.revision
+
+    def _answered_at(self, asked_at) -> Instant:
+        """Return when the store sent the answer that has just arrived, at the earliest.
+
+        Without other calls that show how long an answer takes, that is when it was
+        asked.
+        """
+        if self._path is None or self._path.confirmed_at is None or self._path.failed:
+            return asked_at
+        transit_s = MIN_TRANSIT_S + 2 * self._path.took_s
+        return max(asked_at, Instant(self._clock.now() - transit_s))
--- a/src/persimmonspoke/internal/ranges/settings.py
+++ b/src/persimmonspoke/internal/ranges/settings.py
@@ -4,6 +4,9 @@
 
 from pydantic import BaseModel, ConfigDict, Field
 
+LEAVING_SHARE = 0.7  # the rest is for the news to arrive and requests to be sent
+HOLD_SHARE = 0.8
+
 Seconds = Annotated[float, Field(gt=0)]
 
 
@@ -38,8 +41,7 @@
     transit_s : float
         Added to the end of each grant for the clocks' resolution.
     leaving_grace_s : float
-        How long a leaving owner still gets requests, while its keys are transferred;
-        the platform allows 2 s from the store's answer.
+        How long a leaving owner still gets requests, while its keys are transferred.
     settle_s, settle_most_s : float
         Keys are first assigned once no target has registered for `settle_s`, and
         after `settle_most_s` in any case.
@@ -79,6 +81,16 @@
     burst_s: Seconds = 0.5
     moves: Annotated[int, Field(ge=1)] = 3
 
+    def within(self, drain_s: float, hold_max_s: float) -> "RangeSettings":
+        """Return the settings that keep the platform's bounds on leaving and holds."""
+        return self.model_copy(
+            update={
+                "leaving_grace_s": LEAVING_SHARE * drain_s,
+                "hold_s": min(self.hold_s, HOLD_SHARE * hold_max_s),
+                "outage_hold_s": min(self.outage_hold_s, HOLD_SHARE * hold_max_s),
+            }
+        )
+
     def max_duration_s(self, hold_s: float) -> float:
         """Return how long a grant of `hold_s` may last on the slowest target clock."""
         return hold_s * (1 + self.clock_drift) + self.transit_s
--- a/src/persimmonspoke/internal/routing/state.py
+++ b/src/persimmonspoke/internal/routing/state.py
@@ -134,7 +134,7 @@
         return tuple(sorted(s.service for s in services if s.divided))
 
     def leaving_since(self, target_id: TargetId) -> Instant | None:
-        """Return when this host saw that a target is leaving; None if it is not."""
+        """Return when a target may have begun to leave; None if it is not leaving."""
         return self._leaving.get(target_id)
 
     def _refresh_config(self):
@@ -180,12 +180,16 @@
         self._log_changes(found)
         self.targets = found
         self._leaving = {
-            target_id: self._leaving.get(target_id, now)
+            target_id: self._leaving.get(target_id) or self._changed_at(target_id)
             for target_id, record in found.items()
             if record.state is TargetState.LEAVING
         }
         return True
 
+    def _changed_at(self, target_id):
+        """Return when the store may have accepted a target's entry, at the earliest."""
+        return self._cache.changed_at(self._targets_prefix + target_id)
+
     def _decode_record(self, stored):
         """Return the target record of an object; decode each version only once."""
         known = self._decoded.get(stored.key)
--- a/src/persimmonspoke/internal/store/api.py
+++ b/src/persimmonspoke/internal/store/api.py
@@ -52,6 +52,9 @@
     def get(self, key: str, deadline: Instant) -> StoredObject:
         """Return the object under `key`, or raise `StoreMissing`."""
 
+    def get_stale(self, key: str, deadline: Instant) -> StoredObject:
+        """Return a version of the object that may be outdated; cheaper than `get`."""
+
     def list(self, prefix: str, deadline: Instant) -> Listing:
         """Return all objects whose keys start with `prefix`."""
 
--- a/src/persimmonspoke/internal/store/http_store.py
+++ b/src/persimmonspoke/internal/store/http_store.py
@@ -54,6 +54,10 @@
         """Return the object under `key`, or raise `StoreMissing`."""
         return _stored(self._read(_object_path(key), deadline))
 
+    def get_stale(self, key: str, deadline: Instant) -> StoredObject:
+        """Return the object under `key`; this store has no cheaper reads."""
+        return self.get(key, deadline)
+
     def list(self, prefix: str, deadline: Instant) -> Listing:
         """Return all objects whose keys start with `prefix`."""
         query = urlencode({"prefix": prefix})
--- a/src/persimmonspoke/internal/store/writes.py
+++ b/src/persimmonspoke/internal/store/writes.py
@@ -20,6 +20,7 @@
 
 WRITE_ID = "write_id"
 RETRY_PAUSE_S = 0.05
+MAX_RETRY_PAUSE_S = 0.4  # the store counts rejected calls, too
 
 
 def new_write_id() -> WriteId:
@@ -57,6 +58,7 @@
         `deadline` passed and the write certainly did not happen.
     """
     unresolved = False
+    pause_s = RETRY_PAUSE_S
     while True:
         try:
             if version == 0:
@@ -68,9 +70,10 @@
             unresolved = True
         except StoreUnavailable:
             pass
-        retry_at = Instant(clock.now() + RETRY_PAUSE_S)
+        retry_at = Instant(clock.now() + pause_s)
         if retry_at >= deadline:
             break
+        pause_s = min(2 * pause_s, MAX_RETRY_PAUSE_S)
         clock.sleep_until(retry_at)
     if unresolved:
         raise StoreOutcomeUnknown(f"the outcome of the write of {key} is unknown")
--- a/src/persimmonspoke/platform/objects.py
+++ b/src/persimmonspoke/platform/objects.py
@@ -74,6 +74,14 @@
         page = self._read(_object_path(key), deadline)
         return _whole_object(key, page, StoreUnavailable)
 
+    def get_stale(self, key: str, deadline: Instant) -> StoredObject:
+        """Return a version of the object that may be seconds old.
+
+        Such a call costs a tenth of another one.
+        """
+        path = f"{_object_path(key)}?{urlencode({'allow_stale': 1})}"
+        return _whole_object(key, self._read(path, deadline), StoreUnavailable)
+
     def list(self, prefix: str, deadline: Instant) -> Listing:
         """Return all objects of one kind."""
         kind = prefix.rstrip("/")
--- /dev/null
+++ b/tests/cover/test_updates.py
@@ -0,0 +1,299 @@
+"""Tests of the updates of a fleet's caches, and of the store calls that they take."""
+
+import unittest
+
+import eventlet
+
+from persimmonspoke.ids import HostId
+from persimmonspoke.internal.news.board import StoreCache
+from persimmonspoke.internal.news.relay import serve_news
+from persimmonspoke.internal.news.relays import WeightedHost, choose_relays_of_fleet
+from persimmonspoke.internal.news.settings import UpdateSettings
+from persimmonspoke.internal.news.updates import StoreUpdates
+from persimmonspoke.internal.peers.api import PeerAddress
+from persimmonspoke.internal.timers import Timers
+from tests.fakes import virtual_hub
+from tests.fakes.network import FakeLink, FakeNetwork
+from tests.fakes.process import FakeClock, FakeProcess
+from tests.fakes.store import FakePlatformStore, FakeStore
+
+DRAIN_S = 2.0
+"""The platform's shortest bound for an update to reach all hosts."""
+
+STORE = "10.9.9.9"
+PREFIXES = ("config/", "servers/", "hosts/")
+
+
+class UpdateHost:
+    """One host with a cache, and all tasks that keep it up to date."""
+
+    def __init__(self, fleet, number, run=1):
+        self.process = FakeProcess(f"h{number}.{run}", f"10.0.0.{number}")
+        address = PeerAddress(HostId(self.process.name), self.process.machine, 7000)
+        self.me = WeightedHost(address, f"z{number % 3}", 2.0 if number < 4 else 0.5)
+        self.fleet = fleet
+        self.clock = FakeClock(self.process)
+        self.store = FakeStore(fleet.platform, self.process)
+        self.cache = StoreCache(self.clock)
+        link = FakeLink(fleet.network, self.process, address)
+        cfg = UpdateSettings().within(DRAIN_S)
+        self.updates = StoreUpdates(
+            cfg,
+            Timers(gather_s=cfg.gather_s, watch_s=4.0),
+            self.clock,
+            self.store,
+            self.cache,
+            link,
+            self.me,
+            PREFIXES,
+            "hosts/",
+            "hosts/none",
+            lambda: fleet.known,
+        )
+        serve_news(link, self.cache, self.updates, self.clock)
+        self.tasks = [eventlet.spawn(task) for task in self.updates.tasks()]
+
+    def kill(self):
+        """Kill the process and its tasks."""
+        self.process.kill()
+        for task in self.tasks:
+            task.kill()
+
+    def knows(self, key):
+        """Return whether the host knows that the object exists."""
+        return self.cache.get(key) is not None
+
+
+class UpdateFleet:
+    """Hosts that know each other, and the store with some objects."""
+
+    def __init__(self, hosts):
+        self.platform = FakePlatformStore()
+        self.network = FakeNetwork()
+        self.known = ()
+        for number in range(20):
+            self.put(f"servers/t{number}", {"state": "ready"})
+        self.put("config/main", {"version": 1})
+        self.hosts = [UpdateHost(self, number) for number in range(hosts)]
+        self.known = tuple(host.me for host in self.hosts)
+
+    def put(self, key, value):
+        """Write an object as the platform or a target does; None deletes it."""
+        version = self.platform._objects.get(key, (None, 0))[1]
+        return self.platform.put(key, value, version)
+
+    def relays(self):
+        """Return the hosts that are the relays."""
+        chosen = choose_relays_of_fleet(self.known, 2, 100)
+        return [host for host in self.hosts if host.me in chosen]
+
+    def others(self):
+        """Return the live hosts that are no relays."""
+        relays = self.relays()
+        return [h for h in self.hosts if h not in relays and not h.process.killed]
+
+    def stop(self):
+        """End all tasks."""
+        for host in self.hosts:
+            host.kill()
+
+
+class FleetCase(unittest.TestCase):
+    def start(self, hosts):
+        fleet = UpdateFleet(hosts)
+        self.addCleanup(fleet.stop)
+        eventlet.sleep(6)
+        return fleet
+
+    def assert_all_hear_of(self, fleet, hosts, change, seen, within_s=DRAIN_S):
+        """Assert that `seen(host)` holds for all hosts within the bound."""
+        change()
+        eventlet.sleep(within_s)
+        self.assertEqual([h.process.name for h in hosts if not seen(h)], [])
+
+    def assert_leaving_is_heard(self, fleet, hosts):
+        self.assert_all_hear_of(
+            fleet,
+            hosts,
+            lambda: fleet.put("servers/t3", None),
+            lambda host: not host.knows("servers/t3"),
+        )
+
+
+class TestStoreCalls(FleetCase):
+    """Few hosts read the store, however many there are."""
+
+    def calls(self, hosts):
+        fleet = self.start(hosts)
+        since = len(fleet.platform.calls)
+        for number in range(10):
+            fleet.put("servers/t1", {"state": "ready", "n": number})
+            eventlet.sleep(1)
+        for host in fleet.hosts:
+            self.assertEqual(host.cache.get("servers/t1").value["n"], 9)
+        kinds = [kind for _, kind in fleet.platform.calls[since:]]
+        return sum(0.1 if kind == "stale" else 1 for kind in kinds)
+
+    def test_the_calls_of_the_fleet_do_not_grow_with_its_hosts(self):
+        few, more, many = (self.calls(hosts) for hosts in (10, 30, 90))
+        self.assertLessEqual(more, 1.1 * few)
+        self.assertLessEqual(many, 1.1 * few)
+
+    def test_the_hosts_of_a_starting_fleet_read_the_hosts_and_nothing_else(self):
+        fleet = self.start(60)
+        full_reads = [k for at, k in fleet.platform.calls if k == "read"]
+        self.assertLessEqual(len(full_reads), 60 + 2 * len(PREFIXES))
+
+    def test_an_outage_costs_each_host_one_cheap_call_a_second_at_most(self):
+        fleet = self.start(30)
+        fleet.platform.faults.down = True
+        attempts = []
+        for host in fleet.hosts:
+            check = host.store._raise_if_down
+            host.store._raise_if_down = lambda f=check: (attempts.append(1), f())
+        fleet.platform.wake()
+        eventlet.sleep(20)
+        self.assertLessEqual(len(attempts), 1.2 * 20 * 30 + 2 * 20 * 5)
+
+
+class TestUpdatesInTime(FleetCase):
+    """A leaving target is known to every host in touch within the drain bound."""
+
+    def test_all_hosts_hear_of_it_within_half_the_bound_when_nothing_fails(self):
+        fleet = self.start(30)
+        self.assert_all_hear_of(
+            fleet,
+            fleet.hosts,
+            lambda: fleet.put("servers/t3", None),
+            lambda host: not host.knows("servers/t3"),
+            DRAIN_S / 2,
+        )
+
+    def test_one_relay_is_killed(self):
+        for index in (0, 1):
+            fleet = self.start(30)
+            fleet.relays()[index].kill()
+            self.assert_leaving_is_heard(fleet, fleet.others())
+
+    def test_both_relays_are_killed_at_once(self):
+        fleet = self.start(30)
+        for relay in fleet.relays():
+            relay.kill()
+        self.assert_leaving_is_heard(fleet, fleet.others())
+
+    def test_both_relays_are_cut_from_the_store(self):
+        for fault in ("down", "silent"):
+            with self.subTest(fault):
+                fleet = self.start(30)
+                for relay in fleet.relays():
+                    setattr(relay.store.faults, fault, True)
+                fleet.platform.wake()
+                self.assert_leaving_is_heard(fleet, fleet.others())
+
+    def test_both_relays_freeze(self):
+        fleet = self.start(30)
+        for relay in fleet.relays():
+            relay.process.pause()
+        self.assert_leaving_is_heard(fleet, fleet.others())
+
+    def test_a_host_is_cut_from_all_relays(self):
+        fleet = self.start(30)
+        host = fleet.others()[0]
+        machines = [h.process.machine for h in fleet.hosts if h is not host]
+        fleet.network.cut([host.process.machine], machines)
+        self.assert_leaving_is_heard(fleet, [host])
+
+    def test_a_host_is_cut_from_the_store(self):
+        fleet = self.start(30)
+        host = fleet.others()[0]
+        host.store.faults.silent = True
+        self.assert_leaving_is_heard(fleet, [host])
+
+    def test_the_instant_of_a_change_is_never_later_than_the_change(self):
+        fleet = self.start(10)
+        for relay in fleet.relays():
+            relay.store.faults.silent = True
+        eventlet.sleep(0.2)
+        changed_at = virtual_hub.now()
+        fleet.put("servers/t3", {"state": "draining"})
+        eventlet.sleep(DRAIN_S)
+        for host in fleet.others():
+            at = host.process.virtual(host.cache.changed_at("servers/t3"))
+            self.assertLessEqual(at, changed_at + 0.01)
+
+
+class TestNothingReturns(FleetCase):
+    """What has left the store is not in use again after a restart."""
+
+    def test_a_deletion_that_no_relay_has_seen_reaches_all_hosts(self):
+        fleet = self.start(30)
+        for relay in fleet.relays():
+            relay.kill()
+        fleet.put("servers/t3", None)
+        # New relays read the store for the first time, after the deletion.
+        fleet.known = tuple(h.me for h in fleet.hosts if not h.process.killed)
+        eventlet.sleep(DRAIN_S)
+        known_by = [h.process.name for h in fleet.others() if h.knows("servers/t3")]
+        self.assertEqual(known_by, [])
+
+    def test_a_restarted_host_is_not_ready_on_the_old_copy_of_an_isolated_relay(self):
+        fleet = self.start(30)
+        for relay in fleet.relays():
+            relay.store.faults.silent = True
+        eventlet.sleep(5)
+        fleet.put("servers/t3", None)
+        fleet.put("config/main", {"version": 2})
+        eventlet.sleep(5)
+        old = fleet.others()[0]
+        old.kill()
+        new = UpdateHost(fleet, fleet.hosts.index(old), run=2)
+        fleet.hosts.append(new)
+        for _ in range(100):
+            eventlet.sleep(0.05)
+            if new.updates.caught_up():
+                break
+        self.assertTrue(new.updates.caught_up())
+        self.assertFalse(new.knows("servers/t3"))
+        self.assertEqual(new.cache.get("config/main").value, {"version": 2})
+
+    def test_a_host_that_starts_during_an_outage_uses_what_relays_know(self):
+        fleet = self.start(10)
+        fleet.platform.faults.down = True
+        fleet.platform.wake()
+        eventlet.sleep(5)
+        old = fleet.others()[0]
+        old.kill()
+        new = UpdateHost(fleet, fleet.hosts.index(old), run=2)
+        fleet.hosts.append(new)
+        eventlet.sleep(4)
+        self.assertTrue(new.updates.caught_up())
+        self.assertTrue(new.knows("servers/t3"))
+
+
+class TestOutages(FleetCase):
+    """Entries that expire in an outage are told apart from targets that left."""
+
+    def test_a_lost_relay_is_no_outage_of_the_store(self):
+        fleet = self.start(30)
+        for relay in fleet.relays():
+            relay.kill()
+        eventlet.sleep(5)
+        for host in fleet.others():
+            self.assertIsNone(host.updates.last_outage_at())
+
+    def test_an_outage_lasts_until_the_store_confirms_the_cache_again(self):
+        fleet = self.start(10)
+        fleet.platform.faults.down = True
+        fleet.platform.wake()
+        eventlet.sleep(6)
+        fleet.platform.faults.down = False
+        ended_at = virtual_hub.now()
+        eventlet.sleep(4)
+        for host in fleet.hosts:
+            last_at = host.process.virtual(host.updates.last_outage_at())
+            self.assertGreaterEqual(last_at, ended_at - 0.25)
+            self.assertLessEqual(last_at, ended_at + DRAIN_S)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -157,6 +157,10 @@
         """Return the object under `key`, or raise `StoreMissing`."""
         return self._call("read", lambda: self.platform.get(key), deadline)
 
+    def get_stale(self, key, deadline):
+        """Return the object under `key`, like `get`."""
+        return self._call("stale", lambda: self.platform.get(key), deadline)
+
     def list(self, prefix, deadline):
         """Return all objects whose keys start with `prefix`."""
         return self._call("read", lambda: self.platform.list(prefix), deadline)
