Use slow targets before a queue for the fast ones grows; cut the cost of large fleets

Cause 1, found on the small twin of the large site after a scale-out: requests queued for half a second while most targets were idle. The desk left a slow target free if waiting for a faster one seemed shorter, but its estimate was for the head of the queue and counted the slow targets' own capacity; so no request of a long queue ever got one. Change: the wait counts the requests ahead that wait as well, and only the targets that are at least twice as fast.

Cause 2: the work of control grew with the square of the fleet. Each request, each note and each tick built lists of all hosts; each reply of the leader touched every host; the leader sorted all hosts at each of five reports a second and host. Change: lists are kept while nothing changes; hosts that are not among the first 8 candidates report less often above 40 hosts; notes are sent less often above 60 hosts unless a request waits; some 30 hosts are asked whether the leader is lost; a dead leader is replaced in order of rank; logs are written by one system call a flush.

--- a/src/persimmonspoke/daemon/routed.py
+++ b/src/persimmonspoke/daemon/routed.py
@@ -147,6 +147,7 @@
             self.hosts,
             self.state,
             platform.data_centre,
+            self.hosts.cores_of,
         )
         self.routes.on_change = lambda: self.scheduler.on_owners_changed(
             self.routes.owner
--- a/src/persimmonspoke/internal/desk/desk.py
+++ b/src/persimmonspoke/internal/desk/desk.py
@@ -35,6 +35,7 @@
 # Share of the capacity that requests are assumed to get at least, however much work
 # of higher priority arrives.
 MIN_CAPACITY_SHARE = 0.1
+USABLE_S = 0.02  # how long a list of usable targets is kept if no answer changes it
 MIN_RETRY_S = 0.03  # a shorter pause costs a connection and gains nothing
 MAX_RETRY_S = 1.0
 STUCK_RETRY_S = 0.4  # when no target is usable
@@ -82,12 +83,16 @@
         self._last_retry_at: dict[TargetId | None, Instant] = {}
         self._service_times = ServiceTimes()
         self._arrivals: dict[TargetId | None, ArrivalRate] = {}
+        self._usable: list[SlotTarget] | None = None
+        self._usable_ids: set[TargetId] = set()
+        self._usable_until = LONG_AGO
         self.refused_count = 0
         self.assigned_count = 0
 
     def configure(self, targets: Iterable[TargetSlots]) -> None:
         """Replace the targets of the service, and keep the state of known ones."""
         known = self._targets
+        self._usable = None
         self._targets = {}
         for entry in targets:
             target = known.get(entry.target_id)
@@ -143,6 +148,9 @@
         target.record(
             outcome, done.took_s, self._service_times.of(use.kind), now, pooled
         )
+        answered = outcome is SlotOutcome.ANSWERED
+        if not answered or target.target_id not in self._usable_ids:
+            self._usable = None
         self._assign_free_slots(None if pooled else target.target_id)
 
     def reconcile(self, notes: Notes) -> NotesSeen:
@@ -170,11 +178,17 @@
         self._assign_all()
         return NotesSeen([serial for serial in notes.waiting if serial not in known])
 
-    def tick(self) -> None:
-        """Drop silent hosts, refuse overdue requests, and probe stuck targets."""
+    def tick(self, sync_s: float = 0.0) -> None:
+        """Drop silent hosts, refuse overdue requests, and probe stuck targets.
+
+        Parameters
+        ----------
+        sync_s : float
+            How often hosts send their notes.
+        """
         now = self._clock.now()
         for host, last_message_at in list(self._last_message_at.items()):
-            if now - last_message_at > self._cfg.forget_s:
+            if now - last_message_at > max(self._cfg.forget_s, 3 * sync_s):
                 self._drop_host(host)
         for entry in list(self._waiting.values()):
             if now + self._typical_service_s(entry.ask) > entry.deadline:
@@ -219,9 +233,14 @@
                 return []
             stuck = self._is_stuck(target, now) and not self._may_probe(target, now)
             return [] if stuck else [target]
-        responsive = [t for t in self._targets.values() if not self._is_stuck(t, now)]
-        preferred = [t for t in responsive if t.avoid_until <= now]
-        return preferred or responsive or list(self._targets.values())
+        if self._usable is None or now >= self._usable_until:
+            targets = list(self._targets.values())
+            responsive = [t for t in targets if not self._is_stuck(t, now)]
+            preferred = [t for t in responsive if t.avoid_until <= now]
+            self._usable = preferred or responsive or targets
+            self._usable_ids = {target.target_id for target in self._usable}
+            self._usable_until = Instant(now + USABLE_S)
+        return self._usable
 
     def _may_probe(self, target, now):
         return now - target.probed_at >= self._cfg.probe_s
@@ -248,6 +267,7 @@
         if not queue:
             return
         now = self._clock.now()
+        ahead = 0
         for entry in list(queue):
             targets = self._usable_targets(owner, now)
             if not any(self._accepts_request(target, now) for target in targets):
@@ -256,8 +276,10 @@
                     self._refuse(entry, 0.0, now)
                     continue
                 return
-            target = self._choose_target(entry, targets, now)
-            if target is not None:
+            target = self._choose_target(entry, targets, now, ahead)
+            if target is None:
+                ahead += 1
+            else:
                 self._assign(entry, target, now)
 
     def _accepts_request(self, target, now):
@@ -265,8 +287,14 @@
             return True
         return self._is_stuck(target, now) and self._may_probe(target, now)
 
-    def _choose_target(self, entry, targets, now) -> SlotTarget | None:
-        """Return the target with the earliest expected answer; None to wait."""
+    def _choose_target(self, entry, targets, now, ahead) -> SlotTarget | None:
+        """Return the target with the earliest expected answer; None to wait.
+
+        Parameters
+        ----------
+        ahead : int
+            Number of requests that wait for a faster target before this one.
+        """
         available = [t for t in targets if self._accepts_request(t, now)]
         preferred = [t for t in available if t.target_id not in entry.ask.avoid]
         if entry.ask.owner is None and not preferred:
@@ -287,14 +315,13 @@
         best = min(choices, key=cost)
         if entry.ask.owner is not None:
             return best
-        # Waiting for another target may be faster than using a slow one at once.
-        wait_s = (
-            RESIDUAL_SHARE
-            * self._service_times.longest()
-            / sum(t.capacity() for t in targets)
-        )
+        # Waiting for a faster target may take less time than using a slow one at once.
         fastest = min(t.slowness for t in targets)
+        faster = sum(t.capacity() for t in targets if 2 * t.slowness <= best.slowness)
         typical_s = self._service_times.of(entry.ask.kind)
+        wait_s = 0.0
+        if faster:
+            wait_s = (ahead + RESIDUAL_SHARE) * self._service_times.longest() / faster
         idle = not best.in_use and now - best.probed_at >= self._cfg.probe_s
         if typical_s * (best.slowness - 2 * fastest) > wait_s and not idle:
             return None
--- a/src/persimmonspoke/internal/desk/scheduler.py
+++ b/src/persimmonspoke/internal/desk/scheduler.py
@@ -45,7 +45,9 @@
 
 log = logging.getLogger(__name__)
 
-TICK_S = 0.05  # period of `DeskScheduler.run`
+TICK_S = 0.05  # period of `DeskScheduler.run` while requests wait at a desk here
+IDLE_TICK_S = 0.1
+UNANSWERED_S = 0.3  # age of an ask without an answer at which its desk is checked
 
 
 @dataclass(slots=True, eq=False)
@@ -63,6 +65,7 @@
     ticket: Ticket
     ask: Ask
     reply: Event
+    opened_at: Instant
     desk: HostId | None = None
     target_id: TargetId | None = None
     started_at: Instant | None = None
@@ -94,6 +97,11 @@
 
     Each service has a desk on one host: the first live host in the service's ranking,
     other than hosts that recently failed to answer; see `Desk`.
+
+    Parameters
+    ----------
+    cores_of : callable
+        Returns the processor share of a host, as a number of cores.
     """
 
     def __init__(
@@ -104,6 +112,7 @@
         members: Members,
         state: RoutingState,
         data_centre: DataCentreId,
+        cores_of: Callable[[HostId], float] = lambda host_id: 1.0,
     ):
         self._cfg = cfg
         self._clock = clock
@@ -120,7 +129,8 @@
         self._reconciling: set[ServiceId] = set()
         self._avoid_until: dict[HostId, Instant] = {}
         self._budgets: dict[ServiceId, RetryBudget] = {}
-        self._ranking_cache: dict[tuple, tuple[HostId, ...]] = {}
+        self._cores_of = cores_of
+        self._ranking_cache: dict[ServiceId, tuple] = {}
         link.serve(Ask, self._on_ask)
         link.serve(Done, self._on_done)
         link.serve(Lent, self._on_lent)
@@ -130,9 +140,11 @@
     def run(self) -> None:
         """Run the periodic work of desks and send `Notes`, until the task is killed."""
         while True:
-            self._clock.sleep_until(Instant(self._clock.now() + TICK_S))
+            busy = any(desk.waiting() for desk in self._desks.values())
+            tick_s = TICK_S if busy else IDLE_TICK_S
+            self._clock.sleep_until(Instant(self._clock.now() + tick_s))
             for service, desk in list(self._desks.items()):
-                desk.tick()
+                desk.tick(self._long_sync_s())
                 if desk.is_idle() and self._desk_host(service).host_id != self._me:
                     del self._desks[service]
             self._reconcile_all()
@@ -150,7 +162,8 @@
         if not candidates:
             raise NoOwnerYet(f"service {ticket.service.service} has no target")
         self._budget(ticket.service.service).count_attempt()
-        entry = _OpenRequest(ticket, self._make_ask(ticket, candidates, now), Event())
+        ask = self._make_ask(ticket, candidates, now)
+        entry = _OpenRequest(ticket, ask, Event(), now)
         self._open[entry.ask.serial] = entry
         try:
             self._send_ask(entry)
@@ -286,19 +299,32 @@
             self._link.post(address, done)
 
     def _reconcile_all(self):
-        """Send `Notes` for all services with open requests, where they are due."""
+        """Send `Notes` for all services with open requests, where they are due.
+
+        They are due less often in a large fleet, except while a request waits: the
+        desk may then be lost.
+        """
         now = self._clock.now()
-        services = {entry.ask.service for entry in self._open.values()}
-        for service in services:
+        long_s = self._long_sync_s()
+        sync_s: dict[ServiceId, float] = {}
+        for entry in self._open.values():
+            service = entry.ask.service
+            waits = entry.target_id is None and now - entry.opened_at >= UNANSWERED_S
+            if waits or service not in sync_s:
+                sync_s[service] = self._cfg.sync_s if waits else long_s
+        for service, period_s in sync_s.items():
             desk = self._desk_host(service)
             moved = self._reconciled_with.get(service) != desk.host_id
-            due = (
-                now - self._reconciled_at.get(service, Instant(0.0)) >= self._cfg.sync_s
-            )
+            due = now - self._reconciled_at.get(service, Instant(0.0)) >= period_s
             if (moved or due) and service not in self._reconciling:
                 self._reconciling.add(service)
                 eventlet.spawn_n(self._reconcile, service, desk)
 
+    def _long_sync_s(self):
+        """Return how often a host sends notes while none of its requests waits."""
+        hosts = len(self._members.live())
+        return self._cfg.sync_s * max(1.0, hosts / self._cfg.hosts_per_sync)
+
     def _reconcile(self, service, desk: PeerAddress):
         try:
             notes = self._make_notes(service, desk.host_id)
@@ -406,20 +432,28 @@
         return self._members.address_of(host_id)
 
     def _desk_host(self, service) -> PeerAddress:
-        live = self._members.live()
         now = self._clock.now()
-        ids = tuple(address.host_id for address in live)
-        ranked = self._ranking_cache.get((service, ids))
-        if ranked is None:
-            if len(self._ranking_cache) > 100:
-                self._ranking_cache.clear()
-            ranked = rank_hosts(GroupId(service), ids)
-            self._ranking_cache[service, ids] = ranked
-        desk_id = next(
-            (host for host in ranked if self._avoid_until.get(host, now) <= now),
-            self._me,
-        )
-        return next((a for a in live if a.host_id == desk_id), self._members.me())
+        for address in self._ranked_hosts(service):
+            if self._avoid_until.get(address.host_id, now) <= now:
+                return address
+        return self._members.me()
+
+    def _ranked_hosts(self, service) -> tuple[PeerAddress, ...]:
+        """Return the live hosts in the order in which they may be the desk.
+
+        The hosts with the most processor time come first, since a desk has work for
+        each request of its service.
+        """
+        live = self._members.live()
+        cached = self._ranking_cache.get(service)
+        if cached is not None and cached[0] is live:
+            return cached[1]
+        by_id = {address.host_id: address for address in live}
+        ids = rank_hosts(GroupId(service), by_id)
+        ids = sorted(ids, key=self._cores_of, reverse=True)
+        ranked = tuple(by_id[host_id] for host_id in ids)
+        self._ranking_cache[service] = (live, ranked)
+        return ranked
 
     def _budget(self, service) -> RetryBudget:
         budget = self._budgets.get(service)
--- a/src/persimmonspoke/internal/desk/settings.py
+++ b/src/persimmonspoke/internal/desk/settings.py
@@ -15,6 +15,9 @@
     ----------
     sync_s : float
         How often a host sends a desk the list of its open requests.
+    hosts_per_sync : float
+        Number of live hosts above which a host sends the list less often, in
+        proportion, unless a request of it waits.
     call_s : float
         Timeout of the call that sends the list.
     avoid_s : float
@@ -54,6 +57,7 @@
     model_config = ConfigDict(extra="forbid", frozen=True)
 
     sync_s: Seconds = 0.3
+    hosts_per_sync: Annotated[float, Field(ge=1)] = 60.0
     call_s: Seconds = 0.2
     avoid_s: Seconds = 1.0
     grace_s: Seconds = 0.3
--- a/src/persimmonspoke/internal/fleet/hosts.py
+++ b/src/persimmonspoke/internal/fleet/hosts.py
@@ -51,7 +51,16 @@
         self._recorded_count = 0
         self._candidates_of: tuple[HostEntry, ...] | None = None
         self._candidates: tuple[HostEntry, ...] = ()
+        self._entries: tuple[HostEntry, ...] = ()
+        self._entries_basis: tuple | None = None
+        self._entries_listed: tuple[HostEntry, ...] = ()
+        self._live_addresses: tuple[PeerAddress, ...] = ()
+        self._live_addresses_of: tuple[HostEntry, ...] | None = None
+        self._index: dict[HostId, HostEntry] = {}
+        self._index_of: tuple = (None, None)
         self._live: tuple[HostEntry, ...] = ()
+        self._live_ids: frozenset[HostId] = frozenset()
+        self._listed_at = Instant(float("-inf"))
         self._live_until = Instant(float("-inf"))
         self._last_contact_at: dict[HostId, Instant] = {}
         self.leaving = False
@@ -61,31 +70,46 @@
         return self.my_entry.address
 
     def live(self) -> tuple[PeerAddress, ...]:
-        """Return the addresses of `entries`, ordered by host id."""
-        hosts = {entry.address.host_id: entry.address for entry in self.entries()}
-        return tuple(hosts[host_id] for host_id in sorted(hosts))
+        """Return the addresses of `entries`, ordered by host id.
+
+        The result is the same object while the entries are the same object.
+        """
+        entries = self.entries()
+        if entries is not self._live_addresses_of:
+            hosts = {entry.address.host_id: entry.address for entry in entries}
+            self._live_addresses = tuple(hosts[host_id] for host_id in sorted(hosts))
+            self._live_addresses_of = entries
+        return self._live_addresses
 
     def address_of(self, host_id: HostId) -> PeerAddress | None:
         """Return a host's address, whether or not it is alive; None if unknown."""
-        for entry in (self.my_entry, *self._live, *self.recorded_hosts()):
-            if entry.address.host_id == host_id:
-                return entry.address
-        return None
+        entry = self._entry_of(host_id)
+        return None if entry is None else entry.address
+
+    def cores_of(self, host_id: HostId) -> float:
+        """Return the processor share of a host, as a number of cores; 1 if unknown."""
+        entry = self._entry_of(host_id)
+        return 1.0 if entry is None else entry.cores
 
     def entries(self) -> tuple[HostEntry, ...]:
         """Return the entries of the live hosts.
 
         This host is included, unless it is leaving and there are others.  Once the
         leader's list has expired, as when the leader is lost, the others are limited
-        to those that had contact with this host within `present_s`.
+        to those that had contact with this host within `present_s`.  The result is
+        the same object while nothing has changed.
         """
         listed = self._live or self.recorded_hosts()
-        if self._clock.now() > self._live_until:
+        expired = self._clock.now() > self._live_until
+        if expired:
             listed = tuple(entry for entry in listed if self._is_present(entry))
-        others = [e for e in listed if e.address.host_id != self.me().host_id]
-        if self.leaving and others:
-            return tuple(others)
-        return (self.my_entry, *others)
+        basis = (listed if expired else id(listed), expired, self.leaving)
+        if basis != self._entries_basis:
+            others = tuple(e for e in listed if e.address.host_id != self.me().host_id)
+            alone = not (self.leaving and others)
+            self._entries = (self.my_entry, *others) if alone else others
+            self._entries_basis, self._entries_listed = basis, listed
+        return self._entries
 
     def candidates(self) -> tuple[HostEntry, ...]:
         """Return the hosts that may do work for others, this one included.
@@ -102,6 +126,23 @@
             return self._candidates[1:]
         return self._candidates
 
+    def rank_among(self, entries: tuple[HostEntry, ...], lost: HostId | None) -> int:
+        """Return how many of `entries` may lead before this host, without `lost`.
+
+        Hosts with more processor time come first, and among equal ones those with the
+        lower host id.
+        """
+
+        def order(entry):
+            return -entry.cores, entry.address.host_id
+
+        mine = order(self.my_entry)
+        return sum(
+            1
+            for entry in entries
+            if entry.address.host_id != lost and order(entry) < mine
+        )
+
     def recorded_hosts(self) -> tuple[HostEntry, ...]:
         """Return the hosts that have a record in the store, without this one."""
         count = self._cache.kind_change_count(HOSTS_PREFIX)
@@ -127,10 +168,11 @@
 
     def update_live(self, hosts: tuple[HostEntry, ...], until: Instant) -> None:
         """Record the leader's list of live hosts, which is valid until `until`."""
-        self._live = hosts
+        if hosts is not self._live:
+            self._live = hosts
+            self._live_ids = frozenset(entry.address.host_id for entry in hosts)
         self._live_until = until
-        for entry in hosts:
-            self._last_contact_at[entry.address.host_id] = self._clock.now()
+        self._listed_at = self._clock.now()
 
     def mark_alive(self, host_id: HostId) -> None:
         """Record that a host has just sent a message or an answer."""
@@ -177,13 +219,13 @@
         """
         now = self._clock.now()
         for entry in self.recorded_hosts():
-            last_contact_at = self._last_contact_at.setdefault(
-                entry.address.host_id, now
-            )
-            if now - last_contact_at > self._cfg.forget_s:
+            host_id = entry.address.host_id
+            if self._contact_at(host_id) is None:
+                self._last_contact_at[host_id] = now
+            elif now - self._contact_at(host_id) > self._cfg.forget_s:
                 deadline = Instant(now + self._cfg.store_call_s)
                 eventlet.spawn_n(self.remove, entry.name, deadline)
-                self._last_contact_at[entry.address.host_id] = now
+                self._last_contact_at[host_id] = now
 
     def _decode(self, stored):
         """Return the host of a record; decode each version of it only once."""
@@ -192,12 +234,30 @@
             known = self._decoded[stored.key] = (stored.version, _decode(stored))
         return known[1]
 
+    def _entry_of(self, host_id) -> HostEntry | None:
+        recorded = self.recorded_hosts()
+        live_of, recorded_of = self._index_of
+        if live_of is not self._live or recorded_of is not recorded:
+            self._index = {
+                entry.address.host_id: entry
+                for entry in (*recorded, *self._live, self.my_entry)
+            }
+            self._index_of = (self._live, recorded)
+        return self._index.get(host_id)
+
+    def _contact_at(self, host_id) -> Instant | None:
+        """Return when a host last had contact with this one, or was on a list."""
+        own = self._last_contact_at.get(host_id)
+        if host_id not in self._live_ids:
+            return own
+        return self._listed_at if own is None else max(own, self._listed_at)
+
     def _is_present(self, entry):
         """Return whether a host had contact with this one within `present_s`."""
-        last_contact_at = self._last_contact_at.get(entry.address.host_id)
+        contact_at = self._contact_at(entry.address.host_id)
         return (
-            last_contact_at is not None
-            and self._clock.now() - last_contact_at <= self._cfg.present_s
+            contact_at is not None
+            and self._clock.now() - contact_at <= self._cfg.present_s
         )
 
     def _version(self, key):
--- a/src/persimmonspoke/internal/fleet/inquiries.py
+++ b/src/persimmonspoke/internal/fleet/inquiries.py
@@ -51,11 +51,13 @@
         now = self._clock.now()
         if version != self._version:
             self._version, self._version_seen_at = version, now
-        others = [
+        recorded = [
             entry.address
             for entry in self._hosts.recorded_hosts()
             if entry.address != leader
         ]
+        # Some hosts are enough: a wrong answer costs a change of the leader, not more.
+        others = recorded[:: -(-len(recorded) // self._cfg.inquiries) or 1]
         calls = [
             eventlet.spawn(self._silence_seen_by, address, leader) for address in others
         ]
@@ -69,8 +71,9 @@
         return now - self._version_seen_at >= self._cfg.unchanged_s
 
     def find_newer_leader(self, epoch: int) -> LeaderKnown | None:
-        """Ask each host for a leader of a later epoch; return the first one found."""
-        for entry in self._hosts.recorded_hosts():
+        """Ask some hosts for a leader of a later epoch; return the first one found."""
+        recorded = self._hosts.recorded_hosts()
+        for entry in recorded[:: -(-len(recorded) // self._cfg.inquiries) or 1]:
             try:
                 known = self.ask(entry.address)
             except PeerError as exc:
@@ -81,18 +84,9 @@
         return None
 
     def candidate_rank(self, leader: PeerAddress | None) -> int:
-        """Return how many hosts may replace `leader` before this one.
-
-        Candidates take over in the order of their host ids.
-        """
+        """Return how many hosts may replace `leader` before this one."""
         lost_id = leader.host_id if leader else None
-        before = [
-            entry
-            for entry in self._hosts.entries()
-            if entry.address.host_id != lost_id
-            and entry.address.host_id < self._hosts.me().host_id
-        ]
-        return len(before)
+        return self._hosts.rank_among(self._hosts.entries(), lost_id)
 
     def _silence_seen_by(self, address, leader) -> float | None:
         """Return the time since a host had contact with `leader`.
--- a/src/persimmonspoke/internal/fleet/leadership.py
+++ b/src/persimmonspoke/internal/fleet/leadership.py
@@ -46,6 +46,9 @@
 from persimmonspoke.internal.store.writes import write
 
 CHECKS_PER_PERIOD = 10
+DEAD_STEP_S = 0.05  # additional wait of each further candidate for a dead leader
+FIRST_READ_STEP_S = 0.05
+MAX_FIRST_READ_S = 1.0
 WATCH_PERIOD_S = 0.1  # between two checks of the leader by a host that follows it
 
 log = logging.getLogger(__name__)
@@ -82,6 +85,8 @@
         Called when this host starts and stops leading.
     max_grant_s : float
         Longest time for which a target may hold keys by one order.
+    report_s : float
+        How often this host reports to the leader at present.
     store_answered_at : Instant
         When the store last answered a read or write of the object.
     """
@@ -101,6 +106,7 @@
         self._hosts = hosts
         self._version = Version(0)
         self._write_lock = Semaphore(1)
+        self._started_at = clock.now()
         self._last_contact_at = clock.now()
         self._last_read_at = LONG_AGO
         self._store_checked_at = LONG_AGO
@@ -119,6 +125,7 @@
         self.on_takeover: Callable[[], None] = lambda: None
         self.on_stop: Callable[[], None] = lambda: None
         self.max_grant_s = 0.0
+        self.report_s = cfg.report_s
         self.lease_s = cfg.lease_s
         link.serve(LeaderQuery, self._on_query)
         link.serve(NewLeader, self._on_new_leader)
@@ -303,8 +310,11 @@
         now = self._clock.now()
         silence_s = now - self._last_contact_at
         suspected = (self.leader, self.epoch)
+        if self.leader is None and now < self._first_read_at():
+            return
         if self.leader is not None and (
-            silence_s < self._cfg.suspect_s or not self._may_be_lost(silence_s)
+            silence_s < self._cfg.suspect_s + self.report_s - self._cfg.report_s
+            or not self._may_be_lost(silence_s)
         ):
             return
         if now - self._last_read_at < self._cfg.call_s:
@@ -339,6 +349,15 @@
         ):
             self._take_over(stored_ownership, stored.version)
 
+    def _first_read_at(self):
+        """Return when this host first looks for a leader by itself.
+
+        Hosts that come before it announce themselves if they take over.
+        """
+        rank = self._hosts.rank_among(self._hosts.candidates(), None)
+        wait_s = min(FIRST_READ_STEP_S * rank, MAX_FIRST_READ_S)
+        return Instant(self._started_at + wait_s)
+
     def _may_be_lost(self, silence_s):
         """Return whether the leader is dead, has resigned, or was silent for too long.
 
@@ -350,7 +369,8 @@
         liveness = self._link.probe(self.leader, deadline)
         if liveness is Liveness.DEAD:
             log.info("leader: dead", extra={"leader": self.leader.host_id})
-            return True
+            rank = self._inquiries.candidate_rank(self.leader)
+            return silence_s >= self._cfg.suspect_s + rank * DEAD_STEP_S
         if liveness is Liveness.SILENT:
             timeout_s = (
                 self._cfg.silent_s
--- a/src/persimmonspoke/internal/fleet/messages.py
+++ b/src/persimmonspoke/internal/fleet/messages.py
@@ -105,6 +105,8 @@
         Time since the store last answered the host.
     leaving : bool
         Whether the host is stopping and does no more work for other hosts.
+    next_s : float
+        Time until the host's next report.
     """
 
     sender: list
@@ -116,6 +118,7 @@
     refused: list
     store_age_s: float
     leaving: bool
+    next_s: float = 0.0
 
 
 @flat_message
--- a/src/persimmonspoke/internal/fleet/reporter.py
+++ b/src/persimmonspoke/internal/fleet/reporter.py
@@ -30,6 +30,8 @@
 from persimmonspoke.internal.ranges.keeper import Keeper
 from persimmonspoke.internal.ranges.routes import RangeRoutes
 
+LIST_PERIOD_S = 0.1  # between two checks of which hosts have fallen silent
+
 log = logging.getLogger(__name__)
 
 
@@ -68,12 +70,12 @@
 
     Attributes
     ----------
-    at : Instant
-        When the report arrived.
+    present_until : Instant
+        Until then the host counts as alive without another report.
     """
 
     entry: HostEntry
-    at: Instant
+    present_until: Instant
     store_age_s: float
     leaving: bool
 
@@ -106,6 +108,8 @@
         self._store_age_s = store_age_s
         self._host_states: dict[HostId, _HostState] = {}
         self._host_list_number = 0
+        self._list_due_at = Instant(float("-inf"))
+        self._present_list: tuple[int, list] = (0, [])
         self._listed: tuple[HostEntry, ...] = ()
         self.keeper: Keeper | None = None
         self.load_recorder = LoadRecorder()
@@ -115,7 +119,8 @@
     def run(self) -> None:
         """Send reports periodically until the task is killed."""
         while True:
-            report_at = Instant(self._clock.now() + self._cfg.report_s)
+            self._leadership.report_s = self._period_s()
+            report_at = Instant(self._clock.now() + self._leadership.report_s)
             if self._leadership.leading:
                 self._apply_reply(self._on_report(self._report()))
                 self._step_aside_if_isolated()
@@ -131,6 +136,20 @@
             if state.entry.address != self._hosts.me():
                 self._link.post(state.entry.address, change)
 
+    def _period_s(self):
+        """Return how often to report; less often in a large fleet.
+
+        The first candidates for the leadership report as often as in a small one.
+        """
+        hosts = self._hosts.candidates()
+        period_s = max(self._cfg.report_s, len(hosts) / self._cfg.reports_per_s)
+        if (
+            period_s > self._cfg.report_s
+            and self._hosts.rank_among(hosts, None) < self._cfg.candidates
+        ):
+            return self._cfg.report_s
+        return period_s
+
     def _report(self):
         loads, work = self.load_recorder.drain()
         epoch, serial = self._routes.version()
@@ -144,6 +163,7 @@
             refused=self._routes.drain_refusals(),
             store_age_s=round(self._store_age_s(), 3),
             leaving=self._hosts.leaving,
+            next_s=self._leadership.report_s,
         )
 
     def _report_to(self, leader):
@@ -166,6 +186,9 @@
                 # The next report then shows the leader whether others reach the store.
                 self._leadership.check_store()
 
+    def _extra_period_s(self):
+        return self._leadership.report_s - self._cfg.report_s
+
     def _apply_reply(self, reply):
         if reply.table is not None:
             self._routes.apply_table(
@@ -179,7 +202,9 @@
                     },
                 )
             )
-        until = Instant(self._clock.now() + self._cfg.present_s)
+        until = Instant(
+            self._clock.now() + self._cfg.present_s + self._extra_period_s()
+        )
         if reply.hosts is not None:
             self._host_list_number = reply.fleet
             self._listed = tuple(entry_from(fields) for fields in reply.hosts)
@@ -191,9 +216,14 @@
         now = self._clock.now()
         entry = entry_from(report.sender)
         host_id = entry.address.host_id
+        extra_s = max(0.0, report.next_s - self._cfg.report_s)
+        present_until = Instant(now + self._cfg.present_s + 2 * extra_s)
+        before = self._host_states.get(host_id)
         self._host_states[host_id] = _HostState(
-            entry, now, report.store_age_s, report.leaving
+            entry, present_until, report.store_age_s, report.leaving
         )
+        if before is None or before.leaving != report.leaving:
+            self._list_due_at = now
         self._hosts.mark_alive(host_id)
         self.keeper.on_report(report)
         number, hosts = self._present_hosts(now)
@@ -214,18 +244,21 @@
 
         The number is a hash of the list: lists of two leaders must not share one.
         """
-        self._host_states = {
-            host_id: state
-            for host_id, state in self._host_states.items()
-            if now - state.at <= self._cfg.present_s
-        }
-        hosts = [
-            entry_fields(state.entry)
-            for _, state in sorted(self._host_states.items())
-            if not state.leaving
-        ]
-        names = "".join(fields[0] for fields in hosts)
-        return xxhash.xxh32_intdigest(names), hosts
+        if now >= self._list_due_at:
+            self._list_due_at = Instant(now + LIST_PERIOD_S)
+            self._host_states = {
+                host_id: state
+                for host_id, state in self._host_states.items()
+                if now <= state.present_until
+            }
+            hosts = [
+                entry_fields(state.entry)
+                for _, state in sorted(self._host_states.items())
+                if not state.leaving
+            ]
+            names = "".join(fields[0] for fields in hosts)
+            self._present_list = xxhash.xxh32_intdigest(names), hosts
+        return self._present_list
 
     def _step_aside_if_isolated(self):
         """Stop leading if another host reaches the store and this one does not."""
--- a/src/persimmonspoke/internal/fleet/settings.py
+++ b/src/persimmonspoke/internal/fleet/settings.py
@@ -14,6 +14,14 @@
     ----------
     report_s : float
         How often a host reports to the leader.
+    reports_per_s : float
+        Number of reports per second that a leader gets at most; in a large fleet all
+        hosts but the first candidates report less often.
+    candidates : int
+        Number of hosts that always report every `report_s`, and so notice early that
+        the leader is lost.
+    inquiries : int
+        Number of hosts that are asked whether the leader is lost.
     call_s : float
         Timeout of one call between hosts.
     suspect_s : float
@@ -45,6 +53,9 @@
     model_config = ConfigDict(extra="forbid", frozen=True)
 
     report_s: Seconds = 0.2
+    reports_per_s: Seconds = 200.0
+    candidates: Annotated[int, Field(ge=1)] = 8
+    inquiries: Annotated[int, Field(ge=1)] = 30
     call_s: Seconds = 0.3
     suspect_s: Seconds = 0.5
     silent_s: Seconds = 0.8
--- a/src/persimmonspoke/internal/observe/bounded_logs.py
+++ b/src/persimmonspoke/internal/observe/bounded_logs.py
@@ -70,16 +70,17 @@
                 f'{{"level": "WARNING", "message": "lines dropped: {newly_dropped}"}}'
             )
         while self._queue:
-            line = self._queue[0]
+            # One system call for several lines.
+            lines = b"".join(self._queue)
+            self._queue.clear()
             try:
-                written = os.write(self._descriptor, line)
+                written = os.write(self._descriptor, lines)
             except BlockingIOError:
-                return
+                written = 0
             self._queued_bytes -= written
-            if written < len(line):
-                self._queue[0] = line[written:]
+            if written < len(lines):
+                self._queue.append(lines[written:])
                 return
-            self._queue.popleft()
 
     def run(self) -> None:
         """Write queued lines periodically, forever."""
--- a/tests/cover/test_desk_scheduler.py
+++ b/tests/cover/test_desk_scheduler.py
@@ -39,6 +39,7 @@
         self.clock = FakeClock(self.process)
         address = PeerAddress(HostId(self.process.name), self.process.machine, 7000)
         peers.append(address)
+        self.cores = {}
         self.me = lambda: address
         self.live = lambda: tuple(peers)
         self.address_of = {a.host_id: a for a in peers}.get
@@ -51,10 +52,13 @@
         self.state.table = RouteTable(RoutingConfig(1, (), services))
         self.state.targets = dict(records)
         self.scheduler = DeskScheduler(
-            DeskSettings(), self.clock, link, self, self.state, "a"
+            DeskSettings(), self.clock, link, self, self.state, "a", self.cores_of
         )
         self.task = eventlet.spawn(self.scheduler.run)
 
+    def cores_of(self, host_id):
+        return self.cores.get(host_id, 1.0)
+
     def ticket(self, left_s=0.5):
         now = self.clock.now()
         return Ticket(
--- a/tests/fakes/range_fleet.py
+++ b/tests/fakes/range_fleet.py
@@ -58,8 +58,9 @@
         self.store = FakeStore(fleet.platform, self.process)
         self.link = FakeLink(fleet.network, self.process, address)
         self.cache = StoreCache(self.clock)
-        cfg = FleetSettings()
-        entry = HostEntry(address, f"h{number}", "a")
+        cfg = fleet.cfg
+        cores = fleet.cores.get(number, 1.0)
+        entry = HostEntry(address, f"h{number}", "a", cores)
         self.hosts = Hosts(entry, cfg, self.clock, self.store, self.cache)
         self.leadership = Leadership(cfg, self.clock, self.store, self.link, self.hosts)
         self.state = RoutingState(
@@ -124,9 +125,17 @@
 
 
 class RangeFleet:
-    """Hosts, targets, and a check that no key has two holders at one time."""
+    """Hosts, targets, and a check that no key has two holders at one time.
 
-    def __init__(self, hosts=3, targets=4, registered=None):
+    Parameters
+    ----------
+    cores : dict of int to float
+        Processor shares of the hosts, by number; 1 for those that are not named.
+    """
+
+    def __init__(self, hosts=3, targets=4, registered=None, cfg=None, cores=None):
+        self.cfg = cfg or FleetSettings()
+        self.cores = cores or {}
         self.network = FakeNetwork()
         self.platform = FakePlatformStore()
         self.runs = 1
