Bound the bytes of an answer that has no end, in time and memory

Cause: a target that sends faster than this host reads kept its task from ever waiting, so no timer of any task ran: interim answers, header fields or trailers without end stopped the whole process (the new test ran into its limit of 90 s), and a late duplicate of any announced length was read into memory. Found by a target in a process of its own; one in the test's process can't show it.

Change: after 16 reads the task lets others run; the head of an answer, with all interim answers, and what stands between two pieces of a body have 128 KiB at most; a duplicate is skipped only if it is short; answers to orders have the same bound; an answer of the store ends at 16 MiB. What is cut is a lost answer: it may have run.

--- a/src/persimmonspoke/internal/targets/connections.py
+++ b/src/persimmonspoke/internal/targets/connections.py
@@ -10,6 +10,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from http.client import HTTPException
 from http.client import HTTPResponse as RawResponse
 
 import eventlet
@@ -24,13 +25,26 @@
 from persimmonspoke.internal.questionnaire.configuration import TargetConfig
 from persimmonspoke.internal.targets.settings import TargetSettings
 
+MAX_HEAD_BYTES = 128 * 1024
+"""Size of an answer's head with all interim answers before it; and of the chunk sizes
+and trailers between two pieces of its body."""
+
+READS_BEFORE_YIELD = 16
+
 MAX_REMEMBERED_REQUESTS = 8
 """How many of its latest request ids a connection remembers."""
 
 
+class TooManyBytes(HTTPException):
+    """A peer has sent more bytes than the part of an answer that is read may have."""
+
+
 class _SocketSource(io.RawIOBase):
     """A raw stream over a socket, whose reads can be switched off by `may_read`.
 
+    At most `left_bytes` more bytes are read, since a faulty peer may send bytes that
+    are no answer without end.
+
     It reads the underlying socket instead of the green one, because the green one
     reports a reset as an orderly end of stream, and a truncated answer without a
     length would then look complete.
@@ -40,15 +54,18 @@
         super().__init__()
         self._sock = sock
         self._raw_sock = sock.fd if isinstance(sock, greenio.GreenSocket) else sock
+        self._reads_until_yield = READS_BEFORE_YIELD
         self.may_read = True
+        self.left_bytes = MAX_HEAD_BYTES
 
     def readable(self):
         return True
 
     def readinto(self, buffer):
         while self.may_read:
+            self._yield_sometimes()
             try:
-                return self._raw_sock.recv_into(buffer)
+                count = self._raw_sock.recv_into(buffer)
             except BlockingIOError:
                 hubs.trampoline(
                     self._raw_sock,
@@ -56,8 +73,20 @@
                     timeout=self._sock.gettimeout(),
                     timeout_exc=TimeoutError,
                 )
+                continue
+            self.left_bytes -= count
+            if self.left_bytes < 0:
+                raise TooManyBytes("the answer has more bytes than its parts may have")
+            return count
         return None
 
+    def _yield_sometimes(self):
+        """Let other tasks and timers run, even if the peer sends without a pause."""
+        self._reads_until_yield -= 1
+        if self._reads_until_yield <= 0:
+            self._reads_until_yield = READS_BEFORE_YIELD
+            eventlet.sleep(0)
+
 
 class _ConnectionBuffer:
     """The receive buffer of a connection, shared by its successive answers.
@@ -80,6 +109,10 @@
         finally:
             self._source.may_read = True
 
+    def allow(self, count: int) -> None:
+        """Allow `count` bytes to be read until the next call of this method."""
+        self._source.left_bytes = count
+
     def makefile(self, mode) -> "_BufferFile":
         """Return a file over the buffer; the library calls this on its socket."""
         return _BufferFile(self.buffer)
@@ -170,6 +203,12 @@
         """Record the id of the request that is about to be sent."""
         self.wrote = False
         self._recent_requests.append(request_id)
+        self.allow_bytes(MAX_HEAD_BYTES)
+
+    def allow_bytes(self, count: int) -> None:
+        """Allow the peer to send `count` bytes until the next call of this method."""
+        if self._recv_buffer is not None:
+            self._recv_buffer.allow(count)
 
     def has_carried(self, request_id: RequestId) -> bool:
         """Return whether the request was sent on this connection recently.
--- a/src/persimmonspoke/internal/targets/http_requests.py
+++ b/src/persimmonspoke/internal/targets/http_requests.py
@@ -25,6 +25,7 @@
 from persimmonspoke.internal.questionnaire.configuration import TargetConfig
 from persimmonspoke.internal.targets import protocol
 from persimmonspoke.internal.targets.connections import (
+    MAX_HEAD_BYTES,
     TargetConnection,
     TargetPool,
     TargetPools,
@@ -226,6 +227,7 @@
             request_id is not None
             and request_id != exchange.req.request_id
             and exchange.conn.has_carried(request_id)
+            and (exchange.resp.length_remaining or 0) <= self._cfg.chunk_bytes
             and exchange.resp.length_remaining is not None
             and exchange.conn.sock is not None
         )
@@ -247,6 +249,7 @@
         """Read a short answer to its end, under the same timer as its head."""
         left = exchange.resp.length_remaining
         if left is not None and left <= self._cfg.chunk_bytes:
+            exchange.conn.allow_bytes(self._cfg.chunk_bytes + MAX_HEAD_BYTES)
             exchange.body = exchange.resp.read(decode_content=False)
 
     def _write(self, exchange):
@@ -296,6 +299,7 @@
     def _read(self, exchange):
         left_s = max(0.0, exchange.req.deadline - self._clock.now())
         timer = eventlet.Timeout(left_s)
+        exchange.conn.allow_bytes(self._cfg.chunk_bytes + MAX_HEAD_BYTES)
         try:
             return exchange.resp.read1(self._cfg.chunk_bytes, decode_content=False)
         except eventlet.Timeout as exc:
--- a/src/persimmonspoke/platform/objects.py
+++ b/src/persimmonspoke/platform/objects.py
@@ -7,8 +7,10 @@
 import json
 import logging
 import socket
+from dataclasses import dataclass
 from urllib.parse import quote, urlencode
 
+import eventlet
 import urllib3
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError, NewConnectionError
@@ -27,6 +29,8 @@
 # One connection for each watch, one for the leader, and some for retries.
 MAX_IDLE_CONNECTIONS = 8
 MIN_TIMEOUT_S = 0.001
+READ_BYTES = 1 << 18
+MAX_ANSWER_BYTES = 16 << 20  # a page of a listing has about 1 MB
 
 _ITEM_ERRORS = (KeyError, TypeError, IndexError)
 
@@ -170,13 +174,38 @@
         self.calls += 1
         left_s = max(MIN_TIMEOUT_S, deadline - self._clock.now())
         headers = {} if body is None else {"Content-Type": "application/json"}
-        return self._http.request(
+        answer = self._http.request(
             method,
             self._base_url + path,
             body=body,
             headers=headers,
             timeout=urllib3.Timeout(total=left_s),
+            preload_content=False,
         )
+        return _read_answer(answer)
+
+
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """A whole answer of the store."""
+
+    status: int
+    data: bytes
+
+
+def _read_answer(answer) -> _Answer:
+    """Read an answer to its end; raise `HTTPError` if it is too long."""
+    parts, size = [], 0
+    while chunk := answer.read(READ_BYTES):
+        parts.append(chunk)
+        size += len(chunk)
+        if size > MAX_ANSWER_BYTES:
+            answer.close()
+            raise HTTPError(f"the answer is longer than {MAX_ANSWER_BYTES} bytes")
+        if len(chunk) == READ_BYTES:
+            eventlet.sleep(0)  # lets timers run while the store sends without a pause
+    answer.release_conn()
+    return _Answer(answer.status, b"".join(parts))
 
 
 def _object_kind(key):
--- a/src/persimmonspoke/platform/orders.py
+++ b/src/persimmonspoke/platform/orders.py
@@ -17,7 +17,11 @@
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.ranges.api import RangeGrant, RangeRelease
 from persimmonspoke.internal.targets.api import TargetAddress
-from persimmonspoke.internal.targets.connections import TargetConnection, connect
+from persimmonspoke.internal.targets.connections import (
+    MAX_HEAD_BYTES,
+    TargetConnection,
+    connect,
+)
 
 HANDOVER = "Persimmonspoke-Handover"
 CONNECT_S = 0.5  # connecting within one region takes milliseconds
@@ -63,6 +67,7 @@
     def _call(self, target, path, body, deadline):
         conn = self._connection(target, deadline)
         timer = eventlet.Timeout(max(0.0, deadline - self._clock.now()))
+        conn.allow_bytes(MAX_HEAD_BYTES)
         try:
             conn.request(
                 "POST",
--- a/tests/loopback/test_platform_adapter.py
+++ b/tests/loopback/test_platform_adapter.py
@@ -214,6 +214,17 @@
         listing = self.store.list("kind/", self.deadline())
         self.assertEqual([item.key for item in listing.items], ["kind/a", "kind/c"])
 
+    def test_an_answer_without_end_is_given_up(self):
+        def app(environ, start_response):
+            start_response("200 OK", [])
+            while True:
+                yield b" " * 65536
+
+        ip, port = self.serve(app)
+        store = ObjectStore(f"{ip}:{port}", self.clock)
+        with self.assertRaises(StoreUnavailable):
+            store.list("kind/", self.deadline())
+
     def test_an_answer_that_is_no_object_counts_as_no_answer(self):
         for answer in ([], 5, {"items": 5, "current_rev": 1}, {"items": []}):
             self.app.read = lambda *args, answer=answer: (200, answer)
@@ -239,6 +250,12 @@
         start_response(self.status, fields)
         return [b""]
 
+    def test_a_connection_carries_any_number_of_orders(self):
+        for fence in range(1500):
+            order = RangeGrant(1, 5, fence, 2.5, None)
+            self.orders.grant(self.target, order, self.deadline())
+        self.assertEqual(len(self.received), 1500)
+
     def test_grants_and_releases_have_the_documented_form(self):
         self.orders.grant(self.target, RangeGrant(1, 5, 7, 2.5, "h-0"), self.deadline())
         handover = self.orders.release(
