Refuse a chunk whose size or extension has no end

A caller's line of a chunk's size was read without a limit, so it could fill the memory of a host before its deadline. It has 4 KiB now and is refused as malformed: not run. The new case of the malformed requests hung before.

--- a/src/persimmonspoke/internal/callers/server.py
+++ b/src/persimmonspoke/internal/callers/server.py
@@ -22,6 +22,7 @@
 
 MAX_LINGER_S = 1.0
 MAX_LINGER_BYTES = 1 << 20
+MAX_CHUNK_LINE_BYTES = 4096
 END_OF_HEAD = b"\r\n\r\n"
 
 _LENGTH = re.compile(r"[0-9]{1,18}", re.ASCII)
@@ -31,6 +32,23 @@
     """The head of a request did not arrive in time."""
 
 
+class _BoundedLines:
+    """A file whose lines are short, for the sizes and extensions of chunks."""
+
+    def __init__(self, file):
+        self._file = file
+
+    def __getattr__(self, name):
+        return getattr(self._file, name)
+
+    def readline(self):
+        """Return the next line; raise `ValueError` if it is too long."""
+        line = self._file.readline(MAX_CHUNK_LINE_BYTES)
+        if len(line) >= MAX_CHUNK_LINE_BYTES:
+            raise ValueError("the line of a chunk's size is too long")
+        return line
+
+
 class CallerConnection(wsgi.HttpProtocol):
     """One caller's connection; rejects request heads that violate HTTP."""
 
@@ -140,6 +158,9 @@
         """Return the WSGI environment, including this connection."""
         environ = super().get_environ()
         environ[CONNECTION_KEY] = self
+        source = environ["wsgi.input"]
+        if source.chunked_input:
+            source.rfile = _BoundedLines(source.rfile)
         return environ
 
     def finish(self):
--- a/tests/loopback/test_callers_server.py
+++ b/tests/loopback/test_callers_server.py
@@ -235,6 +235,13 @@
             request_head("POST /desk/lookup/k HTTP/1.1", "Transfer-Encoding: chunked")
             + b"xyz\r\n",
         ),
+        # The lines of a chunk's size and of its extension have no end.
+        (
+            400,
+            request_head("POST /desk/lookup/k HTTP/1.1", "Transfer-Encoding: chunked")
+            + b"5;"
+            + b"x" * 9000,
+        ),
         (414, request_head(f"GET /desk/lookup/{'k' * 9000} HTTP/1.1")),
         (431, request_head("GET /desk/lookup/k HTTP/1.1", f"A: {'b' * 9000}")),
         (431, request_head("GET /desk/lookup/k HTTP/1.1", *[f"A: {'b' * 900}"] * 90)),
