Prefer targets to which a host has an idle connection

New connections also cost the caller two round trips before its request is sent.

Change: the desk remembers when each target last answered a host that has asked it for nothing since, and counts a target without such a connection as slower by 1.5, the weight that another data centre has. A starting host waits three times as long for its first answer of a relay before it reads the store itself.

Ruled out: longer idle times, since targets close idle connections; hosts that name their connections in each ask, which grows every message.

--- a/src/persimmonspoke/internal/desk/desk.py
+++ b/src/persimmonspoke/internal/desk/desk.py
@@ -149,6 +149,8 @@
             outcome, done.took_s, self._service_times.of(use.kind), now, pooled
         )
         answered = outcome is SlotOutcome.ANSWERED
+        if answered:
+            target.answered_to[done.host] = now
         if not answered or target.target_id not in self._usable_ids:
             self._usable = None
         self._assign_free_slots(None if pooled else target.target_id)
@@ -307,10 +309,16 @@
         if unmeasured and entry.ask.owner is None:
             return unmeasured[0]
 
+        min_answered_at = Instant(now - self._cfg.idle_connection_s)
+
         def cost(target):
-            far = target.data_centre != entry.ask.data_centre
             crowded = 1 + 0.1 * len(target.in_use) / target.slots
-            return target.slowness * crowded * (self._cfg.far_factor if far else 1.0)
+            found = target.slowness * crowded
+            if target.data_centre != entry.ask.data_centre:
+                found *= self._cfg.far_factor
+            if not target.has_idle_connection(entry.ask.host, min_answered_at):
+                found *= self._cfg.connect_factor
+            return found
 
         best = min(choices, key=cost)
         if entry.ask.owner is not None:
@@ -359,6 +367,7 @@
 
     def _record_use(self, target, identity, kind, now):
         target.in_use[identity] = SlotAssignment(identity[0], identity[1], kind, now)
+        target.answered_to.pop(identity[0], None)
         self._assigned[identity] = target
 
     def _refuse(self, entry, wait_s, now):
@@ -395,6 +404,8 @@
 
     def _drop_host(self, host):
         del self._last_message_at[host]
+        for target in self._targets.values():
+            target.answered_to.pop(host, None)
         identities = [identity for identity in self._assigned if identity[0] == host]
         for identity in identities:
             self._assigned.pop(identity).in_use.pop(identity, None)
--- a/src/persimmonspoke/internal/desk/settings.py
+++ b/src/persimmonspoke/internal/desk/settings.py
@@ -45,6 +45,11 @@
     far_factor : float
         How much slower a target in the same data centre may be and still be
         preferred to one in another.
+    connect_factor : float
+        How much slower a target to which the host has an idle connection may be and
+        still be preferred to one to which it has none.
+    idle_connection_s : float
+        Time after an answer for which a host is taken to have an idle connection.
     retry_share : float
         Retries allowed, as a share of the requests of this host.
     retry_burst : float
@@ -71,6 +76,8 @@
     stuck_s: Seconds = 0.3
     probe_s: Seconds = 0.5
     far_factor: Annotated[float, Field(ge=1)] = 1.5
+    connect_factor: Annotated[float, Field(ge=1)] = 1.5
+    idle_connection_s: Seconds = 4.0
     retry_share: Share = 0.1
     retry_burst: Annotated[float, Field(ge=1)] = 4.0
     retry_saved: Annotated[float, Field(ge=1)] = 25.0
--- a/src/persimmonspoke/internal/desk/targets.py
+++ b/src/persimmonspoke/internal/desk/targets.py
@@ -43,6 +43,9 @@
         How long it is avoided after the next failure; doubles with each failure.
     in_use : dict
         Requests that use its slots, by host and serial.
+    answered_to : dict
+        When each host last got an answer from it and has asked for nothing since; the
+        host then has an idle connection to it.
     """
 
     target_id: TargetId
@@ -54,6 +57,11 @@
     probed_at: Instant = LONG_AGO
     penalty_s: float = INITIAL_PENALTY_S
     in_use: dict[tuple[str, int], SlotAssignment] = field(default_factory=dict)
+    answered_to: dict[str, Instant] = field(default_factory=dict)
+
+    def has_idle_connection(self, host: str, min_answered_at: Instant) -> bool:
+        """Return whether `host` has an idle connection that answered recently."""
+        return self.answered_to.get(host, LONG_AGO) >= min_answered_at
 
     def free_slots(self) -> int:
         """Return how many slots are not in use; negative if too many are."""
--- a/src/persimmonspoke/internal/news/updates.py
+++ b/src/persimmonspoke/internal/news/updates.py
@@ -32,6 +32,7 @@
 MAX_JITTER_S = 0.2  # spreads the reads of hosts that lose their relays together
 MAX_CHECK_S = 1.0  # between two checks of a store that does not answer
 RELAYS_ASKED = 2
+FIRST_WAITS = 3
 
 log = logging.getLogger(__name__)
 
@@ -290,8 +291,12 @@
 
     def _stale_at(self):
         """Return when the cache is outdated unless something confirms it."""
-        confirmed_at = self.confirmed_at or self._started_at
-        return Instant(confirmed_at + self._cfg.stale_s + self._jitter_s)
+        confirmed_at = self.confirmed_at
+        wait_s = self._cfg.stale_s + self._jitter_s
+        if confirmed_at is None:
+            # When a whole fleet starts, the relays answer the first requests late.
+            return Instant(self._started_at + FIRST_WAITS * wait_s)
+        return Instant(confirmed_at + wait_s)
 
     def _watch_failed(self):
         return any(watcher.silent_since is not None for watcher in self.watchers)
