--- a/src/persimmonspoke/internal/fleet/leadership.py
+++ b/src/persimmonspoke/internal/fleet/leadership.py
@@ -49,6 +49,7 @@
 DEAD_STEP_S = 0.05  # additional wait of each further candidate for a dead leader
 FIRST_READ_STEP_S = 0.05
 MAX_FIRST_READ_S = 1.0
+FIRST_INQUIRIES = 2  # hosts that a starting host asks at a time
 WATCH_PERIOD_S = 0.1  # between two checks of the leader by a host that follows it
 
 log = logging.getLogger(__name__)
@@ -311,6 +312,8 @@
         silence_s = now - self._last_contact_at
         suspected = (self.leader, self.epoch)
         if self.leader is None and now < self._first_read_at():
+            if self._first_read_at() - now > FIRST_INQUIRIES * self._cfg.call_s:
+                self._ask_for_leader()
             return
         if self.leader is not None and (
             silence_s < self._cfg.suspect_s + self.report_s - self._cfg.report_s
@@ -349,6 +352,12 @@
         ):
             self._take_over(stored_ownership, stored.version)
 
+    def _ask_for_leader(self):
+        """Ask other hosts who leads; follow the leader that one of them names."""
+        answer = self._inquiries.find_newer_leader(self.epoch, FIRST_INQUIRIES)
+        if answer is not None:
+            self.follow(answer.leader, answer.epoch)
+
     def _first_read_at(self):
         """Return when this host first looks for a leader by itself.
 
@@ -395,8 +404,15 @@
         return True
 
     def _take_over(self, stored_ownership: Ownership, version: Version):
-        """Become the leader of the next epoch, and announce it to all hosts."""
+        """Become the leader of the next epoch, and announce it to all hosts.
+
+        A host that is not registered can't lead, because a later leader could take the
+        record of an earlier run on its machine for the proof that it has ended.
+        """
+        if not self._hosts.registered:
+            return
         former = stored_ownership.leader
+        restarted = former is not None and self._hosts.was_restarted(former.host_id)
         ownership = stored_ownership.led_by(
             self._hosts.me(), stored_ownership.epoch + 1
         )
@@ -418,7 +434,7 @@
         self.lease_until = Instant(sent_at + self._cfg.lease_s)
         self.store_answered_at = sent_at
         wait_s = self.max_grant_s
-        if former is not None and not self._hosts.was_restarted(former.host_id):
+        if former is not None and not restarted:
             wait_s += self._cfg.lease_s
         self.former_orders_end_at = (
             Instant(now + wait_s) if stored_ownership.epoch else now
--- a/tests/cover/test_large_fleet.py
+++ b/tests/cover/test_large_fleet.py
@@ -10,6 +10,7 @@
 from persimmonspoke.ids import HostId
 from persimmonspoke.internal.fleet.messages import HostReport
 from persimmonspoke.internal.fleet.settings import FleetSettings
+from persimmonspoke.internal.news.board import StoreCache
 from persimmonspoke.internal.peers.api import PeerAddress
 from persimmonspoke.internal.scheduling.api import SlotOutcome
 from tests.cover.test_desk_scheduler import SchedulerCase
@@ -105,6 +106,43 @@
                 break
 
 
+class TestProofOfARestart(unittest.TestCase):
+    """Only the store proves that a former leader's process has ended.
+
+    A wrong proof would let two leaders give orders at once.
+    """
+
+    def setUp(self):
+        self.fleet = RangeFleet(hosts=3)
+        self.addCleanup(self.fleet.stop)
+        self.fleet.run_for(4)
+
+    def test_the_record_of_an_earlier_run_in_an_old_copy_is_no_proof(self):
+        watcher, restarted = self.fleet.hosts[0], self.fleet.hosts[1]
+        old_record = watcher.cache.get("persimmonspoke-hosts/h1")
+        new = self.fleet.restart(restarted)
+        self.fleet.run_for(2)
+        copy = StoreCache(watcher.clock)
+        copy.observe(old_record)
+        watcher.hosts._cache = copy
+        new_id = new.hosts.me().host_id
+        self.assertFalse(watcher.hosts.was_restarted(new_id))
+        self.assertTrue(watcher.hosts.was_restarted(old_record.value["host_id"]))
+
+    def test_a_host_that_could_not_register_does_not_lead(self):
+        for host in self.fleet.hosts:
+            host.kill()
+        new = self.fleet.restart(self.fleet.hosts[0])
+        new.hosts.registered = False
+        for task in new.tasks[:1]:
+            task.kill()
+        self.fleet.run_for(5)
+        self.assertFalse(new.leadership.leading)
+        new.hosts.registered = True
+        self.fleet.run_for(5)
+        self.assertTrue(new.leadership.leading)
+
+
 class TestDesksOfALargeFleet(SchedulerCase):
     hosts = 10
 
