--- a/src/persimmonspoke/internal/news/updates.py
+++ b/src/persimmonspoke/internal/news/updates.py
@@ -142,7 +142,7 @@
             cache,
             clock,
             self._relays_to_ask,
-            lambda: self._needs_relays(),
+            self._needs_relays,
             cfg.wait_s,
             RELAYS_ASKED,
             cfg.stale_s,
