--- a/tests/cover/test_news.py
+++ b/tests/cover/test_news.py
@@ -7,7 +7,7 @@
 from persimmonspoke.errors import PeerTimeout
 from persimmonspoke.ids import HostId, Instant
 from persimmonspoke.internal.news.board import StoreCache
-from persimmonspoke.internal.news.messages import NewsReply
+from persimmonspoke.internal.news.messages import NewsItem, NewsReply
 from persimmonspoke.internal.news.relay import RelayReader
 from persimmonspoke.internal.news.watcher import StoreWatcher
 from persimmonspoke.internal.peers.api import PeerAddress
@@ -130,3 +130,43 @@
         eventlet.sleep(1.5)
         task.kill()
         self.assertAlmostEqual(reader.confirmed_at, started_at - 3.0, places=3)
+
+
+class TestFirstAnswerOfARelay(unittest.TestCase):
+    """The first answer of a relay holds all objects that exist."""
+
+    def read(self, reply, learn_after_s=0.0):
+        """Return the cache of a host that knew ``k`` and then got `reply`."""
+        clock = HubClock()
+        cache = StoreCache(clock)
+        eventlet.spawn_after(
+            learn_after_s, cache.observe, StoredObject("k", {"n": 1}, 1)
+        )
+        eventlet.sleep(0.01)
+
+        class Link:
+            def call(self, peer, message, deadline):
+                eventlet.sleep(1)
+                return reply
+
+        relays = (PeerAddress(HostId("r"), "127.0.0.1", 1),)
+        reader = RelayReader(
+            HostId("me"), Link(), cache, clock, lambda: relays, lambda: True
+        )
+        task = eventlet.spawn(reader.run)
+        eventlet.sleep(1.1)
+        task.kill()
+        return cache
+
+    def test_an_object_that_it_lacks_has_been_deleted(self):
+        reply = NewsReply((), 7, 0.0, 1.0, True)
+        self.assertIsNone(self.read(reply).get("k"))
+
+    def test_an_object_newer_than_the_relays_copy_is_kept(self):
+        reply = NewsReply((), 7, 0.9, 1.0, True)
+        self.assertIsNotNone(self.read(reply, learn_after_s=0.5).get("k"))
+
+    def test_a_change_is_as_old_as_the_relay_says(self):
+        item = NewsItem("x", {"n": 2}, 9, 5.0)
+        cache = self.read(NewsReply((item,), 7, 0.0, 1.0, True))
+        self.assertLessEqual(cache.changed_at("x"), virtual_hub.now() - 5.0)
