Log which rate limits each host knows, and tell the desks

Callers see nothing; targets that name a rate limit get more requests than it allows. The logs could not tell whether no host reads the limit, whether each applies it by itself, or whether a desk does not know it.

Each host now records the limit that a verified answer names, and logs each change with its source and age ("targets: rate limit changed"); the message that frees a slot carries the limit to the desk, which logs it likewise. The gauge targets.rate_limited counts the targets. Requests are sent as before.

A refusal without a limit ends none, a 421 says nothing (it may come from another process at the address), and a limit that can't be read leaves the one before.

Tests: test_rate_limits.py, TestRateLimitsInAnswers in test_unframed_answers.py.

--- a/src/persimmonspoke/daemon/routed.py
+++ b/src/persimmonspoke/daemon/routed.py
@@ -39,6 +39,7 @@
 from persimmonspoke.internal.routing.state import RoutingState
 from persimmonspoke.internal.targets.connections import TargetPools
 from persimmonspoke.internal.targets.http_requests import HttpTargetRequests
+from persimmonspoke.internal.targets.rate_limits import RateLimits
 from persimmonspoke.platform import documents, headers
 from persimmonspoke.platform.objects import ObjectStore
 from persimmonspoke.platform.orders import HttpRangeOrders
@@ -140,6 +141,7 @@
             self.reporter.publish,
         )
         self.reporter.keeper = self.keeper
+        self.rate_limits = RateLimits(self.clock)
         self.scheduler = DeskScheduler(
             _limit_retries(cfg.desk, platform.bounds),
             self.clock,
@@ -148,6 +150,7 @@
             self.state,
             platform.data_centre,
             self.hosts.cores_of,
+            self.rate_limits,
         )
         self.routes.on_change = lambda: self.scheduler.on_owners_changed(
             self.routes.owner
@@ -165,6 +168,7 @@
             ("store.calls", lambda: self.store.calls),
             ("store.age_seconds", self.store_age_s),
             ("store.read_here", lambda: int(self.updates.source is not Source.RELAYS)),
+            ("targets.rate_limited", self.rate_limits.limited_count),
             ("leading", lambda: int(self.leadership.leading)),
             ("key.moves", lambda: self.keeper.moves),
             ("peers.bytes_sent", lambda: self.link.bytes_sent),
@@ -227,7 +231,7 @@
         return self.clock.now() - answered_at
 
     def _serve_callers(self):
-        requests = HttpTargetRequests(self.pools, self.clock, headers)
+        requests = HttpTargetRequests(self.pools, self.clock, headers, self.rate_limits)
         app = CallerApp(
             reader=RoutedReader(self.state, headers.caller_fields, self.clock),
             runner=RequestRunner(
--- a/src/persimmonspoke/internal/desk/desk.py
+++ b/src/persimmonspoke/internal/desk/desk.py
@@ -27,6 +27,7 @@
 from persimmonspoke.internal.desk.targets import LONG_AGO, SlotAssignment, SlotTarget
 from persimmonspoke.internal.desk.waiting import WaitingRequest, may_wait
 from persimmonspoke.internal.scheduling.api import SlotOutcome
+from persimmonspoke.internal.targets.rate_limits import RateLimits
 
 log = logging.getLogger(__name__)
 
@@ -60,6 +61,8 @@
     ----------
     send : callable
         Sends a message to a host, without waiting for an answer.
+    limits : RateLimits
+        Learns the rate limits that other hosts report.
     """
 
     def __init__(
@@ -69,12 +72,14 @@
         cfg: DeskSettings,
         clock: Clock,
         send: Callable[[HostId, Any], None],
+        limits: RateLimits | None = None,
     ):
         self.service = service
         self._me = me
         self._cfg = cfg
         self._clock = clock
         self._send = send
+        self._limits = RateLimits(clock) if limits is None else limits
         self._targets: dict[TargetId, SlotTarget] = {}
         self._queues: dict[TargetId | None, list[WaitingRequest]] = {}
         self._waiting: dict[tuple[HostId, int], WaitingRequest] = {}
@@ -140,6 +145,8 @@
         target = self._assigned.pop(identity, None)
         if target is None:
             return
+        if done.rate_limit_per_s is not None:
+            self._limits.record(target.target_id, done.rate_limit_per_s, done.host)
         use = target.in_use.pop(identity)
         pooled = None in self._queues
         outcome = SlotOutcome(done.outcome)
--- a/src/persimmonspoke/internal/desk/messages.py
+++ b/src/persimmonspoke/internal/desk/messages.py
@@ -93,6 +93,9 @@
         Value of a `SlotOutcome`.
     took_s : float
         How long the request used the slot; 0 if it had none.
+    rate_limit_per_s : float or None
+        Rate limit of the target, `UNLIMITED` if it has ended; None if the request
+        showed nothing about it.
     """
 
     host: HostId
@@ -100,6 +103,7 @@
     serial: int
     outcome: str
     took_s: float
+    rate_limit_per_s: float | None = None
 
 
 @flat_message
--- a/src/persimmonspoke/internal/desk/scheduler.py
+++ b/src/persimmonspoke/internal/desk/scheduler.py
@@ -42,6 +42,7 @@
 from persimmonspoke.internal.scheduling.groups import GroupId, rank_hosts
 from persimmonspoke.internal.scheduling.lenders import Members
 from persimmonspoke.internal.scheduling.retry_budget import RetryBudget
+from persimmonspoke.internal.targets.rate_limits import RateLimits
 
 log = logging.getLogger(__name__)
 
@@ -102,6 +103,8 @@
     ----------
     cores_of : callable
         Returns the processor share of a host, as a number of cores.
+    limits : RateLimits
+        The rate limits that this host learns from answers and, as a desk, from others.
     """
 
     def __init__(
@@ -113,6 +116,7 @@
         state: RoutingState,
         data_centre: DataCentreId,
         cores_of: Callable[[HostId], float] = lambda host_id: 1.0,
+        limits: RateLimits | None = None,
     ):
         self._cfg = cfg
         self._clock = clock
@@ -130,6 +134,7 @@
         self._avoid_until: dict[HostId, Instant] = {}
         self._budgets: dict[ServiceId, RetryBudget] = {}
         self._cores_of = cores_of
+        self._limits = RateLimits(clock) if limits is None else limits
         self._ranking_cache: dict[ServiceId, tuple] = {}
         link.serve(Ask, self._on_ask)
         link.serve(Done, self._on_done)
@@ -151,6 +156,7 @@
 
     def configure(self) -> None:
         """Pass the current targets to the desks on this host."""
+        self._limits.retain(self._state.targets)
         for desk in self._desks.values():
             desk.configure(self._targets_of(desk.service))
 
@@ -289,7 +295,12 @@
         if entry.started_at is not None:
             took_s = self._clock.now() - entry.started_at
         done = Done(
-            self._me, entry.ask.service, entry.ask.serial, outcome.value, took_s
+            self._me,
+            entry.ask.service,
+            entry.ask.serial,
+            outcome.value,
+            took_s,
+            self._rate_limit_after(entry, outcome),
         )
         if entry.desk == self._me:
             self._on_done(done)
@@ -298,6 +309,13 @@
         if address is not None:
             self._link.post(address, done)
 
+    def _rate_limit_after(self, entry, outcome):
+        """Return the rate limit of a request's target, if it may be new to the desk."""
+        answered = outcome in (SlotOutcome.ANSWERED, SlotOutcome.SHED)
+        if answered and self._limits.has_named(entry.target_id):
+            return self._limits.of(entry.target_id)
+        return None
+
     def _reconcile_all(self):
         """Send `Notes` for all services with open requests, where they are due.
 
@@ -401,7 +419,9 @@
     def _local_desk(self, service) -> Desk:
         desk = self._desks.get(service)
         if desk is None:
-            desk = Desk(service, self._me, self._cfg, self._clock, self._send)
+            desk = Desk(
+                service, self._me, self._cfg, self._clock, self._send, self._limits
+            )
             desk.configure(self._targets_of(service))
             self._desks[service] = desk
             log.info("desk: opened", extra={"service": service})
--- a/src/persimmonspoke/internal/targets/http_requests.py
+++ b/src/persimmonspoke/internal/targets/http_requests.py
@@ -18,6 +18,7 @@
     RequestFailure,
     RouteLapsed,
     TargetError,
+    TargetFenced,
     TargetUnreachable,
 )
 from persimmonspoke.ids import Instant
@@ -30,6 +31,7 @@
     TargetPool,
     TargetPools,
 )
+from persimmonspoke.internal.targets.rate_limits import UNLIMITED, RateLimits
 from persimmonspoke.internal.targets.request_api import TargetRequest
 
 log = logging.getLogger(__name__)
@@ -119,10 +121,19 @@
     ----------
     protocol : module
         Header fields of the protocol; has the functions of `targets.protocol`.
+    limits : RateLimits
+        Learns the rate limits that answers name.
     """
 
-    def __init__(self, pools: TargetPools, clock: Clock, protocol=protocol):
+    def __init__(
+        self,
+        pools: TargetPools,
+        clock: Clock,
+        protocol=protocol,
+        limits: RateLimits | None = None,
+    ):
         self.protocol = protocol
+        self._limits = RateLimits(clock) if limits is None else limits
         self._pools = pools
         self._cfg = pools.cfg
         self._clock = clock
@@ -280,12 +291,26 @@
         error = self.protocol.refusal(resp.status, resp.headers)
         if error is None:
             self._check_end(resp)
+        self._record_rate_limit(exchange, error)
         if exchange.body is not None:
             exchange.succeed()
         if error is not None:
             raise error
         return HttpAnswer(self, exchange)
 
+    def _record_rate_limit(self, exchange, error):
+        """Record the rate limit that an answer names.
+
+        A refusal without one does not end a limit, and one that may come from another
+        process at the target's address says nothing.
+        """
+        limit_per_s = self.protocol.rate_limit(exchange.resp.headers)
+        if limit_per_s is None or isinstance(error, TargetFenced):
+            return
+        if error is None or limit_per_s < UNLIMITED:
+            target_id = exchange.target.target_id
+            self._limits.record(target_id, limit_per_s, "answer")
+
     def _check_end(self, resp):
         """Raise `AnswerLost` if a lost connection would look like the answer's end."""
         original = resp._original_response
--- a/src/persimmonspoke/internal/targets/protocol.py
+++ b/src/persimmonspoke/internal/targets/protocol.py
@@ -21,6 +21,7 @@
     TargetShed,
 )
 from persimmonspoke.ids import Instant, RequestId
+from persimmonspoke.internal.targets.rate_limits import UNLIMITED
 from persimmonspoke.internal.targets.request_api import Headers, TargetRequest
 
 REQUEST_ID = "X-Request-Id"
@@ -110,6 +111,11 @@
     return None if kind is None else kind(f"the target answered {status}")
 
 
+def rate_limit(fields) -> float | None:
+    """Return `UNLIMITED`; targets of this protocol name no rate limits."""
+    return UNLIMITED
+
+
 def answer_headers(items) -> Headers:
     """Return the header fields of an answer, except those of this protocol."""
     return tuple(pair for pair in items if pair[0].lower() not in PROTOCOL_HEADERS)
--- a/src/persimmonspoke/platform/headers.py
+++ b/src/persimmonspoke/platform/headers.py
@@ -4,6 +4,9 @@
 that the client of the targets can use either.
 """
 
+import logging
+import math
+
 from urllib3.util import SKIP_HEADER
 
 from persimmonspoke.errors import (
@@ -14,6 +17,7 @@
 )
 from persimmonspoke.ids import Instant, RequestId
 from persimmonspoke.internal.routing.reader import CallerFields
+from persimmonspoke.internal.targets.rate_limits import UNLIMITED
 from persimmonspoke.internal.targets.request_api import Headers, TargetRequest
 
 REQUEST_ID = "Persimmonspoke-Request-Id"
@@ -22,6 +26,8 @@
 SIGNATURE = "Persimmonspoke-Server-Signature"
 NOT_RUN = "Persimmonspoke-Not-Executed"
 EXPECTED_TARGET = "Persimmonspoke-Target-Instance"
+# Requests a second that the target takes from all hosts together.
+RATE_LIMIT = "Server-Limit"
 
 PROTOCOL_HEADERS = frozenset(
     name.lower() for name in (REQUEST_ID, DEADLINE_MS, EXPECTED_TARGET)
@@ -40,6 +46,8 @@
 MS_PER_S = 1000
 MAX_KEY = 65535
 
+log = logging.getLogger(__name__)
+
 
 def caller_fields(environ: dict) -> CallerFields:
     """Return the values of the caller's header fields in a WSGI environment."""
@@ -95,6 +103,27 @@
     return TargetShed(f"the target answered {status}")
 
 
+def rate_limit(fields) -> float | None:
+    """Return the rate limit that an answer names; None if it can't be read.
+
+    The limit is in requests a second, and `UNLIMITED` if the answer names none.
+    """
+    text = fields.get(RATE_LIMIT)
+    if text is None:
+        return UNLIMITED
+    try:
+        limit_per_s = float(text)
+    except ValueError:
+        limit_per_s = math.nan
+    if math.isfinite(limit_per_s) and limit_per_s >= 0:
+        return limit_per_s
+    log.warning(
+        "targets: rate limit can't be read, the one before stays",
+        extra={"value": text[:80]},
+    )
+    return None
+
+
 def answer_headers(items) -> Headers:
     """Return the header fields of an answer; callers get all of them."""
     return tuple(items)
--- a/tests/loopback/test_endless_bytes.py
+++ b/tests/loopback/test_endless_bytes.py
@@ -10,6 +10,7 @@
 from persimmonspoke.internal.questionnaire.configuration import TargetConfig
 from persimmonspoke.internal.targets.connections import TargetPools
 from persimmonspoke.internal.targets.http_requests import HttpTargetRequests
+from persimmonspoke.internal.targets.rate_limits import UNLIMITED
 from persimmonspoke.internal.targets.request_api import TargetRequest
 from persimmonspoke.internal.targets.settings import TargetSettings
 from persimmonspoke.platform import headers
@@ -26,6 +27,7 @@
     """The protocol of the platform, with the header fields of the fake targets."""
 
     CANCEL_PATH = None
+    rate_limit = staticmethod(lambda fields: UNLIMITED)
     CLOSE_DELIMITED_ANSWERS = True
     request_headers = staticmethod(
         lambda req, attempt, now: {"X-Request-Id": req.request_id}
--- a/tests/loopback/test_unframed_answers.py
+++ b/tests/loopback/test_unframed_answers.py
@@ -6,11 +6,12 @@
 
 import eventlet
 
-from persimmonspoke.errors import AnswerLost
+from persimmonspoke.errors import AnswerLost, TargetFenced, TargetShed
 from persimmonspoke.ids import Instant, RequestId
 from persimmonspoke.internal.clock import SystemClock
 from persimmonspoke.internal.targets.connections import TargetPools
 from persimmonspoke.internal.targets.http_requests import HttpTargetRequests
+from persimmonspoke.internal.targets.rate_limits import UNLIMITED, RateLimits
 from persimmonspoke.internal.targets.request_api import TargetRequest
 from persimmonspoke.internal.targets.settings import TargetSettings
 from persimmonspoke.platform import headers
@@ -33,7 +34,8 @@
     def setUp(self):
         self.clock = SystemClock()
         pools = TargetPools(TargetSettings(), self.clock, lambda target: 4)
-        self.client = HttpTargetRequests(pools, self.clock, headers)
+        self.limits = RateLimits(self.clock)
+        self.client = HttpTargetRequests(pools, self.clock, headers, self.limits)
 
     def target(self, *scripts):
         raw = RawTarget(*scripts)
@@ -120,5 +122,46 @@
             self.ask(self.target(script))
 
 
+class TestRateLimitsInAnswers(AnswerCase):
+    """What answers of different kinds show about a target's rate limit."""
+
+    def ask_once(self, status, *fields):
+        """Send one request; the answer has this status and these further fields."""
+
+        def script(conn):
+            conn.receive()
+            head = HEAD.format(id="r1").replace("200 OK", status)
+            lines = "".join(f"{field}\r\n" for field in fields)
+            conn.sock.sendall(f"{head}{lines}Content-Length: 0\r\n\r\n".encode())
+
+        target = self.target(script).model_copy(update={"target_id": "a"})
+        return self.ask(target)
+
+    def test_an_answer_names_a_limit_and_the_next_one_ends_it(self):
+        self.ask_once("200 OK", "Server-Limit: 6.3")
+        self.assertEqual(self.limits.of("a"), 6.3)
+        self.ask_once("200 OK")
+        self.assertEqual(self.limits.of("a"), UNLIMITED)
+
+    def test_a_refusal_names_a_limit_and_does_not_end_one(self):
+        not_run = "Persimmonspoke-Not-Executed: full"
+        with self.assertRaises(TargetShed):
+            self.ask_once("503 Full", not_run, "Server-Limit: 6.3")
+        with self.assertRaises(TargetShed):
+            self.ask_once("503 Full", not_run)
+        self.assertEqual(self.limits.of("a"), 6.3)
+
+    def test_a_process_that_may_be_another_target_says_nothing(self):
+        not_run = "Persimmonspoke-Not-Executed: not mine"
+        with self.assertRaises(TargetFenced):
+            self.ask_once("421 Misdirected", not_run, "Server-Limit: 6.3")
+        self.assertFalse(self.limits.has_named("a"))
+
+    def test_an_unreadable_limit_leaves_the_one_before(self):
+        self.ask_once("200 OK", "Server-Limit: 6.3")
+        self.ask_once("200 OK", "Server-Limit: soon")
+        self.assertEqual(self.limits.of("a"), 6.3)
+
+
 if __name__ == "__main__":
     unittest.main()
