--- a/tests/cover/test_desk_scheduler.py
+++ b/tests/cover/test_desk_scheduler.py
@@ -10,69 +10,15 @@
     Overloaded,
     OwnerChanged,
 )
-from persimmonspoke.ids import HostId, Instant
-from persimmonspoke.internal.desk.scheduler import DeskScheduler
+from persimmonspoke.ids import Instant
 from persimmonspoke.internal.desk.settings import DeskSettings
-from persimmonspoke.internal.news.board import StoreCache
-from persimmonspoke.internal.peers.api import PeerAddress
-from persimmonspoke.internal.routing.config import (
-    RoutedService,
-    RoutingConfig,
-    TargetState,
-)
-from persimmonspoke.internal.routing.state import RoutingState
-from persimmonspoke.internal.routing.table import RouteTable
+from persimmonspoke.internal.routing.config import TargetState
 from persimmonspoke.internal.scheduling.api import SlotOutcome, Ticket
 from tests.fakes.caller_parts import service, target
-from tests.fakes.network import FakeLink, FakeNetwork
-from tests.fakes.process import FakeClock, FakeProcess
+from tests.fakes.desk_fleet import SchedulerHost
+from tests.fakes.network import FakeNetwork
 from tests.fakes.range_fleet import SERVICE, record
 
-POOL = service(SERVICE, (target("t0"), target("t1")), shard_count=0)
-
-
-class SchedulerHost:
-    """One host with a scheduler.  All hosts know each other."""
-
-    def __init__(self, number, network, peers, records):
-        self.process = FakeProcess(f"h{number}.1", f"10.0.0.{number}")
-        self.clock = FakeClock(self.process)
-        address = PeerAddress(HostId(self.process.name), self.process.machine, 7000)
-        peers.append(address)
-        self.cores = {}
-        self.me = lambda: address
-        self.live = lambda: tuple(peers)
-        self.address_of = {a.host_id: a for a in peers}.get
-        self.peers = peers
-        link = FakeLink(network, self.process, address)
-        self.state = RoutingState(
-            StoreCache(self.clock), self.clock, "", "", None, None, lambda: None
-        )
-        services = {SERVICE: RoutedService(SERVICE, 100, False)}
-        self.state.table = RouteTable(RoutingConfig(1, (), services))
-        self.state.targets = dict(records)
-        self.scheduler = DeskScheduler(
-            DeskSettings(), self.clock, link, self, self.state, "a", self.cores_of
-        )
-        self.task = eventlet.spawn(self.scheduler.run)
-
-    def cores_of(self, host_id):
-        return self.cores.get(host_id, 1.0)
-
-    def ticket(self, left_s=0.5):
-        now = self.clock.now()
-        return Ticket(
-            "platform",
-            POOL,
-            None,
-            False,
-            Instant(now + left_s),
-            objective=Instant(now + left_s),
-        )
-
-    def acquire(self, left_s=0.5):
-        return self.scheduler.acquire(self.ticket(left_s), ("t0", "t1"))
-
 
 class SchedulerCase(unittest.TestCase):
     hosts = 2
