Keep the rate limits that targets name, for all hosts together

A target that named a limit got up to three times as many requests: nothing read the limit, on any host.

Class of fault: the only place that sees all requests of a service, the desk, counted requests in progress and not requests a second.

The desk now also counts what it assigns to a limited target, in a token bucket that starts empty and holds half a second's worth. A new desk learns the limits from the first notes of each host. While some hosts can't reach the first desk, another one assigns a quarter of the limit. Expected waits, refusals and Retry-After follow the limit, so that what it leaves no room for is refused at once.

--- a/src/persimmonspoke/internal/desk/desk.py
+++ b/src/persimmonspoke/internal/desk/desk.py
@@ -8,12 +8,14 @@
 """
 
 import logging
+import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any
 
 from persimmonspoke.ids import DataCentreId, HostId, Instant, ServiceId, TargetId
 from persimmonspoke.internal.clock import Clock
+from persimmonspoke.internal.desk.allowance import RateAllowance
 from persimmonspoke.internal.desk.kinds import ArrivalRate, ServiceTimes
 from persimmonspoke.internal.desk.messages import (
     Ask,
@@ -31,7 +33,8 @@
 
 log = logging.getLogger(__name__)
 
-# Expected time until the first busy slot is free, as a share of a typical answer time.
+# Expected time until the first busy slot is free, or until a rate limit allows the next
+# request, as a share of the typical time between two of them.
 RESIDUAL_SHARE = 0.7
 # Share of the capacity that requests are assumed to get at least, however much work
 # of higher priority arrives.
@@ -40,6 +43,9 @@
 MIN_RETRY_S = 0.03  # a shorter pause costs a connection and gains nothing
 MAX_RETRY_S = 1.0
 STUCK_RETRY_S = 0.4  # when no target is usable
+# Share of a rate limit for a desk that some hosts use besides the first one; with two
+# of them, targets get 1.5 times their limit at most.
+FALLBACK_SHARE = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,7 +68,12 @@
     send : callable
         Sends a message to a host, without waiting for an answer.
     limits : RateLimits
-        Learns the rate limits that other hosts report.
+        The rate limits of the targets; learns those that other hosts report.
+
+    Attributes
+    ----------
+    is_first : bool
+        Whether this host comes first among the live hosts that may be the desk.
     """
 
     def __init__(
@@ -91,6 +102,7 @@
         self._usable: list[SlotTarget] | None = None
         self._usable_ids: set[TargetId] = set()
         self._usable_until = LONG_AGO
+        self.is_first = True
         self.refused_count = 0
         self.assigned_count = 0
 
@@ -102,7 +114,10 @@
         for entry in targets:
             target = known.get(entry.target_id)
             if target is None:
-                target = SlotTarget(entry.target_id, entry.slots, entry.data_centre)
+                allowance = RateAllowance(self._clock.now())
+                target = SlotTarget(
+                    entry.target_id, entry.slots, entry.data_centre, allowance
+                )
             target.slots = entry.slots
             self._targets[entry.target_id] = target
         for owner in list(self._queues):
@@ -166,6 +181,8 @@
         """Apply a host's list of open requests; return the unknown waiting ones."""
         now = self._clock.now()
         self._last_message_at[notes.host] = now
+        for target_id, limit_per_s, age_s in notes.rate_limits:
+            self._limits.record(target_id, limit_per_s, notes.host, age_s)
         in_use = {serial: (target, kind) for serial, target, kind in notes.in_use}
         for identity, target in list(self._assigned.items()):
             if identity[0] != notes.host or identity[1] in in_use:
@@ -218,18 +235,42 @@
         targets = self._usable_targets(entry.ask.owner, now)
         if not targets:
             return None
-        free_slots = sum(max(0, target.free_slots()) for target in targets)
         sort_key = entry.sort_key()
         ahead = [other for other in queue if other.sort_key() <= sort_key]
-        if len(ahead) < free_slots:
+        if len(ahead) < sum(self._free_requests(target, now) for target in targets):
             return 0.0
+        typical_s = self._service_times.of(entry.ask.kind)
         work_s = sum(self._service_times.of(other.ask.kind) for other in ahead)
-        work_s += RESIDUAL_SHARE * self._service_times.of(entry.ask.kind)
-        capacity = sum(target.capacity() for target in targets)
+        work_s += RESIDUAL_SHARE * typical_s
+        capacity = sum(self._capacity(target, typical_s) for target in targets)
         # Requests of higher priority that arrive meanwhile are served first, too.
         urgent = self._arrivals[entry.ask.owner].rate_before(entry.ask.rank, now)
         return work_s / max(capacity - urgent, MIN_CAPACITY_SHARE * capacity)
 
+    def _limit_per_s(self, target):
+        """Return the requests a second that this desk may send to a target."""
+        limit_per_s = self._limits.of(target.target_id)
+        return limit_per_s if self.is_first else FALLBACK_SHARE * limit_per_s
+
+    def _allowed_requests(self, target, now):
+        """Return how many requests a target may get now within its rate limit."""
+        return target.allowance.fill(self._limit_per_s(target), now)
+
+    def _free_requests(self, target, now):
+        """Return how many free slots of a target may be used now."""
+        free_slots = max(0, target.free_slots())
+        return math.floor(min(free_slots, self._allowed_requests(target, now)))
+
+    def _capacity(self, target, typical_s):
+        """Return the work that a target does per second, in seconds of typical work.
+
+        Parameters
+        ----------
+        typical_s : float
+            Typical work of one request.
+        """
+        return min(target.capacity(), self._limit_per_s(target) * typical_s)
+
     def _usable_targets(self, owner, now):
         """Return the targets that may serve requests for `owner` now.
 
@@ -292,6 +333,8 @@
                 self._assign(entry, target, now)
 
     def _accepts_request(self, target, now):
+        if self._allowed_requests(target, now) < 1.0:
+            return False
         if target.free_slots() > 0:
             return True
         return self._is_stuck(target, now) and self._may_probe(target, now)
@@ -332,8 +375,12 @@
             return best
         # Waiting for a faster target may take less time than using a slow one at once.
         fastest = min(t.slowness for t in targets)
-        faster = sum(t.capacity() for t in targets if 2 * t.slowness <= best.slowness)
         typical_s = self._service_times.of(entry.ask.kind)
+        faster = sum(
+            self._capacity(t, typical_s)
+            for t in targets
+            if 2 * t.slowness <= best.slowness
+        )
         wait_s = 0.0
         if faster:
             wait_s = (ahead + RESIDUAL_SHARE) * self._service_times.longest() / faster
@@ -361,6 +408,7 @@
                 extra={"service": self.service, "target": target.target_id},
             )
         self._record_use(target, entry.identity, entry.ask.kind, now)
+        target.allowance.take()
         self.assigned_count += 1
         self._send(
             entry.ask.host,
@@ -381,8 +429,9 @@
         """Refuse a request, and spread the retries at the rate of the targets."""
         owner = entry.ask.owner
         targets = self._usable_targets(owner, now)
-        capacity = sum(target.capacity() for target in targets)
-        rate = capacity / self._service_times.of(entry.ask.kind)
+        typical_s = self._service_times.of(entry.ask.kind)
+        capacity = sum(self._capacity(target, typical_s) for target in targets)
+        rate = capacity / typical_s
         if wait_s is None or rate <= 0:
             retry_s = STUCK_RETRY_S
         else:
--- a/src/persimmonspoke/internal/desk/messages.py
+++ b/src/persimmonspoke/internal/desk/messages.py
@@ -4,7 +4,7 @@
 of a lost message.  They are flat because each request sends three of them.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from persimmonspoke.ids import DataCentreId, HostId, ServiceId, TargetId
 from persimmonspoke.internal.peers.codec import flat_message
@@ -117,12 +117,16 @@
         Serials of requests that use slots, with their targets and kinds.
     waiting : list of int
         Serials of requests that wait for a slot.
+    rate_limits : list of (TargetId, float, float)
+        For a desk that the host has not told yet: targets with the rate limit that
+        each named last, in requests a second, and the time since then.
     """
 
     host: HostId
     service: ServiceId
     in_use: list
     waiting: list
+    rate_limits: list = field(default_factory=list)
 
 
 @flat_message
--- a/src/persimmonspoke/internal/desk/scheduler.py
+++ b/src/persimmonspoke/internal/desk/scheduler.py
@@ -345,7 +345,8 @@
 
     def _reconcile(self, service, desk: PeerAddress):
         try:
-            notes = self._make_notes(service, desk.host_id)
+            is_told = self._reconciled_with.get(service) == desk.host_id
+            notes = self._make_notes(service, desk.host_id, is_told)
             if desk.host_id == self._me:
                 seen = self._on_notes(notes)
             else:
@@ -376,7 +377,8 @@
             if entry is not None and entry.target_id is None:
                 self._send_ask(entry)
 
-    def _make_notes(self, service, desk: HostId) -> Notes:
+    def _make_notes(self, service, desk: HostId, is_told: bool) -> Notes:
+        """Return the notes for a desk, with the rate limits unless `is_told`."""
         own = [e for e in self._open.values() if e.ask.service == service]
         for entry in own:
             entry.desk = desk
@@ -389,6 +391,15 @@
                 if e.target_id is not None
             ],
             [e.ask.serial for e in own if e.target_id is None],
+            [] if is_told else self._rate_limits_of(service),
+        )
+
+    def _rate_limits_of(self, service):
+        """Return the rate limits of a service's targets, in the form of `Notes`."""
+        return self._limits.statements(
+            target_id
+            for target_id, record in self._state.targets.items()
+            if record.service == service
         )
 
     def _on_ask(self, ask: Ask) -> None:
@@ -425,6 +436,8 @@
             desk.configure(self._targets_of(service))
             self._desks[service] = desk
             log.info("desk: opened", extra={"service": service})
+        # Hosts that can't reach the first one use this desk besides it.
+        desk.is_first = self._ranked_hosts(service)[0].host_id == self._me
         return desk
 
     def _targets_of(self, service):
--- a/src/persimmonspoke/internal/desk/targets.py
+++ b/src/persimmonspoke/internal/desk/targets.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from persimmonspoke.ids import DataCentreId, Instant, TargetId
+from persimmonspoke.internal.desk.allowance import RateAllowance
 from persimmonspoke.internal.desk.settings import DeskSettings
 from persimmonspoke.internal.scheduling.api import SlotOutcome
 
@@ -43,6 +44,8 @@
         How long it is avoided after the next failure; doubles with each failure.
     in_use : dict
         Requests that use its slots, by host and serial.
+    allowance : RateAllowance
+        How many requests it may get while it names a rate limit.
     answered_to : dict
         When each host last got an answer from it and has asked for nothing since; the
         host then has an idle connection to it.
@@ -51,6 +54,7 @@
     target_id: TargetId
     slots: int
     data_centre: DataCentreId
+    allowance: RateAllowance
     slowness: float = 1.0
     last_answer_at: Instant = LONG_AGO
     avoid_until: Instant = LONG_AGO
--- a/src/persimmonspoke/internal/targets/rate_limits.py
+++ b/src/persimmonspoke/internal/targets/rate_limits.py
@@ -77,6 +77,20 @@
         """Return whether a target is known to have named a limit at any time."""
         return target_id in self._statements
 
+    def statements(
+        self, target_ids: Iterable[TargetId]
+    ) -> list[tuple[TargetId, float, float]]:
+        """Return the limit that each target named last, and the time since then.
+
+        Targets that have never named one are left out.
+        """
+        now = self._clock.now()
+        return [
+            (target_id, statement.limit_per_s, now - statement.said_at)
+            for target_id in target_ids
+            if (statement := self._statements.get(target_id)) is not None
+        ]
+
     def limited_count(self) -> int:
         """Return the number of targets that name a limit at present."""
         return sum(s.limit_per_s < UNLIMITED for s in self._statements.values())
