Place keys by the rate limits that targets name

Cause: the leader weighs a target's load by its slots alone, so a target that is idle because of its limit looked idle and kept its keys, or got more.

A host's report now carries the limit of each target that has just answered, and the utilisation that one request adds is a share of the slots or of the limit, whichever is larger. Ruled out: leaving it to the desks alone, which can't send a key's requests to another target.

TestRateLimits in test_hot_run_load.py fails without it.

--- a/src/persimmonspoke/daemon/routed.py
+++ b/src/persimmonspoke/daemon/routed.py
@@ -123,6 +123,7 @@
         ranges = cfg.ranges.within(platform.bounds.drain_s, platform.bounds.hold_max_s)
         self.routes = RangeRoutes(self.state, self.clock, ranges.leaving_grace_s)
         self.leadership.on_ownership_read = self.routes.update_from_ownership
+        self.rate_limits = RateLimits(self.clock)
         self.reporter = Reporter(
             cfg.fleet,
             self.clock,
@@ -131,6 +132,7 @@
             self.leadership,
             self.routes,
             self.store_age_s,
+            self.rate_limits,
         )
         self.keeper = Keeper(
             ranges,
@@ -141,7 +143,6 @@
             self.reporter.publish,
         )
         self.reporter.keeper = self.keeper
-        self.rate_limits = RateLimits(self.clock)
         self.scheduler = DeskScheduler(
             _limit_retries(cfg.desk, platform.bounds),
             self.clock,
--- a/src/persimmonspoke/internal/fleet/messages.py
+++ b/src/persimmonspoke/internal/fleet/messages.py
@@ -96,9 +96,10 @@
         Version of the newest range table that the host has.
     loads : list of (ServiceId, int, int)
         Service, key, and number of requests for it since the last report.
-    work : list of (TargetId, int, float)
-        Target, number of requests that it answered since the last report, and the
-        total time that they took in seconds.
+    work : list of (TargetId, int, float, float)
+        Target, number of requests that it answered since the last report, the total
+        time that they took in seconds, and the rate limit that it names, if any, in
+        requests a second.
     refused : list of (ServiceId, int, int)
         Service, key and fence of requests that the key's owner refused.
     store_age_s : float
--- a/src/persimmonspoke/internal/fleet/reporter.py
+++ b/src/persimmonspoke/internal/fleet/reporter.py
@@ -29,6 +29,7 @@
 from persimmonspoke.internal.peers.api import PeerAddress, PeerLink
 from persimmonspoke.internal.ranges.keeper import Keeper
 from persimmonspoke.internal.ranges.routes import RangeRoutes
+from persimmonspoke.internal.targets.rate_limits import RateLimits
 
 LIST_PERIOD_S = 0.1  # between two checks of which hosts have fallen silent
 
@@ -36,9 +37,16 @@
 
 
 class LoadRecorder(WorkObserver):
-    """Records the load that this host measures between two reports."""
+    """Records the load that this host measures between two reports.
 
-    def __init__(self):
+    Parameters
+    ----------
+    limits : RateLimits
+        The rate limits that answers to this host named.
+    """
+
+    def __init__(self, limits: RateLimits):
+        self._limits = limits
         self._keys: Counter[tuple[ServiceId, int]] = Counter()
         self._answered: Counter[TargetId] = Counter()
         self._busy_s: Counter[TargetId] = Counter()
@@ -56,7 +64,12 @@
         """Return and clear the recorded loads and work, in the form of `HostReport`."""
         loads = [(service, key, n) for (service, key), n in self._keys.items()]
         work = [
-            (target_id, n, round(self._busy_s[target_id], 4))
+            (
+                target_id,
+                n,
+                round(self._busy_s[target_id], 4),
+                self._limits.of(target_id),
+            )
             for target_id, n in self._answered.items()
         ]
         for counter in (self._keys, self._answered, self._busy_s):
@@ -98,6 +111,7 @@
         leadership: Leadership,
         routes: RangeRoutes,
         store_age_s: Callable[[], float],
+        limits: RateLimits,
     ):
         self._cfg = cfg
         self._clock = clock
@@ -112,7 +126,7 @@
         self._present_list: tuple[int, list] = (0, [])
         self._listed: tuple[HostEntry, ...] = ()
         self.keeper: Keeper | None = None
-        self.load_recorder = LoadRecorder()
+        self.load_recorder = LoadRecorder(limits)
         link.serve(HostReport, self._on_report)
         link.serve(TableChange, self._on_change)
 
--- a/src/persimmonspoke/internal/ranges/loads.py
+++ b/src/persimmonspoke/internal/ranges/loads.py
@@ -8,6 +8,7 @@
 
 from persimmonspoke.ids import Instant, ServiceId, TargetId
 from persimmonspoke.internal.ranges.ranges import KeyRange
+from persimmonspoke.internal.targets.rate_limits import UNLIMITED
 
 SMOOTHING = 0.1  # weight of one answer in a target's moving average
 INITIAL_SERVICE_S = 0.1  # before the first answer; only ratios between targets matter
@@ -29,11 +30,12 @@
         self._sorted: dict[ServiceId, _SortedLoad] = {}
         self._decayed_at: Instant | None = None
         self._service_s: dict[TargetId, float] = {}
+        self._limits_per_s: dict[TargetId, float] = {}
 
     def add(
         self,
         loads: Iterable[tuple[ServiceId, int, int]],
-        work: Iterable[tuple[TargetId, int, float]],
+        work: Iterable[tuple[TargetId, int, float, float]],
     ) -> None:
         """Add what one host measured since its last report.
 
@@ -42,12 +44,14 @@
         Parameters
         ----------
         loads : iterable of (service, key, requests)
-        work : iterable of (target, requests answered, seconds that they took)
+        work : iterable of (target, requests answered, seconds that they took, limit)
+            The rate limit is in requests a second; `UNLIMITED` without one.
         """
         for service, key, count in loads:
             rates = self._rates.setdefault(service, Counter())
             rates[key] += count / self._time_constant_s
-        for target_id, answered, busy_s in work:
+        for target_id, answered, busy_s, limit_per_s in work:
+            self._limits_per_s[target_id] = limit_per_s
             mean = busy_s / answered
             previous = self._service_s.get(target_id, mean)
             share = 1 - (1 - SMOOTHING) ** answered
@@ -71,6 +75,14 @@
         """Return a target's mean time for one request."""
         return self._service_s.get(target_id, INITIAL_SERVICE_S)
 
+    def request_cost(self, target_id: TargetId, slots: int) -> float:
+        """Return the utilisation that one request a second adds to a target.
+
+        It is a share of the target's slots, or of its rate limit if that allows less.
+        """
+        limit_per_s = self._limits_per_s.get(target_id, UNLIMITED)
+        return max(self.service_s(target_id) / slots, 1 / limit_per_s)
+
     def deviation(self, rate: float) -> float:
         """Return the standard deviation of a measured rate whose mean is `rate`."""
         return math.sqrt(rate / (2 * self._time_constant_s))
--- a/src/persimmonspoke/internal/ranges/mover.py
+++ b/src/persimmonspoke/internal/ranges/mover.py
@@ -182,7 +182,7 @@
                     others, key=lambda r: (utilisation[r.target_id], r.target_id)
                 )
                 rate = self._loads.rate(service, piece)
-                load = rate * self._loads.service_s(best.target_id) / best.slots
+                load = rate * self._loads.request_cost(best.target_id, best.slots)
                 # Without the base load all idle pieces would go to one target.
                 utilisation[best.target_id] += load + BASE_PIECE_LOAD
                 assigned.append((piece, best))
--- a/src/persimmonspoke/internal/ranges/planner.py
+++ b/src/persimmonspoke/internal/ranges/planner.py
@@ -64,12 +64,15 @@
     eligible: Iterable[EligibleTarget],
     loads: Loads,
 ) -> dict[TargetId, float]:
-    """Return the share of each target's slots that requests for its keys occupy."""
+    """Return the share of each target's capacity that requests for its keys occupy.
+
+    The capacity is that of its slots, or its rate limit if that allows less.
+    """
     found = {}
     for target in eligible:
         rate = sum(loads.rate(service, r) for r in ranges.owned_by(target.target_id))
-        found[target.target_id] = (
-            rate * loads.service_s(target.target_id) / target.slots
+        found[target.target_id] = rate * loads.request_cost(
+            target.target_id, target.slots
         )
     return found
 
@@ -104,10 +107,9 @@
     least_busy = min(available, key=utilisation.__getitem__)
     for busiest in sorted(available, key=utilisation.__getitem__, reverse=True):
         gap = utilisation[busiest] - utilisation[least_busy]
-        # Utilisation that one request a second adds; the move should leave both
-        # targets equally busy.
-        source_cost = loads.service_s(busiest) / available[busiest].slots
-        receiver_cost = loads.service_s(least_busy) / available[least_busy].slots
+        # The move should leave both targets equally busy.
+        source_cost = loads.request_cost(busiest, available[busiest].slots)
+        receiver_cost = loads.request_cost(least_busy, available[least_busy].slots)
         noise = (
             NOISE_DEVIATIONS
             * source_cost
--- a/src/persimmonspoke/internal/ranges/spread.py
+++ b/src/persimmonspoke/internal/ranges/spread.py
@@ -55,7 +55,7 @@
     Attributes
     ----------
     utilisation : dict of TargetId to float
-        Share of each eligible target's slots that requests for its keys occupy.
+        Share of each eligible target's capacity that requests for its keys occupy.
     rates, cost : dict of TargetId to float
         Requests a second, and the utilisation that one request a second adds; only of
         targets that are in no transfer.
@@ -67,7 +67,7 @@
         self.loads = loads
         self.moving = moving
         self.cost = {
-            target.target_id: loads.service_s(target.target_id) / target.slots
+            target.target_id: loads.request_cost(target.target_id, target.slots)
             for target in eligible
             if target.target_id not in transferring
         }
--- a/tests/cover/test_hot_run_load.py
+++ b/tests/cover/test_hot_run_load.py
@@ -13,6 +13,7 @@
 
 from persimmonspoke.internal.ranges import keeper as keeper_module
 from persimmonspoke.internal.ranges.ranges import MAX_KEY
+from persimmonspoke.internal.targets.rate_limits import UNLIMITED
 from tests.fakes.range_fleet import SERVICE, RangeFleet
 
 TARGETS = 12
@@ -31,9 +32,11 @@
 
     Attributes
     ----------
+    limits : dict of str to float
+        Rate limits that targets name at present, in requests a second.
     excess : list of float
         For each step, the share of the requests that exceed the slots of their target
-        or whose key is being transferred.
+        or their rate limit, or whose key is being transferred.
     """
 
     def __init__(self, keys, share, seed, speeds=(1.0,), registered=None):
@@ -45,6 +48,7 @@
             name: SERVICE_S / speeds[number % len(speeds)]
             for number, name in enumerate(self.fleet.targets)
         }
+        self.limits = {}
         self.keys = keys
         self.first = self.random.randrange(0, MAX_KEY - keys)
         self.excess = []
@@ -64,6 +68,7 @@
             host = self.random.choice(self.fleet.hosts)
             host.reporter.load_recorder.record_request(SERVICE, str(key))
             owner = self._ledger().map(SERVICE).find(key).owner
+            host.limits.record(owner, self.limits.get(owner, UNLIMITED), "answer")
             host.reporter.load_recorder.record_answer(owner, self.service_s[owner])
         self.excess.append(self._excess(self.share if hot else 0.0))
         eventlet.sleep(STEP_S)
@@ -78,11 +83,15 @@
             offered[row.owner] = offered.get(row.owner, 0.0) + part * RATE
         transferring = offered.pop(None, 0.0)
         exceeding = sum(
-            max(0.0, rate - SLOTS / self.service_s[name])
-            for name, rate in offered.items()
+            max(0.0, rate - self._capacity(name)) for name, rate in offered.items()
         )
         return (transferring + exceeding) / RATE
 
+    def _capacity(self, name):
+        """Return the requests a second that a target can take."""
+        limit_per_s = self.limits.get(name, UNLIMITED)
+        return min(SLOTS / self.service_s[name], limit_per_s)
+
     def _ledger(self):
         return self.fleet.leader().keeper.ledger
 
@@ -173,3 +182,27 @@
             self.assertLess(max(run.excess[-10:]), 0.05, run.excess)
         finally:
             run.fleet.stop()
+
+
+class TestRateLimits(unittest.TestCase):
+    """Half of the targets name a rate limit of half the requests that they get."""
+
+    def setUp(self):
+        self.run_ = HotRun(1, 0.0, seed=1)
+        self.addCleanup(self.run_.fleet.stop)
+        self.run_.offer(CALM_S, hot=False)
+        half = list(self.run_.fleet.targets)[::2]
+        self.run_.limits = dict.fromkeys(half, RATE / TARGETS / 2)
+
+    # Guards against refusals while targets without a limit have free slots.
+    def test_keys_move_to_the_targets_that_name_no_limit(self):
+        self.run_.offer(4, hot=False)
+        self.run_.excess.clear()
+        self.run_.offer(4, hot=False)
+        later = self.run_.excess
+        self.assertLess(sum(later) / len(later), 0.02, later)
+
+    def test_limited_targets_keep_the_keys_that_they_can_serve(self):
+        self.run_.offer(6, hot=False)
+        owners = self.run_.fleet.leader().keeper.ledger.map(SERVICE).owners()
+        self.assertLessEqual(set(self.run_.limits), set(owners))
--- a/tests/fakes/range_fleet.py
+++ b/tests/fakes/range_fleet.py
@@ -21,6 +21,7 @@
 )
 from persimmonspoke.internal.routing.state import RoutingState
 from persimmonspoke.internal.routing.table import RouteTable
+from persimmonspoke.internal.targets.rate_limits import RateLimits
 from tests.fakes import virtual_hub
 from tests.fakes.network import FakeLink, FakeNetwork
 from tests.fakes.process import FakeClock, FakeProcess
@@ -69,6 +70,7 @@
         self.state.table = RouteTable(fleet.config)
         self.state.targets = fleet.records
         self.routes = RangeRoutes(self.state, self.clock, 1.4)
+        self.limits = RateLimits(self.clock)
         self.reporter = Reporter(
             cfg,
             self.clock,
@@ -77,6 +79,7 @@
             self.leadership,
             self.routes,
             self.store_age_s,
+            self.limits,
         )
         self.orders = FakeRangeOrders(self.process, fleet.targets)
         self.keeper = Keeper(
