Log and measure the eras of the store

Nothing told that the store had been restored from an older copy: the leader's line "the object has another writer" reads like a takeover.

The adapter now reads Store-Era from every answer, gives it to each object and listing, and logs each rise ("store: new era, the store may be an older copy"); the gauge store.era shows it. An era that is missing or can't be read leaves the newest known one. A listing whose pages are of two eras is given up. Nothing decides by it yet.

Tests: two in TestObjectStore.

--- a/src/persimmonspoke/daemon/routed.py
+++ b/src/persimmonspoke/daemon/routed.py
@@ -167,6 +167,7 @@
             ("desk.waiting", self.scheduler.waiting),
             ("desk.in_use", self.scheduler.in_use),
             ("store.calls", lambda: self.store.calls),
+            ("store.era", lambda: self.store.era),
             ("store.age_seconds", self.store_age_s),
             ("store.read_here", lambda: int(self.updates.source is not Source.RELAYS)),
             ("targets.rate_limited", self.rate_limits.limited_count),
--- a/src/persimmonspoke/ids.py
+++ b/src/persimmonspoke/ids.py
@@ -21,6 +21,9 @@
 Generation = NewType("Generation", int)
 Version = NewType("Version", int)
 
+Era = NewType("Era", int)
+"""Number of the restorations of the store from an older copy, or higher."""
+
 Instant = NewType("Instant", float)
 """Seconds on the monotonic clock of the process that holds the value."""
 
--- a/src/persimmonspoke/internal/store/api.py
+++ b/src/persimmonspoke/internal/store/api.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from persimmonspoke.ids import Instant, Version
+from persimmonspoke.ids import Era, Instant, Version
 
 Value = dict[str, Any]
 
@@ -25,11 +25,19 @@
         JSON object; empty if the object was deleted.
     version : Version
         Increases with each write of this object; 0 if the object does not exist.
+    era : Era
+        Era of the store that answered with this version.
     """
 
     key: str
     value: Value
     version: Version
+    era: Era = Era(0)
+
+    @property
+    def order(self) -> tuple[Era, Version]:
+        """Era and version, by which the versions of one object are ordered."""
+        return self.era, self.version
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,17 +46,28 @@
 
     items: tuple[StoredObject, ...]
     revision: int
+    era: Era = Era(0)
 
 
 class Store(Protocol):
     """The object API.
 
+    A store may be restored from an older copy.  A new era then begins, what was written
+    since the copy is gone, and versions are given out again.
+
     Every call blocks its task and ends by `deadline`.  Reads that fail raise
     `StoreUnavailable`.  Writes raise `StoreUnavailable` if they certainly did not
     happen, `StoreOutcomeUnknown` if the answer was lost, and `StoreConflict` if the
     version differs.
+
+    Attributes
+    ----------
+    era : Era
+        Highest era that any answer has named.
     """
 
+    era: Era
+
     def get(self, key: str, deadline: Instant) -> StoredObject:
         """Return the object under `key`, or raise `StoreMissing`."""
 
--- a/src/persimmonspoke/internal/store/http_store.py
+++ b/src/persimmonspoke/internal/store/http_store.py
@@ -13,7 +13,7 @@
     StoreOutcomeUnknown,
     StoreUnavailable,
 )
-from persimmonspoke.ids import Instant, Version
+from persimmonspoke.ids import Era, Instant, Version
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.store.api import Listing, StoredObject, Value
 
@@ -44,6 +44,8 @@
         Number of calls made so far, including watches still waiting.
     """
 
+    era = Era(0)  # this API tells nothing of restorations
+
     def __init__(self, base_url: str, clock: Clock):
         self._base_url = base_url
         self._clock = clock
--- a/src/persimmonspoke/platform/objects.py
+++ b/src/persimmonspoke/platform/objects.py
@@ -7,7 +7,7 @@
 import json
 import logging
 import socket
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from urllib.parse import quote, urlencode
 
 import eventlet
@@ -22,7 +22,7 @@
     StoreOutcomeUnknown,
     StoreUnavailable,
 )
-from persimmonspoke.ids import Instant, Version
+from persimmonspoke.ids import Era, Instant, Version
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.store.api import Listing, StoredObject, Value
 
@@ -31,6 +31,8 @@
 MIN_TIMEOUT_S = 0.001
 READ_BYTES = 1 << 18
 MAX_ANSWER_BYTES = 16 << 20  # a page of a listing has about 1 MB
+# Number that rises each time the store comes back from an older copy.
+ERA = "Store-Era"
 
 _ITEM_ERRORS = (KeyError, TypeError, IndexError)
 
@@ -61,6 +63,8 @@
     ----------
     calls : int
         Number of calls made so far, including watches still waiting.
+    era : Era
+        Highest era that any answer has named.
     """
 
     def __init__(self, address: str, clock: Clock):
@@ -72,11 +76,11 @@
             socket_options=[*HTTPConnection.default_socket_options, *KEEPALIVE_OPTIONS],
         )
         self.calls = 0
+        self.era = Era(0)
 
     def get(self, key: str, deadline: Instant) -> StoredObject:
         """Return the object under `key`, or raise `StoreMissing`."""
-        page = self._read(_object_path(key), deadline)
-        return _whole_object(key, page, StoreUnavailable)
+        return self._read_object(key, _object_path(key), deadline)
 
     def get_stale(self, key: str, deadline: Instant) -> StoredObject:
         """Return a version of the object that may be seconds old.
@@ -84,23 +88,29 @@
         Such a call costs a tenth of another one.
         """
         path = f"{_object_path(key)}?{urlencode({'allow_stale': 1})}"
-        return _whole_object(key, self._read(path, deadline), StoreUnavailable)
+        return self._read_object(key, path, deadline)
+
+    def _read_object(self, key, path, deadline):
+        page, era = self._read(path, deadline)
+        return _whole_object(key, page, era, StoreUnavailable)
 
     def list(self, prefix: str, deadline: Instant) -> Listing:
         """Return all objects of one kind."""
         kind = prefix.rstrip("/")
-        items, after, revision = [], None, None
+        items, after, revision, first_era = [], None, None, None
         while True:
             query = "" if after is None else "?" + urlencode({"after": after})
-            page = self._read(f"/objects/{quote(kind)}{query}", deadline)
+            page, era = self._read(f"/objects/{quote(kind)}{query}", deadline)
             rows = _list_of(page, "items")
-            items += _readable(_stored, kind, rows)
+            items += _readable(_stored, kind, rows, era)
             if revision is None:
                 # A watch from the first page's revision also returns the changes made
                 # while later pages are read.
-                revision = _revision(page)
+                revision, first_era = _revision(page), era
+            elif era != first_era:
+                raise StoreUnavailable("the store was restored between two pages")
             if not page.get("has_more") or not rows:
-                return Listing(tuple(items), revision)
+                return Listing(tuple(items), revision, era)
             after = _last_name(rows)
 
     def create(self, key: str, value: Value, deadline: Instant) -> StoredObject:
@@ -129,12 +139,12 @@
         wait_ms = max(0, int((deadline - self._clock.now()) * 1000))
         query = urlencode({"watch": revision, "wait_ms": wait_ms})
         answer_deadline = Instant(deadline + WATCH_ANSWER_MARGIN_S)
-        page = self._read(f"/objects/{quote(kind)}?{query}", answer_deadline)
-        items = _readable(_event, kind, _list_of(page, "events"))
-        return Listing(tuple(items), _revision(page))
+        page, era = self._read(f"/objects/{quote(kind)}?{query}", answer_deadline)
+        items = _readable(_event, kind, _list_of(page, "events"), era)
+        return Listing(tuple(items), _revision(page), era)
 
     def _read(self, path, deadline):
-        """Return the JSON answer to a GET request."""
+        """Return the JSON answer to a GET request, and the era of the answer."""
         try:
             answer = self._request("GET", path, deadline)
         except HTTPError as exc:
@@ -145,7 +155,7 @@
             raise StoreCompacted("the store has dropped the revision; list again")
         if answer.status != 200:
             raise StoreUnavailable(f"the store answered {answer.status}")
-        return _json(answer, StoreUnavailable)
+        return _json(answer, StoreUnavailable), answer.era
 
     def _write(self, method, path, key, body, deadline):
         """Make one conditional write; return the new object, or None if deleted."""
@@ -166,7 +176,7 @@
         if method == "DELETE":
             return None
         return _whole_object(
-            key, _json(answer, StoreOutcomeUnknown), StoreOutcomeUnknown
+            key, _json(answer, StoreOutcomeUnknown), answer.era, StoreOutcomeUnknown
         )
 
     def _request(self, method, path, deadline, body=None):
@@ -182,7 +192,25 @@
             timeout=urllib3.Timeout(total=left_s),
             preload_content=False,
         )
-        return _read_answer(answer)
+        status, data = answer.status, _read_answer(answer)
+        return _Answer(status, data, self._era_of(answer.headers))
+
+    def _era_of(self, headers) -> Era:
+        """Return the era that an answer names, or the newest one if it names none."""
+        text = headers.get(ERA)
+        if text is None:
+            return self.era
+        if not (text.isascii() and text.isdigit()):
+            log.warning("store: era can't be read", extra={"value": text[:80]})
+            return self.era
+        era = Era(int(text))
+        if era > self.era:
+            log.warning(
+                "store: new era, the store may be an older copy",
+                extra={"era": era, "before": self.era},
+            )
+            self.era = era
+        return era
 
 
 @dataclass(frozen=True, slots=True)
@@ -191,10 +219,11 @@
 
     status: int
     data: bytes
+    era: Era
 
 
-def _read_answer(answer) -> _Answer:
-    """Read an answer to its end; raise `HTTPError` if it is too long."""
+def _read_answer(answer) -> bytes:
+    """Return the whole body of an answer; raise `HTTPError` if it is too long."""
     parts, size = [], 0
     while chunk := answer.read(READ_BYTES):
         parts.append(chunk)
@@ -205,7 +234,7 @@
         if len(chunk) == READ_BYTES:
             eventlet.sleep(0)  # lets timers run while the store sends without a pause
     answer.release_conn()
-    return _Answer(answer.status, b"".join(parts))
+    return b"".join(parts)
 
 
 def _object_kind(key):
@@ -227,20 +256,20 @@
     return body
 
 
-def _whole_object(key, item, failure):
+def _whole_object(key, item, era, failure):
     """Return the object that an answer describes, or raise `failure`."""
     try:
-        return _stored(_object_kind(key), item)
+        return _stored(_object_kind(key), item, era)
     except _ITEM_ERRORS as exc:
         raise failure(f"the store's answer for {key} is no object: {exc!r}") from exc
 
 
-def _readable(convert, kind, rows):
+def _readable(convert, kind, rows, era):
     """Return the rows as objects, without those that can't be read."""
     found = []
     for row in rows:
         try:
-            found.append(convert(kind, row))
+            found.append(convert(kind, row, era))
         except _ITEM_ERRORS as exc:
             log.warning(
                 "store: item can't be read",
@@ -272,7 +301,7 @@
         raise StoreUnavailable("the last item of a page has no name") from exc
 
 
-def _stored(kind, item):
+def _stored(kind, item, era):
     """Return the object that an item of an answer describes.
 
     If its ``spec`` is not a JSON object or is empty, the value has the single key
@@ -284,12 +313,11 @@
         spec = {"unreadable": repr(spec)[:200]}
     if not isinstance(meta["name"], str) or not isinstance(meta["revision"], int):
         raise TypeError(f"name or revision has the wrong type: {meta!r}")
-    return StoredObject(f"{kind}/{meta['name']}", spec, Version(meta["revision"]))
+    key = f"{kind}/{meta['name']}"
+    return StoredObject(key, spec, Version(meta["revision"]), era)
 
 
-def _event(kind, event):
+def _event(kind, event, era):
     """Return the object that a change describes; empty if it was deleted."""
-    stored = _stored(kind, event["object"])
-    return (
-        StoredObject(stored.key, {}, stored.version) if event.get("deleted") else stored
-    )
+    stored = _stored(kind, event["object"], era)
+    return replace(stored, value={}) if event.get("deleted") else stored
--- a/tests/loopback/test_platform_adapter.py
+++ b/tests/loopback/test_platform_adapter.py
@@ -59,12 +59,15 @@
         self.revision = 100
         self.page_size = 2
         self.refuse_status = None
+        self.era = None
         self.oldest_revision = 0
 
     def __call__(self, environ, start_response):
         status, body = self.answer(environ)
         data = json.dumps(body).encode()
         fields = [("Content-Type", "application/json"), ("Content-Length", len(data))]
+        if self.era is not None:
+            fields.append(("Store-Era", self.era))
         start_response(f"{status} x", [(n, str(v)) for n, v in fields])
         return [data]
 
@@ -231,6 +234,26 @@
             with self.subTest(answer=answer), self.assertRaises(StoreUnavailable):
                 self.store.list("kind/", self.deadline())
 
+    def test_all_answers_bear_the_era_that_the_store_names(self):
+        self.app.era = 3
+        stored = self.store.create("kind/a", {"x": 1}, self.deadline())
+        self.assertEqual((stored.era, self.store.era), (3, 3))
+        self.app.era = 4
+        with self.assertLogs("persimmonspoke.platform.objects") as logs:
+            self.assertEqual(self.store.get("kind/a", self.deadline()).era, 4)
+            self.assertEqual(self.store.list("kind/", self.deadline()).era, 4)
+        self.assertEqual([(r.before, r.era) for r in logs.records], [(3, 4)])
+        revision = self.store.list("kind/", self.deadline()).revision
+        self.assertEqual(self.store.watch("kind/", revision, self.deadline(0)).era, 4)
+
+    def test_an_era_that_is_missing_or_unreadable_changes_nothing(self):
+        self.app.era = 3
+        self.store.create("kind/a", {"x": 1}, self.deadline())
+        for era in (None, "soon", "-1", "1.5"):
+            self.app.era = era
+            self.assertEqual(self.store.get("kind/a", self.deadline()).era, 3)
+        self.assertEqual(self.store.era, 3)
+
 
 class TestRangeOrders(ServerCase):
     def setUp(self):
