Let a leader update its own list of hosts as often as in a small fleet

Trace: no change of the leader. In a large fleet a leader that was not among the first candidates (any host may lead at the first start) reported to itself as seldom as other hosts, so that it used its own list up to two seconds late, in that test two seconds after the 5.7 s that the reports allow.

A leader's reports to itself are no messages; they now come every report_s. The new test fails before, each time.

--- a/src/persimmonspoke/internal/fleet/reporter.py
+++ b/src/persimmonspoke/internal/fleet/reporter.py
@@ -153,8 +153,11 @@
     def _period_s(self):
         """Return how often to report; less often in a large fleet.
 
-        The first candidates for the leadership report as often as in a small one.
+        The first candidates for the leadership report as often as in a small one, and
+        so does the leader, whose reports to itself are no messages.
         """
+        if self._leadership.leading:
+            return self._cfg.report_s
         hosts = self._hosts.candidates()
         period_s = max(self._cfg.report_s, len(hosts) / self._cfg.reports_per_s)
         if (
--- a/tests/cover/test_large_fleet.py
+++ b/tests/cover/test_large_fleet.py
@@ -4,6 +4,7 @@
 """
 
 import unittest
+from unittest import mock
 
 import eventlet
 
@@ -71,6 +72,13 @@
         self.fleet.run_for(SLOW.present_s + 2 * SLOW_S + 0.5)
         self.assertNotIn(dead.hosts.my_entry.name, self.live_names(leader))
 
+    # Guards against a leader that goes by its own list of hosts late.
+    def test_a_leader_that_is_no_candidate_updates_its_own_list_often(self):
+        leader = self.fleet.leader()
+        with mock.patch.object(leader.hosts, "rank_among", return_value=HOSTS):
+            self.fleet.run_for(SLOW_S)
+            self.assertEqual(leader.leadership.report_s, FAST_S)
+
     def test_a_killed_leader_is_replaced_as_soon_as_in_a_small_fleet(self):
         self.fleet.leader().kill()
         killed_at = virtual_hub.now()
