Reproduce the incident with a restored store in virtual time

The fake store keeps its copies and can be restored: objects and revisions go back, and a watch from a revision that it does not have is refused.

--- /dev/null
+++ b/tests/cover/test_restored_store.py
@@ -0,0 +1,184 @@
+"""Tests of a store that comes back from an older copy, without its newest writes."""
+
+import random
+import unittest
+from dataclasses import replace
+
+import eventlet
+
+from persimmonspoke.internal.news.board import StoreCache
+from persimmonspoke.internal.news.watcher import StoreWatcher
+from persimmonspoke.internal.ranges.planner import whole_move
+from persimmonspoke.internal.timers import Timers
+from tests.fakes.process import FakeClock, FakeProcess
+from tests.fakes.range_fleet import SERVICE, RangeFleet
+from tests.fakes.store import FakePlatformStore, FakeStore
+
+LOST_S = 9.0  # how much the copy is older
+AWAY_S = 2.0
+SEED = 24
+
+
+class RestoredCase(unittest.TestCase):
+    """Hosts and targets in virtual time; no key may have two holders at any time."""
+
+    def setUp(self):
+        self.random = random.Random(SEED)
+        self.fleet = RangeFleet(hosts=3)
+        self.addCleanup(self.end)
+        self.fleet.run_for(8)
+
+    def end(self):
+        self.fleet.stop()
+        self.assertEqual(self.fleet.double_holds, [])
+        self.assertEqual(self.fleet.fence_violations(), [])
+        self.assertEqual(self.fleet.network.crashes, [])
+
+    def move_keys(self, seconds):
+        """Move random runs of keys to random targets."""
+        for _ in range(round(seconds / 0.5)):
+            keeper = self.fleet.leader().keeper
+            first = self.random.randrange(60000)
+            entry = keeper.ledger.map(SERVICE).find(first)
+            last = min(entry.last, first + 3000)
+            to = self.random.choice(sorted(self.fleet.targets))
+            if not keeper.ledger.in_transfer(SERVICE, entry):
+                piece = replace(entry, first=first, last=last)
+                keeper.start_move(SERVICE, whole_move(piece, to))
+            self.fleet.run_for(0.5)
+
+    def restore(self, age_s=LOST_S, away_s=AWAY_S):
+        """Take the store away for a while; it comes back as it was `age_s` before."""
+        self.fleet.platform.faults.down = True
+        self.fleet.run_for(away_s)
+        self.fleet.platform.faults.down = False
+        self.fleet.platform.restore(age_s)
+
+    def replace_leader(self):
+        """Kill the leader and wait for the next one."""
+        killed = self.fleet.leader()
+        killed.kill()
+        self.fleet.restart(killed)
+        while self.fleet.leader() in (None, killed):
+            self.fleet.run_for(0.1)
+        self.fleet.run_for(1)
+
+
+class TestKeysThatMovedBefore(RestoredCase):
+    # Guards against OWNER: keys given to the holder that an older copy names.
+    def test_they_have_one_holder_and_stay_where_they_are(self):
+        self.move_keys(8)
+        before = self.owners()
+        self.restore()
+        self.fleet.run_for(0.3)
+        self.assertEqual(self.owners(), before)
+        self.fleet.run_for(5)
+        self.assertEqual(self.fleet.unheld_keys(), [])
+
+    # Guards against OWNER with the only host gone that knows the last moves.
+    def test_they_have_one_holder_when_the_leader_is_lost_too(self):
+        self.move_keys(8)
+        self.restore(away_s=1.0)
+        killed = self.fleet.leader()
+        killed.kill()
+        self.fleet.restart(killed)
+        self.fleet.run_for(12)
+        self.assertEqual(self.fleet.unheld_keys(), [])
+
+    # Guards against OWNER after two losses, the second with the moves of the first.
+    def test_they_have_one_holder_after_two_restorations(self):
+        for _ in range(2):
+            self.move_keys(6)
+            self.restore()
+            self.fleet.run_for(2)
+        self.fleet.run_for(5)
+        self.assertEqual(self.fleet.unheld_keys(), [])
+
+    def owners(self):
+        ranges = self.fleet.leader().keeper.ledger.map(SERVICE).ranges
+        return [(entry.first, entry.owner) for entry in ranges]
+
+
+class TestLeadersThatTheCopyLacks(RestoredCase):
+    # Guards against OWNER: fencing tokens that were given out before the loss.
+    def test_later_fences_are_above_those_of_leaders_that_are_forgotten(self):
+        self.replace_leader()
+        self.move_keys(2)
+        self.replace_leader()
+        self.move_keys(2)
+        self.restore(age_s=12.0, away_s=0.5)
+        self.fleet.run_for(1)
+        self.replace_leader()
+        self.move_keys(2)
+        self.fleet.run_for(12)
+        self.assertEqual(self.fleet.unheld_keys(), [])
+
+    # Guards against two leaders: a record of an earlier run proves nothing.
+    def test_a_restored_record_of_an_earlier_run_does_not_end_a_leaders_orders(self):
+        self.replace_leader()
+        leader = self.fleet.leader()
+        self.move_keys(2)
+        others = [h.process.machine for h in self.fleet.hosts if h is not leader]
+        self.restore(age_s=8.0, away_s=0.5)
+        self.fleet.network.cut({leader.process.machine}, others)
+        self.fleet.run_for(20)
+        self.fleet.network.heal()
+        self.fleet.run_for(5)
+        self.assertEqual(self.fleet.unheld_keys(), [])
+
+
+class TestCopies(unittest.TestCase):
+    """The copy that a host keeps of the store, while its versions go back."""
+
+    def setUp(self):
+        self.platform = FakePlatformStore()
+        process = FakeProcess("h0.1", "10.0.0.0")
+        self.store = FakeStore(self.platform, process)
+        clock = FakeClock(process)
+        self.cache = StoreCache(clock)
+        watcher = StoreWatcher(self.store, self.cache, clock, Timers(), "config/")
+        self.task = eventlet.spawn(watcher.run)
+        self.addCleanup(self.task.kill)
+
+    def write(self, name, value, version=0):
+        return self.platform.put(f"config/{name}", {"v": value}, version).version
+
+    def known(self, name="main"):
+        found = self.cache.get(f"config/{name}")
+        return None if found is None else found.value["v"]
+
+    # Guards against CONFIG: a change under a revision that was given out before.
+    def test_a_change_after_two_restorations_is_known_at_once(self):
+        version = self.write("main", 1)
+        for era in (1, 2):
+            eventlet.sleep(2)
+            for _ in range(20):
+                self.write(f"other-{era}-{self.platform.revision}", 0)
+            self.write("main", f"lost {era}", version)
+            eventlet.sleep(1)
+            self.assertEqual(self.known(), f"lost {era}")
+            self.platform.restore(2.5)
+            eventlet.sleep(1)
+            version = self.write("main", f"new {era}", version)
+            eventlet.sleep(1)
+            self.assertEqual(self.known(), f"new {era}")
+
+    # Guards against CONFIG: the revisions have passed the one that a host has seen.
+    def test_a_host_that_was_cut_off_misses_no_change(self):
+        self.write("main", 1)
+        eventlet.sleep(2)
+        self.write("other", 0)
+        eventlet.sleep(1)
+        self.store.faults.silent = True
+        eventlet.sleep(0.1)
+        self.platform.restore(2.0)
+        for number in range(5):
+            self.write(f"new-{number}", number)
+        self.store.faults.silent = False
+        eventlet.sleep(6)
+        self.assertEqual([self.known(f"new-{n}") for n in range(5)], [0, 1, 2, 3, 4])
+        self.assertIsNone(self.known("other"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -64,6 +64,8 @@
     ----------
     calls : list of (float, str)
         Virtual time and kind of each call that reached the store.
+    era : int
+        Number of restorations so far.
     """
 
     def __init__(self):
@@ -74,6 +76,8 @@
         self._log = []
         self._writes = []
         self._compacted = 0
+        self._copies = []
+        self.era = 0
         self._changed = eventlet.event.Event()
 
     def get(self, key):
@@ -86,7 +90,7 @@
         """Return all objects under `prefix`."""
         found = sorted(self._objects.items())
         items = [self._read(key, *had) for key, had in found if key.startswith(prefix)]
-        return Listing(tuple(items), self.revision)
+        return Listing(tuple(items), self.revision, self.era)
 
     def put(self, key, value, version):
         """Write `value` if the object is at `version`; None deletes the object."""
@@ -95,6 +99,7 @@
         text = json.dumps(value or {})
         if len(text) > MAX_VALUE_BYTES:
             raise ValueError(f"{key} would hold {len(text)} bytes")
+        self._copies.append((virtual_hub.now(), self.revision, dict(self._objects)))
         self.revision += 1
         self._objects[key] = (text, self.revision)
         if value is None:
@@ -107,14 +112,24 @@
 
     def changes(self, prefix, revision):
         """Return the latest change of each object after `revision`."""
-        if revision < self._compacted:
+        if not self._compacted <= revision <= self.revision:
             raise StoreCompacted(str(revision))
         newest = {
             key: self._read(key, text, at)
             for at, key, text in self._log
             if at > revision and key.startswith(prefix)
         }
-        return Listing(tuple(newest.values()), self.revision)
+        return Listing(tuple(newest.values()), self.revision, self.era)
+
+    def restore(self, age_s):
+        """Replace all objects by those of `age_s` ago, and begin a new era."""
+        lost = [copy for copy in self._copies if copy[0] > virtual_hub.now() - age_s]
+        if lost:
+            _, self.revision, self._objects = lost[0]
+            self._copies = self._copies[: -len(lost)]
+        self._log = [change for change in self._log if change[0] <= self.revision]
+        self.era += 1
+        self.wake()
 
     def compact(self):
         """Discard the log of past changes."""
@@ -140,9 +155,8 @@
         hits = [at for at, kind in self.calls if since <= at < until and kind in kinds]
         return len(hits) / (until - since)
 
-    @staticmethod
-    def _read(key, text, version):
-        return StoredObject(key, json.loads(text), version)
+    def _read(self, key, text, version):
+        return StoredObject(key, json.loads(text), version, self.era)
 
 
 class FakeStore:
@@ -152,6 +166,7 @@
         self.platform = platform
         self.process = process
         self.faults = StoreFaults()
+        self.era = 0
 
     def get(self, key, deadline):
         """Return the object under `key`, or raise `StoreMissing`."""
@@ -204,7 +219,8 @@
         self.process.gate(GateKind.STORE)
         if outcome is None:
             raise self._no_answer(kind)
-        returned, raised = outcome
+        returned, raised, era = outcome
+        self.era = max(self.era, era)
         if raised is not None:
             raise raised
         return returned
@@ -226,11 +242,12 @@
                 returned = work()
         except StoreError as exc:
             raised = exc
+        era = self.platform.era
         eventlet.sleep((LATENCY_S + extra_s) / 2)
         if fate is not None:
             returned, raised = None, self._no_answer(kind)
         if not answer.ready():
-            answer.send((returned, raised))
+            answer.send((returned, raised, 0 if fate is not None else era))
 
     def _fate(self):
         """Return the fate of the next write, or None without a fault."""
--- a/tests/slow/test_range_schedules.py
+++ b/tests/slow/test_range_schedules.py
@@ -2,10 +2,12 @@
 
 import random
 import unittest
+from dataclasses import replace
 
+from persimmonspoke.internal.ranges.planner import whole_move
 from persimmonspoke.internal.routing.config import TargetState
 from tests.fakes.process import GateKind
-from tests.fakes.range_fleet import RangeFleet, record
+from tests.fakes.range_fleet import SERVICE, RangeFleet, record
 from tests.fakes.store import WriteFate
 
 SEEDS = range(24)
@@ -21,23 +23,25 @@
         self.fleet = RangeFleet(hosts=4, targets=5)
         self.undo = []
 
+    def faults(self):
+        """Return the kinds of faults, as methods that cause one."""
+        return (
+            self.kill,
+            self.pause,
+            self.pause_at_an_order,
+            self.silence_target,
+            self.delay_orders,
+            self.let_target_leave,
+            self.restart_target,
+            self.isolate_host,
+            self.silence_store,
+            self.lose_store_answers,
+        )
+
     def play(self):
         self.fleet.run_for(3)
         for _ in range(STEPS):
-            self.random.choice(
-                (
-                    self.kill,
-                    self.pause,
-                    self.pause_at_an_order,
-                    self.silence_target,
-                    self.delay_orders,
-                    self.let_target_leave,
-                    self.restart_target,
-                    self.isolate_host,
-                    self.silence_store,
-                    self.lose_store_answers,
-                )
-            )()
+            self.random.choice(self.faults())()
             self.fleet.run_for(self.random.uniform(0.1, 3.0))
             if self.undo and self.random.random() < 0.6:
                 self.undo.pop(self.random.randrange(len(self.undo)))()
@@ -113,11 +117,41 @@
         self.fleet.platform.faults.lost.extend(fates)
 
 
+class RestoringSchedule(Schedule):
+    """Also restores the store from older copies, and moves keys before."""
+
+    def faults(self):
+        return (*super().faults(), *3 * (self.restore_store,), *3 * (self.move_keys,))
+
+    def move_keys(self):
+        leader = self.fleet.leader()
+        ranges = leader and leader.keeper.ledger.map(SERVICE)
+        for _ in range(4 if ranges else 0):
+            entry = ranges.find(self.random.randrange(65536))
+            to = self.random.choice(sorted(self.fleet.targets))
+            if not leader.keeper.ledger.in_transfer(SERVICE, entry):
+                piece = replace(entry, last=(entry.first + entry.last) // 2)
+                leader.keeper.start_move(SERVICE, whole_move(piece, to))
+
+    def restore_store(self):
+        self.fleet.platform.faults.down = True
+        self.fleet.run_for(self.random.uniform(0.0, 2.5))
+        self.fleet.platform.faults.down = False
+        self.fleet.platform.restore(self.random.uniform(1.0, 12.0))
+
+
 class TestRandomSchedules(unittest.TestCase):
     def test_no_key_has_two_holders_and_all_are_held_after_the_faults(self):
-        for seed in SEEDS:
+        self.play(Schedule, SEEDS)
+
+    # Guards against OWNER: owners, fences and leaders that an older copy brings back.
+    def test_the_same_holds_while_the_store_is_restored_from_older_copies(self):
+        self.play(RestoringSchedule, SEEDS)
+
+    def play(self, kind, seeds):
+        for seed in seeds:
             with self.subTest(seed=seed):
-                schedule = Schedule(seed)
+                schedule = kind(seed)
                 try:
                     schedule.play()
                     self.assertEqual(schedule.fleet.double_holds, [])
