Order the copies of stored objects by the store's era

After the store had come back from an older copy, a change that had been confirmed stayed unknown to hosts until the revisions had caught up: copies were ordered by revision alone, and revisions are given out again. A watch from a revision that was given out twice missed what came before it.

Class of fault: a counter of another process taken for monotonic.

An object's order is now (era, version), on relays and on the hosts that ask them as well. A watch whose answer names another era lists again, and one that waits ends when any call of its host shows a new era.

--- a/src/persimmonspoke/internal/fleet/hosts.py
+++ b/src/persimmonspoke/internal/fleet/hosts.py
@@ -6,7 +6,7 @@
 import eventlet
 
 from persimmonspoke.errors import StoreConflict, StoreError
-from persimmonspoke.ids import DataCentreId, HostId, Instant, Version
+from persimmonspoke.ids import DataCentreId, Era, HostId, Instant, Version
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.fleet.messages import HostEntry
 from persimmonspoke.internal.fleet.settings import FleetSettings
@@ -48,7 +48,7 @@
         self._clock = clock
         self._store = store
         self._cache = cache
-        self._decoded: dict[str, tuple[Version, HostEntry | None]] = {}
+        self._decoded: dict[str, tuple[tuple[Era, Version], HostEntry | None]] = {}
         self._recorded: tuple[HostEntry, ...] = ()
         self._recorded_count = 0
         self._candidates_of: tuple[HostEntry, ...] | None = None
@@ -243,8 +243,8 @@
     def _decode(self, stored):
         """Return the host of a record; decode each version of it only once."""
         known = self._decoded.get(stored.key)
-        if known is None or known[0] != stored.version:
-            known = self._decoded[stored.key] = (stored.version, _decode(stored))
+        if known is None or known[0] != stored.order:
+            known = self._decoded[stored.key] = (stored.order, _decode(stored))
         return known[1]
 
     def _entry_of(self, host_id) -> HostEntry | None:
--- a/src/persimmonspoke/internal/news/board.py
+++ b/src/persimmonspoke/internal/news/board.py
@@ -1,10 +1,11 @@
 """A cache of the store's objects that records the order of their changes."""
 
 from collections import OrderedDict
+from dataclasses import replace
 
 import eventlet.event
 
-from persimmonspoke.ids import Instant
+from persimmonspoke.ids import Era, Instant
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.store.api import Listing, StoredObject
 
@@ -16,6 +17,13 @@
     ----------
     clock : Clock
         The clock for the deadlines of `wait`.
+
+    Attributes
+    ----------
+    era : Era or None
+        Newest era of the store that the cache has seen; None before the first.
+    restored_at : Instant or None
+        When the cache last saw a new era after another one.
     """
 
     def __init__(self, clock: Clock):
@@ -28,6 +36,8 @@
         self._changed_at: dict[str, Instant] = {}
         self._learned_at: dict[str, Instant] = {}
         self._count = 0
+        self.era: Era | None = None
+        self.restored_at: Instant | None = None
         self._changed = eventlet.event.Event()
 
     def get(self, key: str) -> StoredObject | None:
@@ -51,6 +61,13 @@
         """
         return self._kind_counts.get(prefix, 0)
 
+    def observe_era(self, era: Era) -> None:
+        """Record an era of the store, unless a newer one is known."""
+        if self.era is not None and era > self.era:
+            self.restored_at = self._clock.now()
+        if self.era is None or era > self.era:
+            self.era = era
+
     def observe(self, stored: StoredObject, changed_at: Instant | None = None) -> None:
         """Add an object unless the same or a newer version of it is known.
 
@@ -80,6 +97,7 @@
         changed_at : Instant or None
             Earliest instant at which the store may have accepted the changes.
         """
+        self.observe_era(listing.era)
         for stored in listing.items:
             self.observe(stored, changed_at)
         listed = {stored.key for stored in listing.items}
@@ -142,7 +160,7 @@
     def _record_deletion(self, known, changed_at=None):
         """Record that an object no longer exists."""
         if known.value:
-            self._record(StoredObject(known.key, {}, known.version), changed_at)
+            self._record(replace(known, value={}), changed_at)
 
     def _record(self, stored, changed_at):
         now = self._clock.now()
@@ -166,9 +184,10 @@
 def _newer(stored, known):
     """Return whether `stored` replaces `known`.
 
-    A deletion carries the version of the object that it deleted, so of two equal
-    versions the deletion is the newer one.
+    Versions are given out again in a new era of the store.  A deletion carries the
+    version of the object that it deleted, so of two equal versions the deletion is the
+    newer one.
     """
-    if stored.version != known.version:
-        return stored.version > known.version
+    if stored.order != known.order:
+        return stored.order > known.order
     return bool(known.value) and not stored.value
--- a/src/persimmonspoke/internal/news/messages.py
+++ b/src/persimmonspoke/internal/news/messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from persimmonspoke.ids import HostId, Version
+from persimmonspoke.ids import Era, HostId, Version
 from persimmonspoke.internal.peers.codec import message
 
 
@@ -21,6 +21,7 @@
     value: dict[str, Any]
     version: Version
     age_s: float = 0.0
+    era: Era = Era(0)
 
 
 @message
@@ -55,6 +56,8 @@
         Time from the arrival of the request to this reply.
     complete : bool
         Whether `items` are all objects that exist, rather than the changed ones.
+    era : Era
+        Newest era of the store that the relay has seen.
     """
 
     items: tuple[NewsItem, ...]
@@ -62,3 +65,4 @@
     store_age_s: float
     waited_s: float = 0.0
     complete: bool = False
+    era: Era = Era(0)
--- a/src/persimmonspoke/internal/news/relay.py
+++ b/src/persimmonspoke/internal/news/relay.py
@@ -11,7 +11,7 @@
 from typing import Protocol
 
 from persimmonspoke.errors import PeerError
-from persimmonspoke.ids import HostId, Instant
+from persimmonspoke.ids import Era, HostId, Instant
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.news.board import StoreCache
 from persimmonspoke.internal.news.messages import NewsItem, NewsReply, NewsRequest
@@ -55,13 +55,19 @@
                 stored.value,
                 stored.version,
                 round(now - cache.changed_at(stored.key), 3),
+                stored.era,
             )
             for stored in objects
         )
         confirmed = source.confirmed_at
         age_s = UNKNOWN_AGE_S if confirmed is None else now - confirmed
         return NewsReply(
-            items, cache.change_count(), age_s, round(now - asked_at, 3), complete
+            items,
+            cache.change_count(),
+            age_s,
+            round(now - asked_at, 3),
+            complete,
+            Era(0) if cache.era is None else cache.era,
         )
 
     link.serve(NewsRequest, answer)
@@ -175,9 +181,10 @@
     def _apply(self, relay, reply, asked_at):
         """Apply a relay's answer; return whether the cache is as new as the relay's."""
         sent_at = Instant(asked_at + reply.waited_s)  # at the earliest
+        self._cache.observe_era(reply.era)
         for item in reply.items:
             self._cache.observe(
-                StoredObject(item.key, item.value, item.version),
+                StoredObject(item.key, item.value, item.version, item.era),
                 Instant(sent_at - item.age_s),
             )
         if reply.store_age_s < 0:
--- a/src/persimmonspoke/internal/news/updates.py
+++ b/src/persimmonspoke/internal/news/updates.py
@@ -128,6 +128,7 @@
         self._hosts = hosts
         self._known_hosts: tuple[WeightedHost, ...] | None = None
         self._relays: tuple[WeightedHost, ...] = ()
+        self._cache = cache
         self._path = StorePath(store, clock, check_key, cfg.check_s)
         self.source = Source.RELAYS
         watchers = {
@@ -201,7 +202,7 @@
         """Return when the store was last unreachable from this host, if ever.
 
         It counts as unreachable while neither relays nor calls of this host show that
-        the cache is up to date.
+        the cache is up to date, and at the moment at which it was restored.
         """
         stale = self._is_stale()
         if stale and (self._path.failed or self._watch_failed()):
@@ -210,7 +211,8 @@
             self._in_outage = False
         if self._in_outage:
             self._last_outage_at = self._clock.now()
-        return self._last_outage_at
+        instants = [at for at in (self._last_outage_at, self._cache.restored_at) if at]
+        return max(instants, default=None)
 
     def _read_at_start(self):
         """Read all objects once, so that a starting host waits for no other one.
@@ -277,10 +279,15 @@
         """Check the path to the store while this host reads it."""
         while True:
             pause_s = self._cfg.check_s
-            if self.source is not Source.RELAYS and not self._path.check():
+            if self.source is not Source.RELAYS:
+                answered = self._path.check()
                 for watcher in self.watchers:
-                    watcher.interrupt()
-                if self.source is Source.FALLBACK:
+                    if answered:
+                        watcher.check_era()
+                    else:
+                        # Its connection may be dead.
+                        watcher.interrupt(StoreUnavailable("the path was lost"))
+                if not answered and self.source is Source.FALLBACK:
                     pause_s = MAX_CHECK_S
             self._clock.sleep_until(Instant(self._clock.now() + pause_s))
 
--- a/src/persimmonspoke/internal/news/watcher.py
+++ b/src/persimmonspoke/internal/news/watcher.py
@@ -5,8 +5,8 @@
 
 import eventlet
 
-from persimmonspoke.errors import StoreCompacted, StoreUnavailable
-from persimmonspoke.ids import Instant
+from persimmonspoke.errors import StoreCompacted, StoreError, StoreUnavailable
+from persimmonspoke.ids import Era, Instant
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.news.board import StoreCache
 from persimmonspoke.internal.store.api import Store
@@ -15,6 +15,7 @@
 RETRY_S = 0.2
 MAX_RETRY_S = 1.0  # the store counts rejected calls, too
 MIN_TRANSIT_S = 0.03
+RESTORED = "the store was restored from an older copy"
 
 log = logging.getLogger(__name__)
 
@@ -71,6 +72,7 @@
         self._call_confirmed_at: Instant | None = None
         self._watch_sent_at: Instant | None = None
         self._waiting_task = None
+        self._era: Era | None = None
         self.silent_since: Instant | None = None
 
     @property
@@ -97,11 +99,18 @@
                 retry_s = min(2 * retry_s, MAX_RETRY_S) if failed else RETRY_S
             self._clock.sleep_until(Instant(self._clock.now() + retry_s))
 
-    def interrupt(self) -> None:
-        """End a waiting watch, whose connection may be dead; a new one follows."""
+    def interrupt(self, reason: StoreError) -> None:
+        """End a waiting watch with `reason`; a new one follows."""
         if self._waiting_task is not None:
-            lost = StoreUnavailable("the watch was interrupted: the path was lost")
-            eventlet.kill(self._waiting_task, lost)
+            eventlet.kill(self._waiting_task, reason)
+
+    def check_era(self) -> None:
+        """End a watch of an earlier era, which may wait for a revision given out twice.
+
+        Other calls of this host have shown that the store has been restored.
+        """
+        if self._era is not None and self._store.era > self._era:
+            self.interrupt(StoreCompacted(RESTORED))
 
     def read_all(self) -> int:
         """List all objects; return the revision from which to watch."""
@@ -111,6 +120,7 @@
         listing = self._store.list(self._prefix, deadline)
         self._cache.observe_listing(listing, before, self.confirmed_at)
         self._call_confirmed_at = asked_at
+        self._era = listing.era
         if self.silent_since is not None:
             log.info(
                 "news: the store answers again",
@@ -131,8 +141,11 @@
             revision = self.read_all()
             while enabled():
                 revision = self._watch(revision)
-        except StoreCompacted:
-            log.info("news: the store dropped our revision; listing again")
+        except StoreCompacted as exc:
+            log.info(
+                "news: the store dropped our revision; listing again",
+                extra={"prefix": self._prefix, "cause": str(exc), "era": self._era},
+            )
         except StoreUnavailable as exc:
             if self.silent_since is None:
                 self.silent_since = self._clock.now()
@@ -150,6 +163,8 @@
             listing = self._store.watch(self._prefix, revision, deadline)
         finally:
             self._watch_sent_at = self._waiting_task = None
+        if listing.era != self._era:
+            raise StoreCompacted(RESTORED)
         answered_at = self._answered_at(asked_at)
         # A watch that waited returned at once when the change came.
         waited = answered_at > asked_at
--- a/src/persimmonspoke/internal/routing/state.py
+++ b/src/persimmonspoke/internal/routing/state.py
@@ -4,7 +4,15 @@
 from collections.abc import Callable
 
 from persimmonspoke.errors import MalformedDocument, RouteUnreadable
-from persimmonspoke.ids import Generation, Instant, ServiceId, TargetId, TeamId
+from persimmonspoke.ids import (
+    Era,
+    Generation,
+    Instant,
+    ServiceId,
+    TargetId,
+    TeamId,
+    Version,
+)
 from persimmonspoke.internal.callers.services import ServiceEntry
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.news.board import StoreCache
@@ -78,9 +86,9 @@
         self._decode_target = decode_target
         self._last_outage_at = last_outage_at
         self._split = WeightedRoundRobin()
-        self._unreadable: dict[str, int] = {}
-        self._config_version: int | None = None
-        self._decoded: dict[str, tuple[int, TargetRecord | None]] = {}
+        self._unreadable: dict[str, tuple[Era, Version]] = {}
+        self._config_order: tuple[Era, Version] | None = None
+        self._decoded: dict[str, tuple[tuple[Era, Version], TargetRecord | None]] = {}
         self._missing_since: dict[TargetId, Instant] = {}
         self._entries: dict[ServiceId, ServiceEntry] = {}
         self._leaving: dict[TargetId, Instant] = {}
@@ -139,9 +147,9 @@
 
     def _refresh_config(self):
         stored = self._cache.get(self._config_key)
-        if stored is None or stored.version == self._config_version:
+        if stored is None or stored.order == self._config_order:
             return False
-        self._config_version = stored.version
+        self._config_order = stored.order
         try:
             cfg = self._decode_config(stored.value)
         except MalformedDocument as exc:
@@ -193,7 +201,7 @@
     def _decode_record(self, stored):
         """Return the target record of an object; decode each version only once."""
         known = self._decoded.get(stored.key)
-        if known is not None and known[0] == stored.version:
+        if known is not None and known[0] == stored.order:
             return known[1]
         name = stored.key.removeprefix(self._targets_prefix)
         try:
@@ -201,7 +209,7 @@
         except MalformedDocument as exc:
             self._log_unreadable(stored, exc)
             record = None
-        self._decoded[stored.key] = (stored.version, record)
+        self._decoded[stored.key] = (stored.order, record)
         return record
 
     def _may_reregister(self, target_id, now):
@@ -218,8 +226,8 @@
         )
 
     def _log_unreadable(self, stored, exc):
-        if self._unreadable.get(stored.key) != stored.version:
-            self._unreadable[stored.key] = stored.version
+        if self._unreadable.get(stored.key) != stored.order:
+            self._unreadable[stored.key] = stored.order
             self.unreadable_count += 1
             log.warning(
                 "routing: object can't be read",
--- a/tests/cover/test_restored_store.py
+++ b/tests/cover/test_restored_store.py
@@ -3,13 +3,21 @@
 import random
 import unittest
 from dataclasses import replace
+from unittest import mock
 
 import eventlet
 
+from persimmonspoke.errors import StoreCompacted
 from persimmonspoke.internal.news.board import StoreCache
+from persimmonspoke.internal.news.messages import NewsRequest
+from persimmonspoke.internal.news.relay import RelayReader, serve_news
 from persimmonspoke.internal.news.watcher import StoreWatcher
 from persimmonspoke.internal.ranges.planner import whole_move
+from persimmonspoke.internal.routing.config import TargetState
+from persimmonspoke.internal.routing.state import RoutingState
+from persimmonspoke.internal.store.api import Listing, StoredObject
 from persimmonspoke.internal.timers import Timers
+from persimmonspoke.platform import documents
 from tests.fakes.process import FakeClock, FakeProcess
 from tests.fakes.range_fleet import SERVICE, RangeFleet
 from tests.fakes.store import FakePlatformStore, FakeStore
@@ -134,10 +142,12 @@
         self.platform = FakePlatformStore()
         process = FakeProcess("h0.1", "10.0.0.0")
         self.store = FakeStore(self.platform, process)
-        clock = FakeClock(process)
-        self.cache = StoreCache(clock)
-        watcher = StoreWatcher(self.store, self.cache, clock, Timers(), "config/")
-        self.task = eventlet.spawn(watcher.run)
+        self.clock = FakeClock(process)
+        self.cache = StoreCache(self.clock)
+        self.watcher = StoreWatcher(
+            self.store, self.cache, self.clock, Timers(), "config/"
+        )
+        self.task = eventlet.spawn(self.watcher.run)
         self.addCleanup(self.task.kill)
 
     def write(self, name, value, version=0):
@@ -179,6 +189,117 @@
         self.assertEqual([self.known(f"new-{n}") for n in range(5)], [0, 1, 2, 3, 4])
         self.assertIsNone(self.known("other"))
 
+    # Guards against CONFIG: a watch waits for the next change after that revision.
+    def test_a_watch_of_an_earlier_era_ends_when_any_call_shows_the_new_one(self):
+        self.write("main", 1)
+        eventlet.sleep(2)
+        self.write("old", 0)
+        revision = self.watcher.read_all()
+        self.task.kill()
+        self.platform.restore(1.0)
+        self.write("new", 1)
+        self.assertEqual(self.platform.revision, revision)
+        watch = eventlet.spawn(self.watcher._watch, revision)
+        eventlet.sleep(1)
+        self.assertFalse(watch.dead)
+        self.store.get("config/main", self.clock.now() + 1)
+        self.watcher.check_era()
+        with self.assertRaises(StoreCompacted), eventlet.Timeout(1):
+            watch.wait()
+
+    # Guards against CONFIG on hosts that learn of changes from relays.
+    def test_a_relay_passes_on_the_era_with_its_objects(self):
+        relay, reader = StoreCache(self.clock), StoreCache(self.clock)
+        link = mock.Mock()
+        serve_news(link, relay, mock.Mock(confirmed_at=0.0), self.clock)
+        answer = link.serve.call_args.args[1]
+        relay_reader = RelayReader(
+            "h0.1", link, reader, self.clock, tuple, lambda: True
+        )
+        for era, version in ((1, 9), (2, 5)):
+            stored = StoredObject("config/main", {"v": era}, version, era)
+            relay.observe_listing(Listing((stored,), version, era), {})
+            reply = answer(NewsRequest("h0.1", 0, 0.0))
+            relay_reader._apply(mock.Mock(host_id="h1.1"), reply, self.clock.now())
+            self.assertEqual(reader.get("config/main"), stored)
+        self.assertIsNotNone(reader.restored_at)
+
+
+class TestTargetsInAnOlderCopy(unittest.TestCase):
+    """What an older copy says of targets that have left or joined since."""
+
+    def setUp(self):
+        process = FakeProcess("h0.1", "10.0.0.0")
+        self.cache = StoreCache(FakeClock(process))
+        self.state = RoutingState(
+            self.cache,
+            FakeClock(process),
+            documents.CONFIG_KEY,
+            documents.TARGETS_PREFIX,
+            documents.decode_config,
+            documents.decode_target,
+            lambda: self.cache.restored_at,
+        )
+
+    def list_targets(self, era, *entries):
+        """Let the host list the store: each entry is a name, a version and fields."""
+        items = []
+        for name, version, fields in entries:
+            value = {
+                "service": "stock",
+                "address": "10.1.0.1:80",
+                "zone": "a",
+                "slots": 2,
+                "state": "ready",
+                "born": 1,
+                **fields,
+            }
+            items.append(StoredObject(f"servers/{name}", value, version, era))
+        before = self.cache.snapshot("servers/")
+        self.cache.observe_listing(Listing(tuple(items), 1, era), before)
+        self.state.refresh()
+
+    def states(self):
+        return {name: record.state for name, record in self.state.targets.items()}
+
+    # Guards against DRAIN: a target that has left gets requests again.
+    def test_a_target_that_was_leaving_stays_so(self):
+        self.list_targets(1, ("a", 5, {"state": "draining"}))
+        self.list_targets(2, ("a", 3, {}))
+        self.assertEqual(self.states(), {"a": TargetState.LEAVING})
+
+    def test_a_target_that_has_left_is_not_used_when_it_comes_back(self):
+        self.list_targets(1, ("a", 5, {"state": "draining"}))
+        eventlet.sleep(3)
+        self.list_targets(1)
+        self.list_targets(2, ("a", 3, {}))
+        self.assertEqual(self.states(), {"a": TargetState.LEAVING})
+
+    def test_its_next_incarnation_is_used(self):
+        self.list_targets(1, ("a", 5, {"state": "draining"}))
+        self.list_targets(2, ("a", 3, {"born": 2}))
+        self.assertEqual(self.states(), {"a": TargetState.READY})
+
+    def test_a_target_that_the_copy_lacks_is_kept_until_it_has_registered_again(self):
+        self.list_targets(1, ("a", 5, {}))
+        self.list_targets(2)
+        self.assertEqual(self.states(), {"a": TargetState.READY})
+        eventlet.sleep(2.5)
+        self.state.refresh()
+        self.assertEqual(self.states(), {})
+
+    def test_a_configuration_under_a_version_given_out_twice_is_read(self):
+        for era, generation in ((1, 7), (2, 8)):
+            value = {
+                "version": generation,
+                "routes": {"columns": [], "rows": []},
+                "services": {"columns": [], "rows": []},
+            }
+            stored = StoredObject(documents.CONFIG_KEY, value, 40, era)
+            self.cache.observe(stored)
+            self.state.refresh()
+            self.assertEqual(self.state.generation(), generation)
+
 
 if __name__ == "__main__":
     unittest.main()
