Keep a target that was leaving out of use when an older copy says it is ready

After the store had come back from an older copy, the entry of a target that had reported that it leaves said "ready" again, until the target wrote once more; a target that had left came back until its entry lapsed.

An incarnation (id and start time) that was known to be leaving now stays so on this host. Its next incarnation is used. Ruled out: taking any entry that comes back for a leftover, since a target that had lapsed registers again with the same entry; so a target that ended without reporting may be tried until its entry lapses.

--- a/src/persimmonspoke/internal/routing/state.py
+++ b/src/persimmonspoke/internal/routing/state.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable
+from dataclasses import replace
 
 from persimmonspoke.errors import MalformedDocument, RouteUnreadable
 from persimmonspoke.ids import (
@@ -43,6 +44,8 @@
 """Maximum time for which a missing entry is kept after an outage of the store.  The
 platform states that live targets register again within about 2 s."""
 
+LEFT_MEMORY_S = 600.0  # longer than a store's copy can be old
+
 log = logging.getLogger(__name__)
 
 
@@ -92,6 +95,7 @@
         self._missing_since: dict[TargetId, Instant] = {}
         self._entries: dict[ServiceId, ServiceEntry] = {}
         self._leaving: dict[TargetId, Instant] = {}
+        self._left: dict[TargetId, tuple[int, Instant]] = {}
         self.table: RouteTable | None = None
         self.targets: dict[TargetId, TargetRecord] = {}
         self.unreadable_count = 0
@@ -177,7 +181,7 @@
         for stored in self._cache.items(self._targets_prefix):
             record = self._decode_record(stored)
             if record is not None:
-                found[record.target_id] = record
+                found[record.target_id] = self._with_final_state(record, now)
         for target_id, record in self.targets.items():
             if target_id not in found and self._may_reregister(target_id, now):
                 found[target_id] = record
@@ -186,6 +190,7 @@
         if found == self.targets:
             return False
         self._log_changes(found)
+        self._forget_left(now)
         self.targets = found
         self._leaving = {
             target_id: self._leaving.get(target_id) or self._changed_at(target_id)
@@ -194,6 +199,28 @@
         }
         return True
 
+    def _with_final_state(self, record, now):
+        """Return the record as leaving if this incarnation was known to be leaving.
+
+        A target that leaves never takes work again, though a store that was restored
+        from an older copy may say so.
+        """
+        if record.state is TargetState.LEAVING:
+            self._left[record.target_id] = (record.born_ms, now)
+            return record
+        born_ms, _ = self._left.get(record.target_id, (None, now))
+        if born_ms != record.born_ms:
+            return record
+        return replace(record, state=TargetState.LEAVING)
+
+    def _forget_left(self, now):
+        """Forget targets that have not been known to be leaving for long."""
+        self._left = {
+            target_id: (born_ms, seen_at)
+            for target_id, (born_ms, seen_at) in self._left.items()
+            if now - seen_at <= LEFT_MEMORY_S
+        }
+
     def _changed_at(self, target_id):
         """Return when the store may have accepted a target's entry, at the earliest."""
         return self._cache.changed_at(self._targets_prefix + target_id)
