Let a leader store its ownership again after the store was restored

Callers were refused for two seconds after the store had come back from an older copy, and keys had two holders at a time: the leader's next write met an older object and failed, the leader stopped, and the next leader gave each key to the owner that the copy names, while the present owner still held it. Fences and epochs went back as well: later leaders gave fences that targets had seen.

Class of fault: what was acknowledged was taken for permanent.

The ownership now names the era in which its leader took over. A leader that learns of a later era gives no more orders, asks the other hosts for a later leader, and if there is none stores what it knows over the copy, under an epoch 1024 above for each era, so that no forgotten leader's fences are reached. It leads on, keys and holds stay.

Ruled out: an epoch from the time of day (clocks step), and waiting until all grants have lapsed (all keys closed for up to 20 s).

--- a/src/persimmonspoke/internal/fleet/inquiries.py
+++ b/src/persimmonspoke/internal/fleet/inquiries.py
@@ -1,6 +1,7 @@
 """Queries to other hosts about a leader that no longer answers this host."""
 
 import logging
+from dataclasses import dataclass
 
 import eventlet
 
@@ -18,6 +19,22 @@
 log = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
+class Survey:
+    """What other hosts know of later leaders.
+
+    Attributes
+    ----------
+    later : LeaderKnown or None
+        The answer that names the leader of the latest epoch; None if none is later.
+    conclusive : bool
+        Whether at least half of the hosts that were asked have answered.
+    """
+
+    later: LeaderKnown | None
+    conclusive: bool
+
+
 class LeaderInquiries:
     """Asks other hosts who leads, and when they last had contact with the leader."""
 
@@ -57,7 +74,7 @@
             if entry.address != leader
         ]
         # Some hosts are enough: a wrong answer costs a change of the leader, not more.
-        others = recorded[:: -(-len(recorded) // self._cfg.inquiries) or 1]
+        others = self._sample(recorded)
         calls = [
             eventlet.spawn(self._silence_seen_by, address, leader) for address in others
         ]
@@ -89,19 +106,40 @@
                 return known
         return None
 
+    def survey(self, epoch: int) -> "Survey":
+        """Ask some hosts, all at once, for a leader of a later epoch than `epoch`."""
+        asked = self._sample(self._hosts.recorded_hosts())
+        calls = [eventlet.spawn(self._ask_or_none, e.address) for e in asked]
+        answers = [found for call in calls if (found := call.wait()) is not None]
+        later = [a for a in answers if a.leader is not None and a.epoch > epoch]
+        return Survey(
+            max(later, key=lambda answer: answer.epoch, default=None),
+            2 * len(answers) >= len(asked),
+        )
+
     def candidate_rank(self, leader: PeerAddress | None) -> int:
         """Return how many hosts may replace `leader` before this one."""
         lost_id = leader.host_id if leader else None
         return self._hosts.rank_among(self._hosts.entries(), lost_id)
 
+    def _sample(self, hosts):
+        """Return at most `inquiries` of `hosts`."""
+        return hosts[:: -(-len(hosts) // self._cfg.inquiries) or 1]
+
+    def _ask_or_none(self, address) -> LeaderKnown | None:
+        try:
+            return self.ask(address)
+        except PeerError as exc:
+            log.debug("leader: host did not answer", extra={"reason": str(exc)})
+            return None
+
     def _silence_seen_by(self, address, leader) -> float | None:
         """Return the time since a host had contact with `leader`.
 
         This is `NEVER_HEARD_S` if the host follows another leader, and None if it
         does not answer.
         """
-        try:
-            known = self.ask(address)
-        except PeerError:
+        known = self._ask_or_none(address)
+        if known is None:
             return None
         return known.heard_s if known.leader == leader else NEVER_HEARD_S
--- a/src/persimmonspoke/internal/fleet/leadership.py
+++ b/src/persimmonspoke/internal/fleet/leadership.py
@@ -8,6 +8,7 @@
 
 import logging
 from collections.abc import Callable
+from dataclasses import replace
 
 import eventlet
 from eventlet.semaphore import Semaphore
@@ -51,6 +52,7 @@
 MAX_FIRST_READ_S = 1.0
 FIRST_INQUIRIES = 2  # hosts that a starting host asks at a time
 WATCH_PERIOD_S = 0.1  # between two checks of the leader by a host that follows it
+RENEW_PAUSE_S = 0.02  # between two attempts to lead on after the store was restored
 
 log = logging.getLogger(__name__)
 
@@ -135,7 +137,9 @@
         """Renew this host's lead, or monitor the leader, until this host resigns."""
         while not self._resigned:
             try:
-                if self.leading:
+                if self._is_forgotten():
+                    self._renew_after_restoration()
+                elif self.leading:
                     self._confirm()
                 else:
                     self._watch()
@@ -145,11 +149,30 @@
                     extra={"leading": self.leading, "reason": repr(exc)},
                 )
             pause = self._cfg.confirm_s if self.leading else WATCH_PERIOD_S
-            self._clock.sleep_until(Instant(self._clock.now() + pause))
+            self._pause_until(Instant(self._clock.now() + pause))
+
+    def _pause_until(self, wake_at):
+        """Sleep until `wake_at`, or until the store is known to have been restored."""
+        while self._clock.now() < wake_at and not self._is_forgotten():
+            step_at = Instant(self._clock.now() + WATCH_PERIOD_S)
+            self._clock.sleep_until(min(wake_at, step_at))
+        if self._is_forgotten():
+            self._clock.sleep_until(Instant(self._clock.now() + RENEW_PAUSE_S))
+
+    def _is_forgotten(self):
+        """Return whether this host leads and the store may have forgotten that.
+
+        The store has been restored from an older copy since this host took over.
+        """
+        return self.leading and self._store.era > self.ownership.era
 
     def may_order(self) -> bool:
         """Return whether this host may give orders now."""
-        return self.leading and self._clock.now() < self.lease_until
+        return (
+            self.leading
+            and self._clock.now() < self.lease_until
+            and not self._is_forgotten()
+        )
 
     def check(self) -> None:
         """Raise `AuthorityLapsed` unless this host may give orders now."""
@@ -292,6 +315,8 @@
                 self.check()
                 continue
             except StoreConflict as exc:
+                if self._is_forgotten():
+                    raise AuthorityLapsed("the store was restored") from exc
                 self._stop("the object has another writer")
                 raise AuthorityLapsed("another host took over") from exc
             self._version = stored.version
@@ -306,6 +331,81 @@
             if self.leading:
                 self._write(self.ownership.led_by(self._hosts.me(), self.epoch))
 
+    def _renew_after_restoration(self):
+        """Store the ownership that this leader knows over that of an older copy.
+
+        Without this, the next leader would give keys to owners of the past.  Another
+        host may have replaced this one, and the store may have forgotten that too.
+        """
+        with self._write_lock:
+            era = self._store.era
+            stored, version = self._read_ownership()
+            if stored.epoch > self.epoch:
+                self._stop("another host took over after the store was restored")
+                return
+            survey = self._inquiries.survey(self.epoch)
+            if survey.later is not None:
+                self._stop("the store was restored, and another host leads")
+                self.follow(survey.later.leader, survey.later.epoch)
+                return
+            epoch = self.ownership.epoch_in(era)
+            renewed = replace(self.ownership.led_by(self._hosts.me(), epoch), era=era)
+            self._store_takeover(renewed, version)
+            self.on_stop()
+            now = self._clock.now()
+            self.former_orders_end_at = now
+            self.former_grants_end_at = {
+                grant.target_id: Instant(now + grant.left_s)
+                for grant in self.remaining_grants()
+            }
+            log.warning(
+                "leader: leads on after the store was restored",
+                extra={
+                    "era": era,
+                    "epoch": epoch,
+                    "stored_epoch": stored.epoch,
+                    "stored_era": stored.era,
+                    "conclusive": survey.conclusive,
+                    "store_version": self._version,
+                },
+            )
+            self._begin_epoch(None)
+
+    def _read_ownership(self) -> tuple[Ownership, Version]:
+        """Return the stored ownership and its version; version 0 if there is none."""
+        deadline = Instant(self._clock.now() + self._cfg.store_call_s)
+        try:
+            stored = self._store.get(OWNERSHIP_KEY, deadline)
+        except StoreMissing:
+            return Ownership(None, 0), Version(0)
+        return decode(stored.value), stored.version
+
+    def _store_takeover(self, ownership, version):
+        """Write the ownership of a new epoch of this host, and apply it here."""
+        self._version = version
+        sent_at = self._clock.now()
+        deadline = Instant(sent_at + self._cfg.store_call_s)
+        stored = write(
+            self._store,
+            self._clock,
+            OWNERSHIP_KEY,
+            encode(ownership),
+            version,
+            deadline,
+        )
+        self._version = stored.version
+        self.ownership = ownership
+        self.leader, self.epoch = self._hosts.me(), ownership.epoch
+        self.lease_until = Instant(sent_at + self._cfg.lease_s)
+        self.store_answered_at = sent_at
+
+    def _begin_epoch(self, former):
+        """Start to lead in the epoch just stored, and announce it to all hosts."""
+        self.leading = True
+        self.on_takeover()
+        for entry in self._hosts.recorded_hosts():
+            eventlet.spawn_n(self._announce, entry.address, former)
+
     def _watch(self):
         """Check whether the leader is lost; take over if it is this host's turn."""
         now = self._clock.now()
@@ -396,6 +496,7 @@
             log.info("leader: no answer", extra={"reason": str(exc)})
             return False
         if answer.leader == self.leader:
+            self.follow(answer.leader, answer.epoch)
             self._last_contact_at = self._clock.now()
             return False
         if answer.leader is not None:
@@ -413,26 +514,11 @@
             return
         former = stored_ownership.leader
         restarted = former is not None and self._hosts.was_restarted(former.host_id)
-        ownership = stored_ownership.led_by(
-            self._hosts.me(), stored_ownership.epoch + 1
-        )
-        self._version = version
-        sent_at = self._clock.now()
-        deadline = Instant(sent_at + self._cfg.store_call_s)
-        stored = write(
-            self._store,
-            self._clock,
-            OWNERSHIP_KEY,
-            encode(ownership),
-            version,
-            deadline,
-        )
+        era = self._store.era
+        epoch = stored_ownership.epoch_in(era) + 1
+        ownership = replace(stored_ownership.led_by(self._hosts.me(), epoch), era=era)
+        self._store_takeover(ownership, version)
         now = self._clock.now()
-        self._version = stored.version
-        self.ownership = ownership
-        self.leader, self.epoch = self._hosts.me(), ownership.epoch
-        self.lease_until = Instant(sent_at + self._cfg.lease_s)
-        self.store_answered_at = sent_at
         wait_s = self.max_grant_s
         if former is not None and not restarted:
             wait_s += self._cfg.lease_s
@@ -440,19 +526,16 @@
             Instant(now + wait_s) if stored_ownership.epoch else now
         )
         self.former_grants_end_at = {}
-        self.leading = True
         log.info(
             "leader: took over",
             extra={
                 "epoch": self.epoch,
                 "former": former.host_id if former else None,
                 "former_orders_end_in_s": round(self.former_orders_end_at - now, 2),
-                "store_version": stored.version,
+                "store_version": self._version,
             },
         )
-        self.on_takeover()
-        for entry in self._hosts.recorded_hosts():
-            eventlet.spawn_n(self._announce, entry.address, former)
+        self._begin_epoch(former)
 
     def _announce(self, address, former):
         """Announce this leader to one host; to the former leader until it answers."""
--- a/src/persimmonspoke/internal/fleet/reporter.py
+++ b/src/persimmonspoke/internal/fleet/reporter.py
@@ -197,6 +197,7 @@
                 extra={"leader": leader.host_id, "reason": str(exc)},
             )
         else:
+            self._leadership.follow(leader, reply.epoch)
             self._leadership.on_leader_contact(reply.epoch)
             self._apply_reply(reply)
             if reply.store_age_s > self._cfg.yield_s:
--- a/src/persimmonspoke/internal/ranges/record.py
+++ b/src/persimmonspoke/internal/ranges/record.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field, replace
 
 from persimmonspoke.errors import MalformedDocument
-from persimmonspoke.ids import HostId, ServiceId, WriteId
+from persimmonspoke.ids import Era, HostId, ServiceId, WriteId
 from persimmonspoke.internal.peers.api import PeerAddress
 from persimmonspoke.internal.ranges.ranges import KeyRange, RangeMap
 from persimmonspoke.internal.store.api import Value
@@ -19,10 +19,16 @@
 """Number of tokens that one leader may issue; all exceed its predecessors' tokens."""
 
 
+EPOCHS_PER_ERA = 1 << 10  # far more takeovers than the store can forget at once
+
+
 @dataclass(frozen=True, slots=True)
 class Ownership:
     """Content of the object.
 
+    A store that was restored from an older copy may have an object that names owners
+    and a leader of the past.  Its `era` is then below that of the store.
+
     Attributes
     ----------
     leader : PeerAddress or None
@@ -33,6 +39,8 @@
         Ranges of each divided service whose keys have been assigned.
     serial : int
         Serial of the leader's range table when the object was written.
+    era : Era
+        Era of the store in which the leader took over.
     """
 
     leader: PeerAddress | None
@@ -40,6 +48,14 @@
     services: dict[ServiceId, RangeMap] = field(default_factory=dict)
     write_id: WriteId = WriteId("")
     serial: int = 0
+    era: Era = Era(0)
+
+    def epoch_in(self, era: Era) -> int:
+        """Return an epoch in `era` above all that leaders can have had before it.
+
+        The store may have forgotten some leaders since this ownership was written.
+        """
+        return self.epoch + EPOCHS_PER_ERA * (era - self.era)
 
     def led_by(self, leader: PeerAddress | None, epoch: int) -> "Ownership":
         """Return the same ownership under `leader` and `epoch`.
@@ -71,6 +87,7 @@
         "leader": [leader.host_id, leader.ip, leader.port] if leader else None,
         "epoch": ownership.epoch,
         "serial": ownership.serial,
+        "era": ownership.era,
         "services": {
             service: [
                 [r.first, r.last, r.owner, r.born_ms, r.fence, r.handover]
@@ -104,6 +121,7 @@
             },
             write_id=WriteId(value[WRITE_ID]),
             serial=_number(value["serial"]),
+            era=Era(_number(value.get("era", 0))),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as exc:
         raise MalformedDocument(f"the ownership can't be read: {exc!r}") from exc
