Let a leader try the store again before it steps aside

A leader now steps aside when the store has answered others, and not it, for 0.6 s, which is longer than a call and its retry. It goes on granting meanwhile.

test_the_leader_stays_when_the_store_answers_the_others_a_little_earlier fails before.

--- a/src/persimmonspoke/internal/fleet/reporter.py
+++ b/src/persimmonspoke/internal/fleet/reporter.py
@@ -125,6 +125,7 @@
         self._list_due_at = Instant(float("-inf"))
         self._present_list: tuple[int, list] = (0, [])
         self._listed: tuple[HostEntry, ...] = ()
+        self._isolated_since: Instant | None = None
         self.keeper: Keeper | None = None
         self.load_recorder = LoadRecorder(limits)
         link.serve(HostReport, self._on_report)
@@ -197,7 +198,6 @@
                 extra={"leader": leader.host_id, "reason": str(exc)},
             )
         else:
-            self._leadership.follow(leader, reply.epoch)
             self._leadership.on_leader_contact(reply.epoch)
             self._apply_reply(reply)
             if reply.store_age_s > self._cfg.yield_s:
@@ -280,13 +280,24 @@
 
     def _step_aside_if_isolated(self):
         """Stop leading if another host reaches the store and this one does not."""
+        now = self._clock.now()
+        if not self._is_isolated():
+            self._isolated_since = None
+        elif self._isolated_since is None:
+            # After an outage the store may answer other hosts a little earlier.
+            self._isolated_since = now
+        elif now - self._isolated_since >= self._cfg.isolated_s:
+            self._leadership.step_aside("the store answers others, not this host")
+
+    def _is_isolated(self):
+        """Return whether the store answers another host and has left this one alone."""
         if self._store_age_s() < self._cfg.yield_s:
-            return
+            return False
         me = self._hosts.me()
-        for state in self._host_states.values():
-            if state.entry.address != me and state.store_age_s < self._cfg.fresh_s:
-                self._leadership.step_aside("the store answers others, not this host")
-                return
+        return any(
+            state.entry.address != me and state.store_age_s < self._cfg.fresh_s
+            for state in self._host_states.values()
+        )
 
     def _on_change(self, change: TableChange) -> None:
         """Apply a change; if one before it is missing, the next reply has the table."""
--- a/src/persimmonspoke/internal/fleet/settings.py
+++ b/src/persimmonspoke/internal/fleet/settings.py
@@ -46,6 +46,8 @@
     yield_s, fresh_s : float
         A leader that has not reached the store for `yield_s` stops leading if the
         store answered another host less than `fresh_s` before that host's report.
+    isolated_s : float
+        How long that must have been so; longer than a call of the store and its retry.
     forget_s : float
         How long the record of a silent host is kept.
     """
@@ -67,4 +69,5 @@
     store_call_s: Seconds = 1.0
     yield_s: Seconds = 2.0
     fresh_s: Seconds = 1.5
+    isolated_s: Seconds = 0.6
     forget_s: Seconds = 30.0
--- a/tests/cover/test_restored_store.py
+++ b/tests/cover/test_restored_store.py
@@ -135,6 +135,22 @@
         self.assertEqual(self.fleet.unheld_keys(), [])
 
 
+class TestLeadersInDoubt(RestoredCase):
+    # Guards against a change of the leader because the store answered others first.
+    def test_the_leader_stays_when_the_store_answers_the_others_a_little_earlier(self):
+        leader = self.fleet.leader()
+        self.fleet.platform.faults.down = True
+        self.fleet.run_for(3)
+        self.fleet.platform.faults.down = False
+        leader.store.faults.down = True
+        for host in self.fleet.hosts:
+            eventlet.spawn(host.leadership._check_store)
+        self.fleet.run_for(0.5)
+        leader.store.faults.down = False
+        self.fleet.run_for(2)
+        self.assertIs(self.fleet.leader(), leader)
+
+
 class TestCopies(unittest.TestCase):
     """The copy that a host keeps of the store, while its versions go back."""
 
