Register hosts again after the store was restored, and trust no older record

An older copy of the store lacks the records of hosts that have started since; nobody would ask or tell them. And it has the record of an earlier run of a host in place of the present one, which a new leader took for the proof that the present run had ended, so that two leaders could have given orders at once.

Each host writes its record again when it learns of a new era. A record names the era in which it was written and proves the end of another run only in the same era.

Both tests of TestRecordsOfHosts fail before.

--- a/src/persimmonspoke/daemon/routed.py
+++ b/src/persimmonspoke/daemon/routed.py
@@ -185,7 +185,7 @@
         serve_news(self.link, self.cache, self.updates, self.clock)
         for task in (
             *self.updates.tasks(),
-            self.hosts.register,
+            self.hosts.keep_registered,
             self._apply_updates,
             self.leadership.run,
             self.reporter.run,
--- a/src/persimmonspoke/internal/fleet/hosts.py
+++ b/src/persimmonspoke/internal/fleet/hosts.py
@@ -67,6 +67,7 @@
         self._last_contact_at: dict[HostId, Instant] = {}
         self.leaving = False
         self.registered = False
+        self._registered_era = Era(0)
 
     def me(self) -> PeerAddress:
         """Return this host's address."""
@@ -159,24 +160,36 @@
             self._recorded, self._recorded_count = tuple(entries), count
         return self._recorded
 
+    def known_hosts(self) -> tuple[HostEntry, ...]:
+        """Return the hosts with a record, and those on the leader's last list.
+
+        A store that was restored from an older copy lacks the newest records.
+        """
+        known = {e.address: e for e in (*self.recorded_hosts(), *self._live)}
+        known.pop(self.me(), None)
+        return tuple(known.values())
+
     def was_restarted(self, host_id: HostId) -> bool:
-        """Return whether the store has a record of another run on the same machine.
+        """Return whether the store has a record of a later run on the same machine.
 
-        The record is read from the store: in this host's copy it may still be that of
-        an earlier run, which would prove nothing.
+        The record is read from the store, and counts only if it was written in the
+        present era: otherwise it may be that of an earlier run, which proves nothing.
         """
         name = host_id.rpartition(".")[0]
         if name == self.my_entry.name:
             return host_id != self.me().host_id
         deadline = Instant(self._clock.now() + self._cfg.store_call_s)
         try:
-            entry = _decode(self._store.get(HOSTS_PREFIX + name, deadline))
+            stored = self._store.get(HOSTS_PREFIX + name, deadline)
         except StoreError as exc:
             log.info(
                 "fleet: record not read", extra={"host": host_id, "reason": repr(exc)}
             )
             return False
-        return entry is not None and entry.address.host_id != host_id
+        entry = _decode(stored)
+        if entry is None or stored.value.get("era", 0) != stored.era:
+            return False
+        return entry.address.host_id != host_id
 
     def update_live(self, hosts: tuple[HostEntry, ...], until: Instant) -> None:
         """Record the leader's list of live hosts, which is valid until `until`."""
@@ -190,16 +203,33 @@
         """Record that a host has just sent a message or an answer."""
         self._last_contact_at[host_id] = self._clock.now()
 
+    def keep_registered(self) -> None:
+        """Register this host, and again each time the store has been restored.
+
+        Runs as a task of the daemon.
+        """
+        while True:
+            self.register()
+            while self._known_era() <= self._registered_era:
+                self._clock.sleep_until(Instant(self._clock.now() + RETRY_S))
+            self.registered = False
+
+    def _known_era(self):
+        """Return the newest era of the store that this host knows of."""
+        return max(self._store.era, self._cache.era or Era(0))
+
     def register(self) -> None:
         """Write this host's record to the store; retry until it is stored."""
         key = HOSTS_PREFIX + self.my_entry.name
         version = Version(0)
         while True:
             deadline = Instant(self._clock.now() + self._cfg.store_call_s)
+            era = self._known_era()
+            value = self._value(era)
             try:
-                write(self._store, self._clock, key, self._value(), version, deadline)
-                log.info("fleet: registered", extra={"key": key})
-                self.registered = True
+                write(self._store, self._clock, key, value, version, deadline)
+                log.info("fleet: registered", extra={"key": key, "era": era})
+                self.registered, self._registered_era = True, era
                 return
             except StoreConflict:
                 # An earlier run on this machine has left its record.
@@ -282,9 +312,10 @@
             log.info("fleet: record not read", extra={"reason": repr(exc)})
             return Version(0)
 
-    def _value(self):
+    def _value(self, era):
         address = self.me()
         return {
+            "era": era,
             WRITE_ID: new_write_id(),
             "host_id": address.host_id,
             "ip": address.ip,
--- a/tests/cover/test_restored_store.py
+++ b/tests/cover/test_restored_store.py
@@ -8,6 +8,7 @@
 import eventlet
 
 from persimmonspoke.errors import StoreCompacted
+from persimmonspoke.internal.fleet.hosts import HOSTS_PREFIX
 from persimmonspoke.internal.news.board import StoreCache
 from persimmonspoke.internal.news.messages import NewsRequest
 from persimmonspoke.internal.news.relay import RelayReader, serve_news
@@ -151,6 +152,34 @@
         self.assertIs(self.fleet.leader(), leader)
 
 
+class TestRecordsOfHosts(RestoredCase):
+    # Guards against hosts that nobody asks, since the store forgot their records.
+    def test_hosts_that_the_copy_lacks_register_again(self):
+        new = self.fleet.restart(self.kill_follower())
+        self.fleet.run_for(1)
+        self.restore(age_s=3.0, away_s=0.5)
+        self.fleet.run_for(2)
+        names = {
+            stored.value["host_id"]
+            for stored in self.fleet.platform.list(HOSTS_PREFIX).items
+        }
+        self.assertIn(new.hosts.me().host_id, names)
+
+    # Guards against two leaders: the end of one taken as proven by an older record.
+    def test_the_record_of_an_earlier_run_in_an_older_copy_proves_nothing(self):
+        new = self.fleet.restart(self.kill_follower())
+        self.fleet.run_for(1)
+        watcher = next(h for h in self.fleet.hosts if h is not new)
+        self.fleet.platform.restore(3.0)
+        self.assertFalse(watcher.hosts.was_restarted(new.hosts.me().host_id))
+
+    def kill_follower(self):
+        leader = self.fleet.leader()
+        host = next(h for h in self.fleet.hosts if h is not leader)
+        host.kill()
+        return host
+
+
 class TestCopies(unittest.TestCase):
     """The copy that a host keeps of the store, while its versions go back."""
 
--- a/tests/fakes/range_fleet.py
+++ b/tests/fakes/range_fleet.py
@@ -98,7 +98,7 @@
         self.tasks = [
             eventlet.spawn(run)
             for run in (
-                self.hosts.register,
+                self.hosts.keep_registered,
                 self.leadership.run,
                 self.reporter.run,
                 lambda: self._read_hosts(fleet),
@@ -122,6 +122,7 @@
 
     def _read_hosts(self, fleet):
         while True:
+            self.cache.observe_era(fleet.platform.era)
             for stored in fleet.platform.list(HOSTS_PREFIX).items:
                 self.cache.observe(stored)
             eventlet.sleep(0.1)
