Take all keys back when a leader starts from an older copy of the store

When the leader was lost in the same moment in which the store came back from an older copy, the next leader gave keys to the owners that the copy names, while others still held them; a host that had just started took a lost object for a first start and dealt out all keys again.

Class of fault: what was acknowledged was taken for permanent.

A host that finds an object of an earlier era first asks all known hosts for a later leader and follows that. If there is none, it waits until targets have registered again (2.2 s; old routes stay in use), then releases all keys of each divided service at every target under a new fence. A target that has answered holds nothing and refuses what earlier leaders ordered; for one that does not, the holds must lapse. Then the owners of the copy get their keys again. A leader that stores its ownership again while few hosts answer does the same. A missing object counts as a first start only while the platform says so (bootstrap).

Ruled out: a former leader's table on the other hosts as the truth (its last changes may be missing), and waiting for all holds to lapse (up to 20 s).

--- a/src/persimmonspoke/daemon/routed.py
+++ b/src/persimmonspoke/daemon/routed.py
@@ -120,6 +120,7 @@
         self.leadership = Leadership(
             cfg.fleet, self.clock, self.store, self.link, self.hosts
         )
+        self.leadership.first_start = platform.first_start
         ranges = cfg.ranges.within(platform.bounds.drain_s, platform.bounds.hold_max_s)
         self.routes = RangeRoutes(self.state, self.clock, ranges.leaving_grace_s)
         self.leadership.on_ownership_read = self.routes.update_from_ownership
--- a/src/persimmonspoke/internal/fleet/inquiries.py
+++ b/src/persimmonspoke/internal/fleet/inquiries.py
@@ -68,13 +68,13 @@
         now = self._clock.now()
         if version != self._version:
             self._version, self._version_seen_at = version, now
-        recorded = [
+        known = [
             entry.address
-            for entry in self._hosts.recorded_hosts()
+            for entry in self._hosts.known_hosts()
             if entry.address != leader
         ]
         # Some hosts are enough: a wrong answer costs a change of the leader, not more.
-        others = self._sample(recorded)
+        others = self._sample(known)
         calls = [
             eventlet.spawn(self._silence_seen_by, address, leader) for address in others
         ]
@@ -108,7 +108,7 @@
 
     def survey(self, epoch: int) -> "Survey":
         """Ask some hosts, all at once, for a leader of a later epoch than `epoch`."""
-        asked = self._sample(self._hosts.recorded_hosts())
+        asked = self._sample(self._hosts.known_hosts())
         calls = [eventlet.spawn(self._ask_or_none, e.address) for e in asked]
         answers = [found for call in calls if (found := call.wait()) is not None]
         later = [a for a in answers if a.leader is not None and a.epoch > epoch]
--- a/src/persimmonspoke/internal/fleet/leadership.py
+++ b/src/persimmonspoke/internal/fleet/leadership.py
@@ -80,6 +80,12 @@
     former_grants_end_at : dict of TargetId to Instant
         End of each target's holds by orders of the former leader, as it reported
         them when it stopped.
+    first_start : bool
+        Whether the whole system starts for the first time, so that a missing object
+        has never been written.
+    owners_uncertain : bool
+        Whether this host took over from an older copy of the object, so that other
+        targets than the owners in it may hold keys; the keeper resets it.
     remaining_grants : callable
         Returns the grants of this host that have not ended yet.
     on_ownership_read : callable
@@ -123,6 +129,8 @@
         self.ownership: Ownership | None = None
         self.former_orders_end_at = LONG_AGO
         self.former_grants_end_at: dict[TargetId, Instant] = {}
+        self.first_start = True
+        self.owners_uncertain = False
         self.remaining_grants: Callable[[], tuple[GrantLeft, ...]] = tuple
         self.on_ownership_read: Callable[[Ownership], None] = lambda ownership: None
         self.on_takeover: Callable[[], None] = lambda: None
@@ -351,6 +359,7 @@
             epoch = self.ownership.epoch_in(era)
             renewed = replace(self.ownership.led_by(self._hosts.me(), epoch), era=era)
             self._store_takeover(renewed, version)
+            self.owners_uncertain |= not survey.conclusive
             self.on_stop()
             now = self._clock.now()
             self.former_orders_end_at = now
@@ -403,7 +412,7 @@
         """Start to lead in the epoch just stored, and announce it to all hosts."""
         self.leading = True
         self.on_takeover()
-        for entry in self._hosts.recorded_hosts():
+        for entry in self._hosts.known_hosts():
             eventlet.spawn_n(self._announce, entry.address, former)
 
     def _watch(self):
@@ -427,7 +436,10 @@
         try:
             stored = self._store.get(OWNERSHIP_KEY, deadline)
         except StoreMissing:
-            self._take_over(Ownership(None, 0), Version(0))
+            if self.epoch == 0 and self.first_start:
+                self._take_over(Ownership(None, 0), Version(0))
+            else:
+                self._replace_leader_of_copy(Ownership(None, 0), Version(0))
             return
         except StoreError:
             answer = self._inquiries.find_newer_leader(self.epoch)
@@ -438,6 +450,9 @@
         if (self.leader, self.epoch) != suspected:
             # Another host took over during the read.
             return
+        if self._store.era > stored_ownership.era:
+            self._replace_leader_of_copy(stored_ownership, stored.version)
+            return
         self.on_ownership_read(stored_ownership)
         if (
             stored_ownership.leader is not None
@@ -452,6 +467,24 @@
         ):
             self._take_over(stored_ownership, stored.version)
 
+    def _replace_leader_of_copy(self, copy, version):
+        """Take over from an older copy of the object, unless a host knows a leader.
+
+        The copy may name an earlier leader than the one that this host follows.
+        """
+        survey = self._inquiries.survey(self.epoch)
+        if survey.later is not None:
+            self.follow(survey.later.leader, survey.later.epoch)
+            return
+        if self.leader is None and copy.leader is not None:
+            self.follow(copy.leader, copy.epoch)
+            self._last_contact_at = Instant(self._clock.now() - self._cfg.suspect_s)
+            return
+        if self.leader is None or self._inquiries.is_confirmed_lost(
+            self.leader, version
+        ):
+            self._take_over(copy, version)
+
     def _ask_for_leader(self):
         """Ask other hosts who leads; follow the leader that one of them names."""
         answer = self._inquiries.find_newer_leader(self.epoch, FIRST_INQUIRIES)
@@ -512,20 +545,25 @@
         """
         if not self._hosts.registered:
             return
-        former = stored_ownership.leader
-        restarted = former is not None and self._hosts.was_restarted(former.host_id)
         era = self._store.era
-        epoch = stored_ownership.epoch_in(era) + 1
+        is_copy = (
+            stored_ownership.era < era and max(stored_ownership.epoch, self.epoch) > 0
+        ) or (stored_ownership.epoch == 0 and not self.first_start)
+        former, known_epoch = stored_ownership.leader, stored_ownership.epoch
+        if is_copy and self.epoch > known_epoch:
+            former, known_epoch = self.leader, self.epoch
+        restarted = former is not None and self._hosts.was_restarted(former.host_id)
+        epoch = replace(stored_ownership, epoch=known_epoch).epoch_in(era) + 1
         ownership = replace(stored_ownership.led_by(self._hosts.me(), epoch), era=era)
         self._store_takeover(ownership, version)
         now = self._clock.now()
         wait_s = self.max_grant_s
-        if former is not None and not restarted:
+        if (former is not None or is_copy) and not restarted:
             wait_s += self._cfg.lease_s
-        self.former_orders_end_at = (
-            Instant(now + wait_s) if stored_ownership.epoch else now
-        )
+        is_first = known_epoch == 0 and not is_copy
+        self.former_orders_end_at = now if is_first else Instant(now + wait_s)
         self.former_grants_end_at = {}
+        self.owners_uncertain = is_copy
         log.info(
             "leader: took over",
             extra={
@@ -533,6 +571,8 @@
                 "former": former.host_id if former else None,
                 "former_orders_end_in_s": round(self.former_orders_end_at - now, 2),
                 "store_version": self._version,
+                "era": era,
+                "owners_uncertain": self.owners_uncertain,
             },
         )
         self._begin_epoch(former)
--- a/src/persimmonspoke/internal/ranges/keeper.py
+++ b/src/persimmonspoke/internal/ranges/keeper.py
@@ -3,7 +3,7 @@
 import logging
 from collections.abc import Callable
 
-from persimmonspoke.errors import AuthorityLapsed, StoreError
+from persimmonspoke.errors import AuthorityLapsed, NoOwnerYet, StoreError
 from persimmonspoke.ids import Instant, ServiceId, TargetId
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.fleet.leadership import Leadership
@@ -24,7 +24,7 @@
 from persimmonspoke.internal.ranges.spread import plan_spread
 from persimmonspoke.internal.ranges.tasks import LeaderTasks
 from persimmonspoke.internal.routing.config import TargetState
-from persimmonspoke.internal.routing.state import RoutingState
+from persimmonspoke.internal.routing.state import MAX_REREGISTRATION_S, RoutingState
 
 log = logging.getLogger(__name__)
 
@@ -67,6 +67,8 @@
         self._leading_since: Instant | None = None
         self._eligible_since: dict[ServiceId, tuple[frozenset[TargetId], Instant]] = {}
         self._next_rebalance_at = clock.now()
+        self._resolving: set[ServiceId] = set()
+        self._resolved: set[ServiceId] = set()
         leadership.max_grant_s = cfg.max_duration_s(cfg.outage_hold_s)
         leadership.on_takeover = self._on_takeover
         leadership.on_stop = self.stop
@@ -116,8 +118,10 @@
         self._leading_since = self._clock.now()
         self._eligible_since = {}
         self.granters.reset()
-        for service in self._leadership.ownership.services:
-            self.granters.start_granters(service)
+        self._resolving, self._resolved = set(), set()
+        if not self._leadership.owners_uncertain:
+            for service in self._leadership.ownership.services:
+                self.granters.start_granters(service)
         self.ledger.reset()
         self._tasks.spawn(self._run)
 
@@ -130,6 +134,37 @@
                 self._plan()
             self._clock.sleep_until(Instant(self._clock.now() + RECONCILE_PERIOD_S))
 
+    def _resolve_owners(self, service):
+        """Take back the keys of a service before any is granted.
+
+        The ownership is an older copy, so any target may hold any key.
+        """
+        try:
+            self._wait_for_registrations()
+            self._mover.resolve_owners(service)
+            self._resolved.add(service)
+        except (StoreError, AuthorityLapsed, NoOwnerYet) as exc:
+            log.warning(
+                "ranges: owners not resolved",
+                extra={"service": service, "reason": repr(exc)},
+            )
+            self._clock.sleep_until(Instant(self._clock.now() + self._cfg.retry_s))
+        finally:
+            # Unless it is resolved, the next round starts again.
+            self._resolving.discard(service)
+        if self._resolved >= set(self._state.divided_services()):
+            self._leadership.owners_uncertain = False
+
+    def _is_unresolved(self, service):
+        """Return whether keys of a service may have other owners than are known."""
+        return self._leadership.owners_uncertain and service not in self._resolved
+
+    def _wait_for_registrations(self):
+        """Wait until all living targets have registered again."""
+        restored_at = self._state.restored_at()
+        since = self._leading_since if restored_at is None else restored_at
+        self._clock.sleep_until(Instant(since + MAX_REREGISTRATION_S))
+
     def _reconcile_soon(self):
         self._tasks.spawn(self._reconcile)
 
@@ -142,6 +177,11 @@
         if not self._leadership.leading:
             return
         for service in self._state.divided_services():
+            if self._is_unresolved(service):
+                if service not in self._resolving:
+                    self._resolving.add(service)
+                    self._tasks.spawn(self._resolve_owners, service)
+                continue
             ranges = self.ledger.map(service)
             if ranges is None:
                 self._assign_all(service)
@@ -225,6 +265,8 @@
             self._next_rebalance_at = Instant(self._clock.now() + self._cfg.even_s)
         for service in self._state.divided_services():
             ranges = self.ledger.map(service)
+            if self._is_unresolved(service):
+                continue
             for _ in range(self._cfg.moves):
                 if len(self.ledger.transfers_of(service)) >= self._cfg.moves:
                     break
@@ -252,7 +294,9 @@
         ) or plan_merge(service, ranges, eligible, self._loads, transferring, moving)
 
     def start_move(self, service: ServiceId, plan: PlannedMove) -> None:
-        """Start a planned move in a separate task."""
+        """Start a planned move in a task, if the owners of the service are known."""
+        if self._is_unresolved(service):
+            return
         transfer = Transfer(
             service, plan.piece.first, plan.piece.last, frozenset(plan.receivers)
         )
--- a/src/persimmonspoke/internal/ranges/ledger.py
+++ b/src/persimmonspoke/internal/ranges/ledger.py
@@ -224,8 +224,8 @@
         return self._table
 
     def publish_change(self, service: ServiceId, first: int, last: int) -> None:
-        """Publish the current owners of the keys from `first` to `last`."""
-        if not self._leadership.leading:
+        """Publish the current owners of the keys from `first` to `last`, if any."""
+        if not self._leadership.leading or self.map(service) is None:
             return
         self._serial += 1
         self._publish(
--- a/src/persimmonspoke/internal/ranges/mover.py
+++ b/src/persimmonspoke/internal/ranges/mover.py
@@ -152,6 +152,75 @@
         finally:
             self._ledger.end_transfers(transfers)
 
+    def resolve_owners(self, service: ServiceId) -> None:
+        """Take back all keys of a service, and grant them to their known owners.
+
+        Any target may hold any key.  After a release under a new fence a target holds
+        nothing and refuses what earlier leaders have ordered.  Return once no other
+        target can hold the keys.
+        """
+        began = self._clock.now()
+        ranges = self._ledger.map(service)
+        whole = Transfer(service, MIN_KEY, MAX_KEY)
+        self._ledger.begin_transfers([whole])
+        try:
+            handovers = self._release_everywhere(service, whole)
+            if ranges is None:
+                return
+            new_ranges = [
+                self._new_grant(piece, record, handovers.get(entry.owner))
+                for entry in ranges.ranges
+                for piece, record in self._keep_or_distribute(service, entry)
+            ]
+            self._ledger.commit(service, new_ranges)
+            self._grant_all(service, new_ranges)
+        finally:
+            self._ledger.end_transfers([whole])
+        log.warning(
+            "ranges: owners resolved after the store was restored",
+            extra={
+                "service": service,
+                "released": sorted(handovers),
+                "ranges": len(new_ranges),
+                "took_s": round(self._clock.now() - began, 3),
+            },
+        )
+
+    def _keep_or_distribute(self, service, entry):
+        """Return a range with its owner, or pieces of it if the owner takes no keys."""
+        record = self._state.targets.get(entry.owner)
+        if record is not None and self._granters.may_receive_keys(record):
+            return [(entry, record)]
+        return self._distribute(service, entry.owner, [entry])
+
+    def _release_everywhere(self, service, whole):
+        """Release all keys at all targets; return the handovers of those that answer.
+
+        It also waits until targets that do not answer can hold nothing any more.
+        """
+        records = [r for r in self._state.targets.values() if r.service == service]
+        ranges = self._ledger.map(service)
+        owners = ranges.owners() if ranges is not None else frozenset()
+        pool = eventlet.GreenPool()
+        target_ids = {record.target_id for record in records} | owners
+        results = pool.imap(lambda t: self._release_all_of(whole, t), target_ids)
+        handovers, lapsed = {}, None
+        for target_id, (handover, exc) in zip(target_ids, results, strict=True):
+            lapsed = lapsed or exc
+            if handover is not None:
+                handovers[target_id] = handover
+        if lapsed is not None:
+            raise lapsed
+        return handovers
+
+    def _release_all_of(self, whole, target_id):
+        """Release all keys at one target; return its handover, and what went wrong."""
+        try:
+            every_key = KeyRange(MIN_KEY, MAX_KEY, target_id, 0, 0)
+            return self._release([whole], every_key), None
+        except AuthorityLapsed as exc:
+            return None, exc
+
     def _assign(self, service, target_id, entries, restarted, handover):
         """Return new grants of ranges, spread over the targets by load.
 
--- a/src/persimmonspoke/internal/routing/state.py
+++ b/src/persimmonspoke/internal/routing/state.py
@@ -145,6 +145,10 @@
         services = self.table.cfg.services.values()
         return tuple(sorted(s.service for s in services if s.divided))
 
+    def restored_at(self) -> Instant | None:
+        """Return when this host saw the store come back from an older copy, if ever."""
+        return self._cache.restored_at
+
     def leaving_since(self, target_id: TargetId) -> Instant | None:
         """Return when a target may have begun to leave; None if it is not leaving."""
         return self._leaving.get(target_id)
--- a/src/persimmonspoke/platform/settings_file.py
+++ b/src/persimmonspoke/platform/settings_file.py
@@ -82,6 +82,8 @@
         First of the ports reserved for traffic between hosts.
     store_address : str
         IP address and port of the object store.
+    first_start : bool
+        Whether the whole system starts for the first time.
     """
 
     host: str
@@ -93,6 +95,7 @@
     store_address: str
     bounds: PlatformBounds
     limits: HostLimits = HostLimits()
+    first_start: bool = False
 
 
 def _positive(text):
@@ -156,6 +159,7 @@
             store_address=fields["platform.address"],
             bounds=_bounds(fields.get("bounds", "")),
             limits=_limits(fields),
+            first_start=fields.get("bootstrap", "").lower() == "true",
         )
     except KeyError as exc:
         raise InvalidSettings(f"{exc.args[0]} is missing; add it to the file") from exc
--- a/tests/cover/test_restored_store.py
+++ b/tests/cover/test_restored_store.py
@@ -9,18 +9,22 @@
 
 from persimmonspoke.errors import StoreCompacted
 from persimmonspoke.internal.fleet.hosts import HOSTS_PREFIX
+from persimmonspoke.internal.fleet.messages import TableChange
 from persimmonspoke.internal.news.board import StoreCache
 from persimmonspoke.internal.news.messages import NewsRequest
 from persimmonspoke.internal.news.relay import RelayReader, serve_news
 from persimmonspoke.internal.news.watcher import StoreWatcher
 from persimmonspoke.internal.ranges.planner import whole_move
+from persimmonspoke.internal.ranges.record import Ownership, decode, encode
 from persimmonspoke.internal.routing.config import TargetState
 from persimmonspoke.internal.routing.state import RoutingState
 from persimmonspoke.internal.store.api import Listing, StoredObject
 from persimmonspoke.internal.timers import Timers
 from persimmonspoke.platform import documents
+from tests.fakes import virtual_hub
 from tests.fakes.process import FakeClock, FakeProcess
 from tests.fakes.range_fleet import SERVICE, RangeFleet
+from tests.fakes.range_targets import FakeRangeTarget
 from tests.fakes.store import FakePlatformStore, FakeStore
 
 LOST_S = 9.0  # how much the copy is older
@@ -33,6 +37,7 @@
 
     def setUp(self):
         self.random = random.Random(SEED)
+        self.started_at = virtual_hub.now()
         self.fleet = RangeFleet(hosts=3)
         self.addCleanup(self.end)
         self.fleet.run_for(8)
@@ -87,13 +92,65 @@
     # Guards against OWNER with the only host gone that knows the last moves.
     def test_they_have_one_holder_when_the_leader_is_lost_too(self):
         self.move_keys(8)
-        self.restore(away_s=1.0)
+        self.restore(away_s=2.5)
         killed = self.fleet.leader()
         killed.kill()
         self.fleet.restart(killed)
         self.fleet.run_for(12)
         self.assertEqual(self.fleet.unheld_keys(), [])
 
+    # Guards against OWNER: a target that joined since is unknown to the new leader.
+    def test_they_have_one_holder_when_the_copy_lacks_their_target(self):
+        self.fleet.run_for(2)
+        self.fleet.targets["t9"] = FakeRangeTarget("t9")
+        self.fleet.register("t9")
+        self.fleet.run_for(0.5)
+        keeper = self.fleet.leader().keeper
+        entry = keeper.ledger.map(SERVICE).find(30000)
+        keeper.start_move(SERVICE, whole_move(entry, "t9"))
+        self.fleet.run_for(1)
+        self.restore(away_s=2.5)
+        lost = self.fleet.records.pop("t9")
+        killed = self.fleet.leader()
+        killed.kill()
+        self.fleet.restart(killed)
+        self.fleet.run_for(2.0)
+        self.fleet.records["t9"] = lost
+        self.fleet.run_for(20)
+        self.assertEqual(self.fleet.unheld_keys(), [])
+
+    # Guards against keys without an owner: the copy is older than the first owners.
+    def test_they_are_held_again_when_the_copy_names_no_owner_at_all(self):
+        since_start_s = virtual_hub.now() - self.started_at
+        self.restore(age_s=since_start_s + 2.0, away_s=2.5)
+        killed = self.fleet.leader()
+        killed.kill()
+        self.fleet.restart(killed)
+        self.fleet.run_for(28)
+        self.assertEqual(self.fleet.unheld_keys(), [])
+
+    # Guards against OWNER: a starting host takes a lost object for a first start.
+    def test_they_have_one_holder_when_a_new_host_finds_no_object(self):
+        self.move_keys(4)
+        leader = self.fleet.leader()
+        since_start_s = virtual_hub.now() - self.started_at
+        old = next(host for host in self.fleet.hosts if host is not leader)
+        old.kill()
+        for host in self.fleet.hosts:
+            host.store.faults.silent = True
+        self.fleet.platform.restore(since_start_s + 2.0)
+        self.fleet.restart(old)
+        new = next(h for h in self.fleet.hosts if h.leadership.epoch == 0)
+        others = {h.process.machine for h in self.fleet.hosts if h is not new}
+        self.fleet.network.cut({new.process.machine}, others)
+        self.fleet.run_for(5)
+        self.assertTrue(new.leadership.leading)
+        for host in self.fleet.hosts:
+            host.store.faults.silent = False
+        self.fleet.network.heal()
+        self.fleet.run_for(28)
+        self.assertEqual(self.fleet.unheld_keys(), [])
+
     # Guards against OWNER after two losses, the second with the moves of the first.
     def test_they_have_one_holder_after_two_restorations(self):
         for _ in range(2):
@@ -137,6 +194,73 @@
 
 
 class TestLeadersInDoubt(RestoredCase):
+    # Guards against two leaders: one that was frozen may have been replaced since.
+    def test_a_leader_that_wakes_after_a_restoration_asks_for_later_ones(self):
+        leader = self.fleet.leader()
+        others = {h.process.machine for h in self.fleet.hosts if h is not leader}
+        self.fleet.network.cut({leader.process.machine}, others)
+        old, new = self.freeze_leader_and_restore()
+        self.fleet.network.heal()
+        self.fleet.network.cut({new.process.machine}, {old.process.machine})
+        old.process.resume()
+        self.fleet.run_for(1)
+        self.assertFalse(old.leadership.leading)
+        self.recover(new)
+
+    # Guards against OWNER: a frozen leader that can ask nobody what has changed.
+    def test_a_leader_that_wakes_alone_takes_all_keys_back_first(self):
+        leader = self.fleet.leader()
+        others = {h.process.machine for h in self.fleet.hosts if h is not leader}
+        self.fleet.network.cut({leader.process.machine}, others)
+        old, new = self.freeze_leader_and_restore()
+        old.process.resume()
+        self.fleet.run_for(0.8)
+        self.assertTrue(old.leadership.leading)
+        self.recover(new)
+
+    def freeze_leader_and_restore(self):
+        """Freeze the leader, let the next one move keys, and restore the store.
+
+        Return both.  The next leader does not reach the store any more.
+        """
+        old = self.fleet.leader()
+        old.process.pause()
+        self.fleet.run_for(4)
+        new = next(h for h in self.fleet.hosts if h.leadership.leading and h is not old)
+        for first in range(0, 60000, 6000):
+            entry = new.keeper.ledger.map(SERVICE).find(first)
+            to = self.random.choice(sorted(set(self.fleet.targets) - {entry.owner}))
+            piece = replace(entry, first=first, last=min(entry.last, first + 3000))
+            new.keeper.start_move(SERVICE, whole_move(piece, to))
+            self.fleet.run_for(0.2)
+        new.store.faults.silent = True
+        self.fleet.platform.restore(8.0)
+        return old, new
+
+    def recover(self, new):
+        new.store.faults.silent = False
+        self.fleet.network.heal()
+        self.fleet.run_for(28)
+        self.assertEqual(self.fleet.unheld_keys(), [])
+
+    def test_it_gives_no_order_before_it_has_stored_its_ownership_again(self):
+        leader = self.fleet.leader()
+        leader.store.era = self.fleet.platform.era + 1
+        self.assertFalse(leader.leadership.may_order())
+
+    def test_a_target_that_answers_nothing_keeps_its_keys_until_its_grants_lapse(self):
+        leader = self.fleet.leader()
+        self.fleet.platform.faults.down = True
+        self.fleet.run_for(3)
+        self.fleet.targets["t0"].silent = True
+        self.fleet.platform.faults.down = False
+        self.fleet.platform.restore(LOST_S)
+        self.fleet.run_for(12)
+        self.fleet.targets["t0"].silent = False
+        self.fleet.run_for(3)
+        self.assertIs(self.fleet.leader(), leader)
+        self.assertEqual(self.fleet.unheld_keys(), [])
+
     # Guards against a change of the leader because the store answered others first.
     def test_the_leader_stays_when_the_store_answers_the_others_a_little_earlier(self):
         leader = self.fleet.leader()
@@ -151,6 +275,33 @@
         self.fleet.run_for(2)
         self.assertIs(self.fleet.leader(), leader)
 
+    def test_hosts_that_miss_the_announcement_follow_the_new_epoch(self):
+        leader = self.fleet.leader()
+        followers = [host for host in self.fleet.hosts if host is not leader]
+        for host in followers:
+            host.link._handlers[TableChange] = lambda msg: None
+        with mock.patch.object(type(leader.leadership), "_announce"):
+            self.restore(away_s=0.5)
+            self.fleet.run_for(2)
+        self.assertIs(self.fleet.leader(), leader)
+        self.assertGreater(leader.leadership.epoch, 1)
+        for host in followers:
+            self.assertEqual(host.leadership.epoch, leader.leadership.epoch)
+
+
+class TestEpochs(unittest.TestCase):
+    def test_they_leave_room_for_the_leaders_that_an_older_copy_lacks(self):
+        copy = Ownership(None, 3, era=1)
+        self.assertEqual(copy.epoch_in(1), 3)
+        self.assertGreater(copy.epoch_in(2), 1000)
+        self.assertGreater(copy.epoch_in(3), copy.epoch_in(2) + 1000)
+
+    def test_the_era_is_stored_and_an_object_without_one_is_of_the_first(self):
+        value = encode(Ownership(None, 3, era=2))
+        self.assertEqual(decode(value).era, 2)
+        del value["era"]
+        self.assertEqual(decode(value).era, 0)
+
 
 class TestRecordsOfHosts(RestoredCase):
     # Guards against hosts that nobody asks, since the store forgot their records.
--- a/tests/fakes/range_fleet.py
+++ b/tests/fakes/range_fleet.py
@@ -207,6 +207,7 @@
         self.runs += 1
         number = self.hosts.index(host)
         self.hosts[number] = RangeHost(self, number)
+        self.hosts[number].leadership.first_start = False
         self.hosts[number].start(self)
         return self.hosts[number]
 
--- a/tests/loopback/test_platform_adapter.py
+++ b/tests/loopback/test_platform_adapter.py
@@ -326,6 +326,8 @@
 
 class TestSettingsFile(unittest.TestCase):
     def test_known_settings_are_read_and_unknown_ones_ignored(self):
+        self.assertFalse(read_settings(SETTINGS).first_start)
+        self.assertTrue(read_settings(SETTINGS + "\nbootstrap=true\n").first_start)
         cfg = read_settings(SETTINGS)
         self.assertEqual((cfg.host, cfg.caller_port), ("front-1", 8381))
         self.assertEqual((cfg.peer_port, cfg.ready_port), (7200, 8388))
--- a/tests/slow/test_range_schedules.py
+++ b/tests/slow/test_range_schedules.py
@@ -123,6 +123,12 @@
     def faults(self):
         return (*super().faults(), *3 * (self.restore_store,), *3 * (self.move_keys,))
 
+    def host(self):
+        # A killed host may still count as the leader until its lease ends.
+        living = [host for host in self.fleet.hosts if host.alive()]
+        found = super().host()
+        return found if found in living else self.random.choice(living)
+
     def move_keys(self):
         leader = self.fleet.leader()
         ranges = leader and leader.keeper.ledger.map(SERVICE)
