--- a/src/persimmonspoke/cli/explain.py
+++ b/src/persimmonspoke/cli/explain.py
@@ -17,7 +17,13 @@
 FOLLOW_UP_TIME = timedelta(seconds=1)  # the leader learns of a refusal by then
 REQUEST_ENDED = "callers: request ended"
 TIME_FORMAT = "%Y-%m-%d %H:%M:%S,%f"
-OWN_RUN_PREFIXES = ("daemon:", "news:", "routing: configuration", "lines dropped")
+OWN_RUN_PREFIXES = (
+    "daemon:",
+    "news:",
+    "routing: configuration",
+    "store: new era",
+    "lines dropped",
+)
 LEADERSHIP_MESSAGES = ("leader: took over", "leader: stopped", "leader: resigned")
 HOST_FIELDS = ("leader", "desk", "host", "former")
 COMMON_FIELDS = frozenset({"time", "level", "module", "message", "run"})
--- a/src/persimmonspoke/internal/fleet/hosts.py
+++ b/src/persimmonspoke/internal/fleet/hosts.py
@@ -210,7 +210,7 @@
         """
         while True:
             self.register()
-            while self._known_era() <= self._registered_era:
+            while self.leaving or self._known_era() <= self._registered_era:
                 self._clock.sleep_until(Instant(self._clock.now() + RETRY_S))
             self.registered = False
 
--- a/src/persimmonspoke/internal/ranges/mover.py
+++ b/src/persimmonspoke/internal/ranges/mover.py
@@ -201,17 +201,19 @@
         records = [r for r in self._state.targets.values() if r.service == service]
         ranges = self._ledger.map(service)
         owners = ranges.owners() if ranges is not None else frozenset()
-        pool = eventlet.GreenPool()
-        target_ids = {record.target_id for record in records} | owners
-        results = pool.imap(lambda t: self._release_all_of(whole, t), target_ids)
-        handovers, lapsed = {}, None
-        for target_id, (handover, exc) in zip(target_ids, results, strict=True):
-            lapsed = lapsed or exc
-            if handover is not None:
-                handovers[target_id] = handover
-        if lapsed is not None:
-            raise lapsed
-        return handovers
+        tasks = {
+            target_id: eventlet.spawn(self._release_all_of, whole, target_id)
+            for target_id in {record.target_id for record in records} | owners
+        }
+        try:
+            results = {target_id: task.wait() for target_id, task in tasks.items()}
+        finally:
+            for task in tasks.values():
+                task.kill()
+        for _, exc in results.values():
+            if exc is not None:
+                raise exc
+        return {t: handover for t, (handover, _) in results.items() if handover}
 
     def _release_all_of(self, whole, target_id):
         """Release all keys at one target; return its handover, and what went wrong."""
