Log which requests are equal, and whether a lost connection's target has ended

The incident's hypotheses could not be told apart by the logs: no line said which requests repeat one another, and an answer that is lost looks alike whether its target ended or lost the answer only. Each request now has a fingerprint (service, method, path, query, fields that do not belong to one attempt, body), and after a lost connection the host tries once whether the target still accepts any.

Not the network address: the request of the incident came from 48.

--- a/src/persimmonspoke/daemon/routed.py
+++ b/src/persimmonspoke/daemon/routed.py
@@ -245,6 +245,7 @@
                 self.clock,
                 self.metrics,
                 self.reporter.load_recorder,
+                headers.PROTOCOL_HEADERS,
             ),
             watch=CallerWatch(self.cfg.callers, self.clock),
             cfg=self.cfg.callers,
--- a/src/persimmonspoke/errors.py
+++ b/src/persimmonspoke/errors.py
@@ -232,6 +232,10 @@
     """A request was written and no complete response arrived; it may have run."""
 
 
+class ConnectionLost(AnswerLost):
+    """The connection ended before a complete answer; the target may have ended, too."""
+
+
 class OrderOutcomeUnknown(TargetError):
     """An order was sent and its response was lost; it may have taken effect."""
 
--- a/src/persimmonspoke/ids.py
+++ b/src/persimmonspoke/ids.py
@@ -15,6 +15,9 @@
 WriteId = NewType("WriteId", str)
 """Random identifier of one write, stored in the object that was written."""
 
+Fingerprint = NewType("Fingerprint", str)
+"""Hash of what the repetitions of one caller's request have in common."""
+
 ShardId = NewType("ShardId", int)
 PageId = NewType("PageId", int)
 Epoch = NewType("Epoch", int)
--- a/src/persimmonspoke/internal/callers/attempts.py
+++ b/src/persimmonspoke/internal/callers/attempts.py
@@ -5,7 +5,7 @@
 """
 
 import logging
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import AbstractContextManager, nullcontext
 from dataclasses import dataclass, field
 from functools import partial, singledispatch
@@ -13,12 +13,14 @@
 from persimmonspoke import errors
 from persimmonspoke.ids import Instant, KeyText, ServiceId, TargetId
 from persimmonspoke.internal.callers.bodies import is_replayable
+from persimmonspoke.internal.callers.fingerprint import fingerprint_of
 from persimmonspoke.internal.callers.request import CallerRequest
 from persimmonspoke.internal.callers.settings import CallerSettings
 from persimmonspoke.internal.callers.trail import RequestTrail
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.observe.api import Metrics
 from persimmonspoke.internal.ownership.api import Route, Routes
+from persimmonspoke.internal.questionnaire.configuration import TargetConfig
 from persimmonspoke.internal.routing.state import precedence_of, request_kind
 from persimmonspoke.internal.scheduling.api import (
     Scheduler,
@@ -107,9 +109,12 @@
     ----------
     head : bytes
         The first chunk of the body; the whole body if the answer is short.
+    on_lost : callable
+        Called with the `AnswerLost` of a body that ends early.
     """
 
     def __init__(self, answer: TargetAnswer, head, rest, slot: Slot, in_flight_context):
+        self.on_lost: Callable[[errors.AnswerLost], None] = lambda exc: None
         self.status = answer.status
         self.headers = answer.headers
         self.head: bytes = head
@@ -124,8 +129,9 @@
         """Yield the body after `head`; raise `AnswerLost` if it ends early."""
         try:
             yield from self._rest
-        except errors.AnswerLost:
+        except errors.AnswerLost as exc:
             self._outcome = SlotOutcome.FAILED
+            self.on_lost(exc)
             raise
         self.finish()
 
@@ -187,7 +193,13 @@
 
 
 class RequestRunner:
-    """Sends callers' requests to targets, with retries."""
+    """Sends callers' requests to targets, with retries.
+
+    Parameters
+    ----------
+    attempt_fields : frozenset of str
+        Lower-case names of the protocol's header fields that belong to one attempt.
+    """
 
     def __init__(
         self,
@@ -198,8 +210,10 @@
         clock: Clock,
         metrics: Metrics,
         observer: WorkObserver | None = None,
+        attempt_fields: frozenset[str] = frozenset(),
     ):
         self._cfg = cfg
+        self._attempt_fields = attempt_fields
         self._observer = observer or WorkObserver()
         self._routes = routes
         self._scheduler = scheduler
@@ -224,6 +238,7 @@
         if req.key is not None:
             self._observer.record_request(req.entry.service.service, req.key)
         trail = trail or RequestTrail(req.request_id, self._clock)
+        trail.fingerprint = fingerprint_of(req, body, self._attempt_fields)
         retry_state = _RetryState(self._cfg.retry_pause_s, trail)
         try:
             while True:
@@ -264,6 +279,9 @@
         target_id = slot.target_id
         try:
             answer = self._send(req, body, route, slot)
+            answer.on_lost = partial(
+                self._check_target, self._target(req, route, slot), retry_state.trail
+            )
             retry_state.trail.add(
                 target_id, route, started_at, slot_acquired_at, "begun"
             )
@@ -276,6 +294,7 @@
             if not isinstance(exc, (*NOT_RUN_ERRORS, errors.AnswerLost)):
                 raise
             self._record_failure(exc, route, slot, retry_state)
+            self._check_target(self._target(req, route, slot), retry_state.trail, exc)
             if isinstance(exc, errors.RouteLapsed):
                 # Nothing was written, and the next lookup may return another owner.
                 retry_state.counted_attempts -= 1
@@ -308,13 +327,9 @@
         in_flight_context = (
             nullcontext() if route is None else self._routes.in_flight(route)
         )
-        if route is None:
-            target = slot.target or req.entry.targets[slot.target_id]
-        else:
-            target = route.target
         in_flight_context.__enter__()
         try:
-            answer = self._requests.send(target, target_req)
+            answer = self._requests.send(self._target(req, route, slot), target_req)
             stream = self._start_answer(answer, slot, in_flight_context)
             self._observer.record_answer(slot.target_id, self._clock.now() - started_at)
             return stream
@@ -325,6 +340,27 @@
             in_flight_context.__exit__(type(exc), exc, exc.__traceback__)
             raise
 
+    def _target(self, req, route, slot) -> TargetConfig:
+        if route is not None:
+            return route.target
+        return slot.target or req.entry.targets[slot.target_id]
+
+    def _check_target(self, target, trail, exc) -> None:
+        """After a lost connection, find out whether the target has ended."""
+        if not isinstance(exc, errors.ConnectionLost):
+            return
+        ended = self._requests.has_ended(target)
+        log.info(
+            "callers: connection lost",
+            extra={
+                "request_id": trail.request_id,
+                "fingerprint": trail.fingerprint,
+                "target": target.target_id,
+                "target_ended": ended,
+                "reason": str(exc),
+            },
+        )
+
     def _target_request(self, req, body, route, target_id) -> TargetRequest:
         shard, may_send = None, always_allowed
         if route is not None:
--- a/src/persimmonspoke/internal/callers/bodies.py
+++ b/src/persimmonspoke/internal/callers/bodies.py
@@ -69,7 +69,8 @@
         first_part, ended = self._read_first_part()
         if ended:
             return first_part
-        return StreamedBody(BodyChunks(self._chunks(first_part)), self._length)
+        chunks = BodyChunks(self._chunks(first_part))
+        return StreamedBody(chunks, self._length, first_part)
 
     def _read_first_part(self):
         chunks, size = [], 0
--- a/src/persimmonspoke/internal/callers/trail.py
+++ b/src/persimmonspoke/internal/callers/trail.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from persimmonspoke.ids import Instant, RequestId, TargetId
+from persimmonspoke.ids import Fingerprint, Instant, RequestId, TargetId
 from persimmonspoke.internal.callers.request import CallerRequest
 from persimmonspoke.internal.clock import Clock
 
@@ -44,12 +44,15 @@
         When processing started, after the request's head had been read.
     req : CallerRequest or None
         None if the request could not be parsed.
+    fingerprint : Fingerprint or None
+        None if the request's body could not be read.
     """
 
     request_id: RequestId
     clock: Clock
     started_at: Instant = Instant(0.0)
     req: CallerRequest | None = None
+    fingerprint: Fingerprint | None = None
     attempts: list[Attempt] = field(default_factory=list)
 
     def __post_init__(self):
@@ -110,6 +113,7 @@
         if self.req is not None:
             fields["service"] = self.req.entry.service.service
             fields["key"] = self.req.key
+            fields["fingerprint"] = self.fingerprint
             fields["protected"] = self.req.protected
             fields["patience_ms"] = round(
                 (self.req.deadline - self.started_at) * MS_PER_S
--- a/src/persimmonspoke/internal/targets/http_requests.py
+++ b/src/persimmonspoke/internal/targets/http_requests.py
@@ -13,12 +13,14 @@
 
 from persimmonspoke.errors import (
     AnswerLost,
+    ConnectionLost,
     MalformedRequest,
     NotRun,
     RequestFailure,
     RouteLapsed,
     TargetError,
     TargetFenced,
+    TargetRefusedConnection,
     TargetUnreachable,
 )
 from persimmonspoke.ids import Instant
@@ -30,6 +32,7 @@
     TargetConnection,
     TargetPool,
     TargetPools,
+    connect,
 )
 from persimmonspoke.internal.targets.rate_limits import UNLIMITED, RateLimits
 from persimmonspoke.internal.targets.request_api import TargetRequest
@@ -163,6 +166,19 @@
         exchange = self._new_exchange(target, pool, conn, req)
         return self._run(exchange, req.deadline)
 
+    def has_ended(self, target: TargetConfig) -> bool:
+        """Return whether `target` refuses connections, so that its process has ended.
+
+        It is False if that can't be found out within `end_check_s`.
+        """
+        try:
+            connect(target.ip, target.port, self._cfg.end_check_s).drop()
+        except TargetRefusedConnection:
+            return True
+        except TargetUnreachable:
+            return False
+        return False
+
     def read_body(self, exchange: _Exchange) -> Iterator[bytes]:
         """Yield the body of an answer."""
         if exchange.body is not None:
@@ -333,7 +349,7 @@
             raise self._timeout_error(exchange, exchange.req.deadline) from exc
         except CONNECTION_ERRORS as exc:
             exchange.fail()
-            raise AnswerLost(f"the answer broke off: {exc}") from exc
+            raise ConnectionLost(f"the answer broke off: {exc}") from exc
         finally:
             timer.cancel()
 
@@ -390,7 +406,7 @@
     It depends on whether any byte of the request was written.
     """
     if exchange.conn.wrote:
-        return AnswerLost(f"the connection broke: {exc}")
+        return ConnectionLost(f"the connection broke: {exc}")
     if isinstance(exc, OSError):
         return TargetUnreachable(f"the connection broke before the first byte: {exc}")
     return MalformedRequest(f"the request can't be written: {exc}")
--- a/src/persimmonspoke/internal/targets/request_api.py
+++ b/src/persimmonspoke/internal/targets/request_api.py
@@ -44,10 +44,13 @@
         May raise `RequestFailure`, which `TargetRequests.send` passes on.
     length : int or None
         Length of the body in bytes; None if the caller did not give it.
+    buffered : bytes
+        The part of the body that had been read before the request was sent.
     """
 
     chunks: Iterator[bytes]
     length: int | None
+    buffered: bytes = b""
 
 
 Body = bytes | StreamedBody
@@ -129,3 +132,9 @@
         AnswerLost
             The request was written, and no complete answer arrived.
         """
+
+    def has_ended(self, target: TargetConfig) -> bool:
+        """Return whether `target` refuses connections, so that its process has ended.
+
+        It is False if that can't be found out quickly.
+        """
--- a/src/persimmonspoke/internal/targets/settings.py
+++ b/src/persimmonspoke/internal/targets/settings.py
@@ -23,6 +23,9 @@
     silence_share : float
         Share of the remaining time after which an idempotent request that gets no
         answer on an older connection is sent again on a new one.
+    end_check_s : float
+        Maximum time for finding out whether a target that closed a connection without
+        an answer has ended.
     cancel_s : float
         Maximum time for one cancellation.
     cancel_tasks : int
@@ -38,6 +41,7 @@
     idle_s: Seconds = 15.0
     tidy_s: Seconds = 1.0
     silence_share: Annotated[float, Field(gt=0, lt=1)] = 0.25
+    end_check_s: Seconds = 0.1
     cancel_s: Seconds = 1.0
     cancel_tasks: Annotated[int, Field(ge=1)] = 32
     chunk_bytes: Annotated[int, Field(ge=1024)] = 65536
--- a/tests/fakes/target_requests.py
+++ b/tests/fakes/target_requests.py
@@ -51,6 +51,8 @@
         The requests that were written.
     interrupted : list of RequestId
         The requests whose task was interrupted after the write.
+    ended : set of TargetId
+        The targets whose processes have ended.
     """
 
     def __init__(self, *steps: Step, default: Callable[[], Step] = Step):
@@ -59,6 +61,11 @@
         self.attempts = []
         self.written = []
         self.interrupted = []
+        self.ended = set()
+
+    def has_ended(self, target):
+        """Return whether the test has declared the target ended."""
+        return target.target_id in self.ended
 
     def send(self, target, req):
         """Play the next step."""
--- a/tests/loopback/test_targets_requests.py
+++ b/tests/loopback/test_targets_requests.py
@@ -7,6 +7,7 @@
 
 from persimmonspoke.errors import (
     AnswerLost,
+    ConnectionLost,
     RouteLapsed,
     TargetDraining,
     TargetFenced,
@@ -405,3 +406,22 @@
         self.assertEqual(self.ask(self.silent_target, protected=True), (200, b"ok"))
         self.assertEqual(self.silent_target.request_ids(), ["w0", "w1", "r1"])
         self.assertEqual(self.silent_target.connections, 3)
+
+
+class TestTargetsThatCloseConnections(RequestCase):
+    def close_at_once(self, conn):
+        conn.receive()
+        raise EOFError
+
+    def test_a_closed_connection_is_told_from_other_lost_answers(self):
+        self.assert_send_raises(ConnectionLost, self.target(self.close_at_once))
+        late = self.target(never_answer)
+        with self.assertRaises(AnswerLost) as caught:
+            self.ask(late, wait_s=SHORT_TIMEOUT_S)
+        self.assertNotIsInstance(caught.exception, ConnectionLost)
+
+    def test_one_that_refuses_connections_has_ended(self):
+        target = self.target(self.close_at_once)
+        self.assertFalse(self.client.has_ended(target.config()))
+        target.stop()
+        self.assertTrue(self.client.has_ended(target.config()))
