Refuse requests under which targets end, on all hosts

Cause: every attempt was judged by itself. A copy of the request has another id and mostly another host, so no place counted the crashes. The class is that of the rate limits: a limit of the whole fleet that no place counts for the whole fleet.

A host that loses a connection to a target which then refuses connections records the crash under the request's fingerprint. Hosts add what they saw to their reports, the leader joins it and tells all hosts; what two hosts know can be joined in any order, so a new leader, a restarted host or one that was cut off is brought up to date by its next report. After three crashes without a whole answer in between, the request is refused (503, not run, with the time of the next trial); the leader allows three trials in all, 20 s, 80 s and 320 s later, and an answer ends the refusals. It keeps a copy of the refused requests in the store for the loss of all hosts, one write a change. At most 512 requests are remembered, for an hour.

--- a/src/persimmonspoke/daemon/routed.py
+++ b/src/persimmonspoke/daemon/routed.py
@@ -33,6 +33,8 @@
 from persimmonspoke.internal.observe.served_metrics import ServedMetrics
 from persimmonspoke.internal.peers.api import PeerAddress
 from persimmonspoke.internal.peers.zmq_link import ZmqLink
+from persimmonspoke.internal.quarantine.keeping import QuarantineKeeper
+from persimmonspoke.internal.quarantine.suspects import Suspects
 from persimmonspoke.internal.ranges.keeper import Keeper
 from persimmonspoke.internal.ranges.routes import RangeRoutes
 from persimmonspoke.internal.routing.reader import RoutedReader
@@ -125,6 +127,7 @@
         self.routes = RangeRoutes(self.state, self.clock, ranges.leaving_grace_s)
         self.leadership.on_ownership_read = self.routes.update_from_ownership
         self.rate_limits = RateLimits(self.clock)
+        self.suspects = Suspects(cfg.quarantine, self.clock)
         self.reporter = Reporter(
             cfg.fleet,
             self.clock,
@@ -134,6 +137,16 @@
             self.routes,
             self.store_age_s,
             self.rate_limits,
+            self.suspects,
+        )
+        self.quarantine = QuarantineKeeper(
+            cfg.quarantine,
+            self.clock,
+            self.link,
+            self.store,
+            self.leadership,
+            self.suspects,
+            self.reporter.publish_suspects,
         )
         self.keeper = Keeper(
             ranges,
@@ -171,6 +184,8 @@
             ("store.era", lambda: self.store.era),
             ("store.age_seconds", self.store_age_s),
             ("store.read_here", lambda: int(self.updates.source is not Source.RELAYS)),
+            ("quarantine.remembered", lambda: self.suspects.counts()[0]),
+            ("quarantine.refused", lambda: self.suspects.counts()[1]),
             ("targets.rate_limited", self.rate_limits.limited_count),
             ("leading", lambda: int(self.leadership.leading)),
             ("key.moves", lambda: self.keeper.moves),
@@ -190,6 +205,7 @@
             self._apply_updates,
             self.leadership.run,
             self.reporter.run,
+            self.quarantine.run,
             self.scheduler.run,
             self.pools.run_cleanup,
             self._poll_settings_file,
@@ -246,6 +262,8 @@
                 self.metrics,
                 self.reporter.load_recorder,
                 headers.PROTOCOL_HEADERS,
+                self.suspects,
+                self._incarnation_of,
             ),
             watch=CallerWatch(self.cfg.callers, self.clock),
             cfg=self.cfg.callers,
@@ -320,6 +338,11 @@
             return
         log.info("daemon: settings reloaded", extra={"path": str(self._path)})
 
+    def _incarnation_of(self, target_id):
+        """Return a text that tells one start of a target from another."""
+        record = self.state.targets.get(target_id)
+        return target_id if record is None else f"{target_id}/{record.born_ms}"
+
     def _connections(self, target):
         """Return how many of a target's connections this host may open."""
         return max(1, target.connections // max(1, len(self.hosts.live())))
--- a/src/persimmonspoke/errors.py
+++ b/src/persimmonspoke/errors.py
@@ -225,7 +225,10 @@
 
 
 class RouteLapsed(TargetError):
-    """The route's lease ended before the first byte was sent; nothing was written."""
+    """The right to send the request ended before the first byte; nothing was written.
+
+    The route's lease has ended, or equal requests are refused from now on.
+    """
 
 
 class AnswerLost(TargetError):
@@ -292,6 +295,10 @@
     """The caller's deadline passed before the request was written to a target."""
 
 
+class Quarantined(NotRun):
+    """Targets have ended under equal requests, so no target gets this one."""
+
+
 class GroupsChanged(NotRun):
     """The group of targets that the request was queued for no longer exists."""
 
--- a/src/persimmonspoke/internal/callers/attempts.py
+++ b/src/persimmonspoke/internal/callers/attempts.py
@@ -9,6 +9,7 @@
 from contextlib import AbstractContextManager, nullcontext
 from dataclasses import dataclass, field
 from functools import partial, singledispatch
+from http import HTTPStatus
 
 from persimmonspoke import errors
 from persimmonspoke.ids import Instant, KeyText, ServiceId, TargetId
@@ -20,6 +21,8 @@
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.observe.api import Metrics
 from persimmonspoke.internal.ownership.api import Route, Routes
+from persimmonspoke.internal.quarantine.settings import QuarantineSettings
+from persimmonspoke.internal.quarantine.suspects import Suspects
 from persimmonspoke.internal.questionnaire.configuration import TargetConfig
 from persimmonspoke.internal.routing.state import precedence_of, request_kind
 from persimmonspoke.internal.scheduling.api import (
@@ -109,12 +112,13 @@
     ----------
     head : bytes
         The first chunk of the body; the whole body if the answer is short.
-    on_lost : callable
-        Called with the `AnswerLost` of a body that ends early.
+    on_end : callable
+        Called when the body has ended: with None if it is whole, else with the
+        `AnswerLost`.
     """
 
     def __init__(self, answer: TargetAnswer, head, rest, slot: Slot, in_flight_context):
-        self.on_lost: Callable[[errors.AnswerLost], None] = lambda exc: None
+        self.on_end: Callable[[errors.AnswerLost | None], None] = lambda exc: None
         self.status = answer.status
         self.headers = answer.headers
         self.head: bytes = head
@@ -131,7 +135,7 @@
             yield from self._rest
         except errors.AnswerLost as exc:
             self._outcome = SlotOutcome.FAILED
-            self.on_lost(exc)
+            self.on_end(exc)
             raise
         self.finish()
 
@@ -139,6 +143,12 @@
         """Record that the whole answer has arrived, and close it."""
         self._outcome = SlotOutcome.ANSWERED
         self.close()
+        self.on_end(None)
+
+    @property
+    def is_whole(self) -> bool:
+        """Return whether the whole answer has arrived."""
+        return self._outcome is SlotOutcome.ANSWERED
 
     def close(self) -> None:
         """Release the slot and the in-flight count; further calls do nothing."""
@@ -199,6 +209,10 @@
     ----------
     attempt_fields : frozenset of str
         Lower-case names of the protocol's header fields that belong to one attempt.
+    suspects : Suspects
+        Requests under which targets end; by default this host has its own.
+    incarnation_of : callable
+        Returns a text that tells one start of a target from another.
     """
 
     def __init__(
@@ -211,9 +225,13 @@
         metrics: Metrics,
         observer: WorkObserver | None = None,
         attempt_fields: frozenset[str] = frozenset(),
+        suspects: Suspects | None = None,
+        incarnation_of: Callable[[TargetId], str] = str,
     ):
         self._cfg = cfg
         self._attempt_fields = attempt_fields
+        self._suspects = suspects or Suspects(QuarantineSettings(), clock)
+        self._incarnation_of = incarnation_of
         self._observer = observer or WorkObserver()
         self._routes = routes
         self._scheduler = scheduler
@@ -258,6 +276,8 @@
         Return the answer, None after a failure that allows another attempt, or
         raise the error that ends the request.
         """
+        trail = retry_state.trail
+        is_trial = self._suspects.check(trail.fingerprint, trail.request_id)
         route = self._route(req)
         if route is None:
             candidates = retry_state.candidates(req.entry)
@@ -278,23 +298,24 @@
         slot_acquired_at = self._clock.now()
         target_id = slot.target_id
         try:
-            answer = self._send(req, body, route, slot)
-            answer.on_lost = partial(
-                self._check_target, self._target(req, route, slot), retry_state.trail
-            )
-            retry_state.trail.add(
-                target_id, route, started_at, slot_acquired_at, "begun"
-            )
+            may_send = always_allowed
+            if not is_trial:
+                may_send = partial(self._suspects.allows, trail.fingerprint)
+            answer = self._send(req, body, route, slot, may_send)
+            target = self._target(req, route, slot)
+            answer.on_end = partial(self._on_answer_end, target, trail, answer.status)
+            if answer.is_whole:
+                answer.on_end(None)
+            trail.add(target_id, route, started_at, slot_acquired_at, "begun")
             return answer
         except BaseException as exc:
             reason = f"{type(exc).__name__}: {exc}"
-            retry_state.trail.add(
-                target_id, route, started_at, slot_acquired_at, reason
-            )
+            trail.add(target_id, route, started_at, slot_acquired_at, reason)
             if not isinstance(exc, (*NOT_RUN_ERRORS, errors.AnswerLost)):
                 raise
             self._record_failure(exc, route, slot, retry_state)
-            self._check_target(self._target(req, route, slot), retry_state.trail, exc)
+            if isinstance(exc, errors.ConnectionLost):
+                self._check_target(self._target(req, route, slot), trail, exc)
             if isinstance(exc, errors.RouteLapsed):
                 # Nothing was written, and the next lookup may return another owner.
                 retry_state.counted_attempts -= 1
@@ -321,8 +342,8 @@
         """Report the time since `started_at` as the metric ``callers.<name>``."""
         self._metrics.timing(f"callers.{name}", 1000 * (self._clock.now() - started_at))
 
-    def _send(self, req, body, route, slot) -> AnswerStream:
-        target_req = self._target_request(req, body, route, slot.target_id)
+    def _send(self, req, body, route, slot, may_send) -> AnswerStream:
+        target_req = self._target_request(req, body, route, slot.target_id, may_send)
         started_at = self._clock.now()
         in_flight_context = (
             nullcontext() if route is None else self._routes.in_flight(route)
@@ -345,10 +366,18 @@
             return route.target
         return slot.target or req.entry.targets[slot.target_id]
 
+    def _on_answer_end(self, target, trail, status, exc) -> None:
+        """Record whether the target survived the request.
+
+        An answer that tells of a fault of the target does not show that it did.
+        """
+        if isinstance(exc, errors.ConnectionLost):
+            self._check_target(target, trail, exc)
+        elif exc is None and status < HTTPStatus.INTERNAL_SERVER_ERROR:
+            self._suspects.record_answer(trail.fingerprint, trail.request_id)
+
     def _check_target(self, target, trail, exc) -> None:
         """After a lost connection, find out whether the target has ended."""
-        if not isinstance(exc, errors.ConnectionLost):
-            return
         ended = self._requests.has_ended(target)
         log.info(
             "callers: connection lost",
@@ -360,12 +389,17 @@
                 "reason": str(exc),
             },
         )
+        if ended:
+            incarnation = self._incarnation_of(target.target_id)
+            self._suspects.record_crash(
+                trail.fingerprint, incarnation, trail.request_id
+            )
 
-    def _target_request(self, req, body, route, target_id) -> TargetRequest:
-        shard, may_send = None, always_allowed
+    def _target_request(self, req, body, route, target_id, may_send) -> TargetRequest:
+        shard = None
         if route is not None:
             shard = GrantedShard(route.shard, route.epoch)
-            may_send = partial(self._routes.may_send, route)
+            may_send = partial(self._may_send, route, may_send)
         return TargetRequest(
             method=req.method,
             path=req.path,
@@ -379,6 +413,9 @@
             may_send=may_send,
         )
 
+    def _may_send(self, route, also) -> bool:
+        return also() and self._routes.may_send(route)
+
     def _start_answer(self, answer, slot, in_flight_context) -> AnswerStream:
         """Read a short answer to its end, or the first chunk of a longer one."""
         chunks = answer.chunks()
--- a/src/persimmonspoke/internal/callers/refusals.py
+++ b/src/persimmonspoke/internal/callers/refusals.py
@@ -52,7 +52,9 @@
         )
         if self.retry_after_s is None:
             return fields
-        return (*fields, ("Retry-After", f"{self.retry_after_s:.3g}"))
+        # No exponent, which the format has for large numbers.
+        wait_s = f"{self.retry_after_s:.3f}".rstrip("0").rstrip(".")
+        return (*fields, ("Retry-After", wait_s))
 
     def body(self, request_id: RequestId, message: str) -> bytes:
         """Return the JSON body of the answer."""
@@ -86,6 +88,12 @@
     return Refusal(HTTPStatus.SERVICE_UNAVAILABLE, "no_owner_yet")
 
 
+@refusal.register
+def _(exc: errors.Quarantined) -> Refusal:
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+    return Refusal(status, "quarantined", retry_after_s=exc.retry_after_s)
+
+
 @refusal.register
 def _(exc: errors.HostClosed) -> Refusal:
     return Refusal(HTTPStatus.SERVICE_UNAVAILABLE, "host_closed")
--- a/src/persimmonspoke/internal/fleet/messages.py
+++ b/src/persimmonspoke/internal/fleet/messages.py
@@ -1,6 +1,6 @@
 """Messages between hosts and their leader."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from persimmonspoke.ids import DataCentreId, HostId, ServiceId, TargetId
 from persimmonspoke.internal.peers.api import PeerAddress
@@ -108,6 +108,11 @@
         Whether the host is stopping and does no more work for other hosts.
     next_s : float
         Time until the host's next report.
+    suspects : list of list
+        What the leader does not know yet of requests under which targets end; fields
+        of `SuspectRow`.
+    suspects_digest : int
+        Hash of the shared ones that the host knows.
     """
 
     sender: list
@@ -120,6 +125,8 @@
     store_age_s: float
     leaving: bool
     next_s: float = 0.0
+    suspects: list = field(default_factory=list)
+    suspects_digest: int = 0
 
 
 @flat_message
@@ -139,6 +146,9 @@
         newest table.
     store_age_s : float
         Time since the store last answered the leader.
+    suspects : list of list or None
+        The shared requests under which targets end, as fields of `SuspectRow`; None if
+        the host knows the same.
     """
 
     leader: list
@@ -148,6 +158,7 @@
     hosts: list | None
     table: dict | None
     store_age_s: float
+    suspects: list | None = None
 
 
 @message
--- a/src/persimmonspoke/internal/fleet/reporter.py
+++ b/src/persimmonspoke/internal/fleet/reporter.py
@@ -2,13 +2,20 @@
 
 import logging
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 import xxhash
 
 from persimmonspoke.errors import PeerError, PeerRefused
-from persimmonspoke.ids import HostId, Instant, KeyText, ServiceId, TargetId
+from persimmonspoke.ids import (
+    Fingerprint,
+    HostId,
+    Instant,
+    KeyText,
+    ServiceId,
+    TargetId,
+)
 from persimmonspoke.internal.callers.attempts import WorkObserver
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.fleet.hosts import Hosts
@@ -27,6 +34,8 @@
 )
 from persimmonspoke.internal.fleet.settings import FleetSettings
 from persimmonspoke.internal.peers.api import PeerAddress, PeerLink
+from persimmonspoke.internal.quarantine.messages import SuspectsChanged
+from persimmonspoke.internal.quarantine.suspects import Suspects, digest_of
 from persimmonspoke.internal.ranges.keeper import Keeper
 from persimmonspoke.internal.ranges.routes import RangeRoutes
 from persimmonspoke.internal.targets.rate_limits import RateLimits
@@ -100,6 +109,8 @@
     ----------
     store_age_s : callable
         Returns the time since the store last answered this host.
+    suspects : Suspects
+        Requests under which targets end; the leader joins what all hosts know.
     """
 
     def __init__(
@@ -112,11 +123,13 @@
         routes: RangeRoutes,
         store_age_s: Callable[[], float],
         limits: RateLimits,
+        suspects: Suspects,
     ):
         self._cfg = cfg
         self._clock = clock
         self._link = link
         self._hosts = hosts
+        self._suspects = suspects
         self._leadership = leadership
         self._routes = routes
         self._store_age_s = store_age_s
@@ -130,6 +143,7 @@
         self.load_recorder = LoadRecorder(limits)
         link.serve(HostReport, self._on_report)
         link.serve(TableChange, self._on_change)
+        link.serve(SuspectsChanged, self._on_suspects_changed)
 
     def run(self) -> None:
         """Send reports periodically until the task is killed."""
@@ -137,7 +151,7 @@
             self._leadership.report_s = self._period_s()
             report_at = Instant(self._clock.now() + self._leadership.report_s)
             if self._leadership.leading:
-                self._apply_reply(self._on_report(self._report()))
+                self._apply_reply(self._on_report(self._report(self._hosts.me())))
                 self._step_aside_if_isolated()
             elif self._leadership.leader is not None:
                 self._report_to(self._leadership.leader)
@@ -147,9 +161,18 @@
         """Apply a change of the leader's table here, and send it to all other hosts."""
         if not self._routes.apply_change(change):
             self._routes.apply_table(self.keeper.table())
+        self._post_to_others(change)
+
+    def publish_suspects(self, fingerprints: Iterable[Fingerprint]) -> None:
+        """Tell all other hosts what this host, the leader, knows of some requests."""
+        rows = self._suspects.rows_of(fingerprints)
+        if rows:
+            self._post_to_others(SuspectsChanged(rows))
+
+    def _post_to_others(self, msg):
         for state in self._host_states.values():
             if state.entry.address != self._hosts.me():
-                self._link.post(state.entry.address, change)
+                self._link.post(state.entry.address, msg)
 
     def _period_s(self):
         """Return how often to report; less often in a large fleet.
@@ -168,7 +191,7 @@
             return self._cfg.report_s
         return period_s
 
-    def _report(self):
+    def _report(self, leader: PeerAddress):
         loads, work = self.load_recorder.drain()
         epoch, serial = self._routes.version()
         return HostReport(
@@ -182,13 +205,16 @@
             store_age_s=round(self._store_age_s(), 3),
             leaving=self._hosts.leaving,
             next_s=self._leadership.report_s,
+            suspects=self._suspects.untold(leader.host_id),
+            suspects_digest=self._suspects.digest(),
         )
 
     def _report_to(self, leader):
         """Send a report to the leader, and apply its reply."""
         deadline = Instant(self._clock.now() + self._cfg.call_s)
+        report = self._report(leader)
         try:
-            reply = self._link.call(leader, self._report(), deadline)
+            reply = self._link.call(leader, report, deadline)
         except PeerRefused as exc:
             log.info("fleet: report refused", extra={"reason": str(exc)})
             self._leadership.on_not_leading(leader)
@@ -199,6 +225,7 @@
             )
         else:
             self._leadership.on_leader_contact(reply.epoch)
+            self._suspects.mark_told(report.suspects, leader.host_id)
             self._apply_reply(reply)
             if reply.store_age_s > self._cfg.yield_s:
                 # The next report then shows the leader whether others reach the store.
@@ -227,6 +254,14 @@
             self._host_list_number = reply.fleet
             self._listed = tuple(entry_from(fields) for fields in reply.hosts)
         self._hosts.update_live(self._listed, until)
+        if reply.suspects is not None:
+            self._suspects.merge(reply.suspects, reply.leader[0])
+            if self._suspects.digest() != digest_of(reply.suspects):
+                # The leader may have started without what this host knows.
+                self._suspects.mark_untold()
+
+    def _on_suspects_changed(self, changed: SuspectsChanged) -> None:
+        self._suspects.merge(changed.rows, "leader")
 
     def _on_report(self, report: HostReport) -> LeaderReply:
         if not self._leadership.leading:
@@ -244,6 +279,7 @@
             self._list_due_at = now
         self._hosts.mark_alive(host_id)
         self.keeper.on_report(report)
+        self.publish_suspects(self._suspects.merge(report.suspects, host_id))
         number, hosts = self._present_hosts(now)
         newest = self.keeper.table()
         outdated = newest.version() > (report.epoch, report.serial)
@@ -255,8 +291,15 @@
             hosts=None if report.fleet == number else hosts,
             table=_encode_rows(newest) if outdated else None,
             store_age_s=round(self._store_age_s(), 3),
+            suspects=self._suspects_unlike(report.suspects_digest),
         )
 
+    def _suspects_unlike(self, digest) -> list | None:
+        """Return the shared suspects, None if the other host knows the same ones."""
+        if digest == self._suspects.digest():
+            return None
+        return self._suspects.shared_rows()
+
     def _present_hosts(self, now):
         """Return the number and the entries of the list of live hosts.
 
--- a/src/persimmonspoke/internal/targets/http_requests.py
+++ b/src/persimmonspoke/internal/targets/http_requests.py
@@ -289,7 +289,7 @@
                 fields["Content-Length"] = str(body.length)
             body = _request_chunks(exchange, body.chunks)
         if not req.may_send():
-            raise RouteLapsed("the route's lease ended before the first byte")
+            raise RouteLapsed("the right to send ended before the first byte")
         exchange.conn.request(
             req.method,
             req.path,
--- a/tests/cover/test_crashing_requests.py
+++ b/tests/cover/test_crashing_requests.py
@@ -9,7 +9,11 @@
 
 import eventlet
 
+from persimmonspoke.errors import OutcomeUnknown, Quarantined
+from persimmonspoke.internal.quarantine.settings import QuarantineSettings
+from persimmonspoke.internal.quarantine.suspects import MAX_CRASHES_KEPT, Suspects
 from tests.fakes import virtual_hub
+from tests.fakes.caller_parts import HubClock
 from tests.fakes.crashing_pool import CrashingPool, PoolCaller, streamed
 from tests.fakes.range_fleet import RangeFleet
 
@@ -18,7 +22,7 @@
 ALLOWED_RETRIES = 3
 BAD = "/crashes"
 SENDS_PER_S = 6.0
-MAX_CRASHES = 3
+CFG = QuarantineSettings()
 
 
 class CrashCase(unittest.TestCase):
@@ -43,6 +47,8 @@
                 self.pool,
                 host,
                 self.random.random(),
+                suspects=host.suspects,
+                incarnation_of=self.pool.incarnation_of,
             )
         return self.callers[host]
 
@@ -59,7 +65,7 @@
 
     def crash_three(self):
         """Send the crashing request until it is refused."""
-        while len(self.pool.crashes(BAD)) < MAX_CRASHES:
+        while len(self.pool.crashes(BAD)) < CFG.max_crashes:
             self.play(0.2)
         self.fleet.run_for(0.1)
 
@@ -68,7 +74,7 @@
         late = self.pool.late_retries(BAD, SETTLE_S)
         late = [a for a in late if hosts is None or a.host in hosts]
         self.assertLessEqual(len(late), ALLOWED_RETRIES)
-        self.assertGreaterEqual(len(self.pool.crashes(BAD)), MAX_CRASHES)
+        self.assertGreaterEqual(len(self.pool.crashes(BAD)), CFG.max_crashes)
 
 
 class TestRequestsThatEndTargets(CrashCase):
@@ -104,7 +110,7 @@
         machines = {h.process.machine for h in others}
         self.fleet.network.cut({cut.process.machine}, machines)
         self.play(6.0, hosts=others)
-        self.assertGreaterEqual(len(self.pool.crashes(BAD)), MAX_CRASHES)
+        self.assertGreaterEqual(len(self.pool.crashes(BAD)), CFG.max_crashes)
         self.fleet.network.heal()
         self.fleet.run_for(SETTLE_S)
         reached = len(self.pool.arrivals)
@@ -122,6 +128,34 @@
         self.play(10.0, hosts=[new])
         self.assertEqual(len(self.pool.arrivals), reached)
 
+    # Guards against BUDGET after the loss of all hosts, whose memory is gone.
+    def test_they_do_so_after_all_hosts_were_lost(self):
+        self.crash_three()
+        self.fleet.run_for(1.0)
+        for host in self.living():
+            host.kill()
+        hosts = [self.fleet.restart(host) for host in list(self.fleet.hosts)]
+        self.fleet.run_for(SETTLE_S)
+        reached = len(self.pool.arrivals)
+        self.play(10.0, hosts=hosts)
+        self.assertEqual(len(self.pool.arrivals), reached)
+
+    # Guards against BUDGET when the store forgets its copy and all hosts are lost.
+    def test_they_do_so_after_the_store_was_restored_and_all_hosts_were_lost(self):
+        self.crash_three()
+        self.fleet.run_for(1.0)
+        self.fleet.platform.restore(9.0)
+        for host in self.fleet.hosts:
+            host.store.era = self.fleet.platform.era
+        self.fleet.run_for(3.0)
+        for host in self.living():
+            host.kill()
+        hosts = [self.fleet.restart(host) for host in list(self.fleet.hosts)]
+        self.fleet.run_for(SETTLE_S)
+        reached = len(self.pool.arrivals)
+        self.play(10.0, hosts=hosts)
+        self.assertEqual(len(self.pool.arrivals), reached)
+
     def test_they_do_so_while_the_store_is_away(self):
         self.fleet.platform.faults.down = True
         self.play(8.0)
@@ -130,5 +164,152 @@
         self.assert_within_the_limit()
 
 
+class TestOtherRequests(CrashCase):
+    def test_those_of_the_same_path_or_caller_are_served(self):
+        mine, other = (("Cookie", "id=1"),), (("Cookie", "id=2"),)
+        bad = {"method": "POST", "body": b"bad", "headers": mine}
+        self.play(6.0, method="POST", headers=mine, make_body=lambda: b"bad")
+        good = [
+            {"method": "POST", "body": b"good", "headers": mine},
+            {"method": "POST", "body": b"bad", "headers": other},
+            {"method": "PUT", "body": b"bad", "headers": mine},
+        ]
+        self.pool.crashing.clear()
+        self.fleet.run_for(3.0)
+        for host in self.living():
+            self.assertIsInstance(self.caller(host).send(BAD, **bad), Quarantined)
+            for fields in good:
+                self.assertEqual(self.caller(host).send(BAD, **fields), 200)
+            self.assertEqual(self.caller(host).send("/other", headers=mine), 200)
+
+    def test_one_that_runs_beside_crashing_ones_is_served(self):
+        eventlet.spawn_n(self.play, 20.0)
+        self.play(30.0, "/good")
+        refused = [
+            outcome
+            for caller in self.callers.values()
+            for path, outcome in caller.outcomes
+            if path == "/good" and isinstance(outcome, Quarantined)
+        ]
+        self.assertEqual(refused, [])
+
+    def test_one_that_is_repeated_while_targets_end_by_themselves_is_served(self):
+        for _ in range(20):
+            for name in self.random.sample(sorted(self.pool.starts), 4):
+                eventlet.spawn_after(self.random.random(), self.pool.end, name)
+            self.play(2.0, "/good")
+        self.fleet.run_for(3.0)
+        for host in self.living():
+            self.assertEqual(self.caller(host).send("/good"), 200)
+
+
+class TestRefusals(CrashCase):
+    def setUp(self):
+        super().setUp()
+        self.crash_three()
+        self.fleet.run_for(1.0)
+        self.host = self.living()[1]
+
+    def send(self):
+        return self.caller(self.host).send(BAD)
+
+    def test_they_say_that_the_request_did_not_run_and_when_to_come_back(self):
+        reached = len(self.pool.arrivals)
+        exc = self.send()
+        self.assertIsInstance(exc, Quarantined)
+        self.assertEqual(len(self.pool.arrivals), reached)
+        self.assertGreater(exc.retry_after_s, 0.5 * CFG.trial_s)
+        self.assertLessEqual(exc.retry_after_s, CFG.trial_s)
+
+    def test_the_request_whose_target_was_the_last_is_not_said_to_have_not_run(self):
+        failures = [o for c in self.callers.values() for _, o in c.outcomes]
+        unknown = [exc for exc in failures if isinstance(exc, OutcomeUnknown)]
+        self.assertGreaterEqual(len(unknown), CFG.max_crashes)
+
+    def test_one_trial_in_the_whole_fleet_shows_that_it_is_served_again(self):
+        self.pool.crashing.clear()
+        self.fleet.run_for(self.send().retry_after_s)
+        reached = len(self.pool.arrivals)
+        for host in self.living():
+            eventlet.spawn_n(self.caller(host).send, BAD)
+        self.fleet.run_for(0.04)
+        self.assertEqual(len(self.pool.arrivals), reached + 1)
+        self.fleet.run_for(1.0)
+        for host in self.living():
+            self.assertEqual(self.caller(host).send(BAD), 200)
+
+    def test_trials_become_rare_and_end(self):
+        reached = len(self.pool.arrivals)
+        self.fleet.stop()
+        for trial in range(CFG.max_trials + 2):
+            self.host.suspects.claim_trial = self.host.suspects.start_trial
+            exc = self.send()
+            self.assertIsInstance(exc, Quarantined)
+            if trial < CFG.max_trials:
+                expected_s = CFG.trial_s * CFG.trial_factor**trial
+                self.assertLessEqual(exc.retry_after_s, expected_s)
+                eventlet.sleep(exc.retry_after_s)
+                self.assertIsInstance(self.send(), OutcomeUnknown)
+        self.assertEqual(len(self.pool.arrivals), reached + CFG.max_trials)
+
+    # Guards against an answer of a target that fails: it does not end the refusals.
+    def test_a_trial_that_the_target_answers_by_a_fault_changes_nothing(self):
+        self.pool.crashing.clear()
+        self.pool.statuses[BAD] = 500
+        self.fleet.run_for(self.send().retry_after_s)
+        self.assertEqual(self.send(), 500)
+        self.assertIsInstance(self.send(), Quarantined)
+
+
+class TestMemory(unittest.TestCase):
+    def setUp(self):
+        self.suspects = Suspects(CFG, HubClock())
+
+    def crash(self, fingerprint, times=CFG.max_crashes):
+        for number in range(times):
+            self.suspects.record_crash(fingerprint, f"t{number}/1", "r")
+
+    def test_it_is_bounded_and_keeps_what_is_refused(self):
+        self.crash("bad")
+        for number in range(3 * CFG.max_requests):
+            self.crash(f"f{number}", 1)
+        self.assertEqual(self.suspects.counts(), (CFG.max_requests, 1))
+        self.crash("bad", 10 * MAX_CRASHES_KEPT)
+        self.assertEqual(len(self.suspects.refused_rows()[0][2]), MAX_CRASHES_KEPT)
+
+    def test_it_ends_when_nothing_more_is_heard(self):
+        self.crash("bad")
+        self.assertFalse(self.suspects.allows("bad"))
+        eventlet.sleep(CFG.forget_s + 1)
+        self.suspects.forget_old()
+        self.assertTrue(self.suspects.allows("bad"))
+        self.assertEqual(self.suspects.counts(), (0, 0))
+
+    def test_one_target_counts_once_for_each_of_its_starts(self):
+        for _ in range(5):
+            self.suspects.record_crash("bad", "t0/1", "r")
+        self.assertTrue(self.suspects.allows("bad"))
+        self.suspects.record_crash("bad", "t0/2", "r")
+        self.suspects.record_crash("bad", "t0/3", "r")
+        self.assertFalse(self.suspects.allows("bad"))
+
+    def test_what_two_hosts_know_joins_in_any_order(self):
+        other = Suspects(CFG, HubClock())
+        self.suspects.record_crash("bad", "t0/1", "r")
+        self.suspects.record_crash("bad", "t1/1", "r")
+        other.record_crash("bad", "t1/1", "s")
+        other.record_crash("bad", "t2/1", "s")
+        rows = other.untold("leader")
+        for _ in range(2):
+            self.suspects.merge(rows, "other")
+        self.assertFalse(self.suspects.allows("bad"))
+        other.merge(self.suspects.shared_rows(), "one")
+        self.assertEqual(other.digest(), self.suspects.digest())
+        other.record_answer("bad", "s")
+        self.suspects.merge(other.shared_rows(), "other")
+        self.suspects.merge(rows, "late")
+        self.assertTrue(self.suspects.allows("bad"))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/fakes/range_fleet.py
+++ b/tests/fakes/range_fleet.py
@@ -10,6 +10,9 @@
 from persimmonspoke.internal.fleet.settings import FleetSettings
 from persimmonspoke.internal.news.board import StoreCache
 from persimmonspoke.internal.peers.api import PeerAddress
+from persimmonspoke.internal.quarantine.keeping import QuarantineKeeper
+from persimmonspoke.internal.quarantine.settings import QuarantineSettings
+from persimmonspoke.internal.quarantine.suspects import Suspects
 from persimmonspoke.internal.ranges.keeper import Keeper
 from persimmonspoke.internal.ranges.routes import RangeRoutes
 from persimmonspoke.internal.ranges.settings import RangeSettings
@@ -71,6 +74,7 @@
         self.state.targets = fleet.records
         self.routes = RangeRoutes(self.state, self.clock, 1.4)
         self.limits = RateLimits(self.clock)
+        self.suspects = Suspects(QuarantineSettings(), self.clock)
         self.reporter = Reporter(
             cfg,
             self.clock,
@@ -80,6 +84,16 @@
             self.routes,
             self.store_age_s,
             self.limits,
+            self.suspects,
+        )
+        self.quarantine = QuarantineKeeper(
+            QuarantineSettings(),
+            self.clock,
+            self.link,
+            self.store,
+            self.leadership,
+            self.suspects,
+            self.reporter.publish_suspects,
         )
         self.orders = FakeRangeOrders(self.process, fleet.targets)
         self.keeper = Keeper(
@@ -101,6 +115,7 @@
                 self.hosts.keep_registered,
                 self.leadership.run,
                 self.reporter.run,
+                self.quarantine.run,
                 lambda: self._read_hosts(fleet),
             )
         ]
