Take an answer whose head or chunk size ends early for lost

It happens here: http.client takes the end of the connection for the end of a head, of a chunk's size and of the trailers, so an answer without a length that is cut after its signature was passed on as a whole, empty one, and a chunk size such as 0005 cut to 0 ended the body. Orders to targets use the same connections: a handover cut in its middle was passed on.

A line that ends without a line break now counts as a reset connection. The store's client is not affected: a body that is cut or missing is no JSON.

--- a/src/persimmonspoke/internal/targets/connections.py
+++ b/src/persimmonspoke/internal/targets/connections.py
@@ -131,6 +131,17 @@
     def __getattr__(self, name):
         return getattr(self._buffer, name)
 
+    def readline(self, limit=-1):
+        """Return the next line; raise `ConnectionResetError` if it ends early.
+
+        The library takes the end of the connection for the end of a head, of a chunk's
+        size or of the trailers.
+        """
+        line = self._buffer.readline(limit)
+        if not line.endswith(b"\n") and len(line) != limit:
+            raise ConnectionResetError("the connection ended within a line")
+        return line
+
     def close(self):
         """Do nothing: the connection owns the buffer."""
 
--- a/tests/loopback/test_unframed_answers.py
+++ b/tests/loopback/test_unframed_answers.py
@@ -77,6 +77,34 @@
             self.answer(reset)
 
 
+class TestAnswersCutInTheirHead(AnswerCase):
+    def answer(self, sent):
+        """Return the answer to a request, of which only `sent` arrives."""
+
+        def script(conn):
+            conn.receive()
+            conn.sock.sendall(sent.encode())
+            conn.sock.shutdown(socket.SHUT_WR)
+
+        return self.ask(self.target(script))
+
+    # Guards against MIXED: a head that was cut passes as one with a shorter body.
+    def test_an_answer_is_lost_wherever_its_head_ends_early(self):
+        whole = HEAD.format(id="r1") + "Content-Length: 123\r\n\r\n"
+        for end in range(len(whole)):
+            with self.subTest(sent=whole[:end]), self.assertRaises(AnswerLost):
+                self.answer(whole[:end])
+
+    # Guards against MIXED: a chunk size that was cut passes as a smaller one.
+    def test_an_answer_is_lost_wherever_its_chunks_end_early(self):
+        head = HEAD.format(id="r1") + "Transfer-Encoding: chunked\r\n\r\n"
+        chunks = "0005\r\nhello\r\n0\r\nTrailer: 1\r\n\r\n"
+        for end in range(len(chunks)):
+            with self.subTest(sent=chunks[:end]), self.assertRaises(AnswerLost):
+                self.answer(head + chunks[:end])
+        self.assertEqual(self.answer(head + chunks), b"hello")
+
+
 class TestUnexpectedBytes(AnswerCase):
     def framed(self, request_id, body):
         head = HEAD.format(id=request_id) + f"Content-Length: {len(body)}\r\n\r\n"
