Send a repeated request over no connection that may have carried it

A refusal of an earlier request was skipped here, and one without an id taken for a lost answer; tests show both now. But a connection remembers its last 8 requests only: one that was refused, and comes back to the same target after 8 others, could get the same connection, and the refusal written twice was then taken for the answer to the second attempt.

A repetition now gets a connection that has forgotten no request, or a new one. More memory would only make it rarer; new connections for all repetitions are dear.

TestRefusalsWrittenTwice: the third test failed before with TargetShed.

--- a/src/persimmonspoke/internal/callers/attempts.py
+++ b/src/persimmonspoke/internal/callers/attempts.py
@@ -7,7 +7,7 @@
 import logging
 from collections.abc import Callable, Iterator
 from contextlib import AbstractContextManager, nullcontext
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial, singledispatch
 from http import HTTPStatus
 
@@ -298,11 +298,14 @@
         slot_acquired_at = self._clock.now()
         target_id = slot.target_id
         try:
+            target = self._target(req, route, slot)
             may_send = always_allowed
             if not is_trial:
                 may_send = partial(self._suspects.allows, trail.fingerprint)
-            answer = self._send(req, body, route, slot, may_send)
-            target = self._target(req, route, slot)
+            target_req = self._target_request(req, body, route, target_id, may_send)
+            if trail.was_tried(target_id):
+                target_req = replace(target_req, repeated=True)
+            answer = self._send(target, target_req, route, slot)
             answer.on_end = partial(self._on_answer_end, target, trail, answer.status)
             if answer.is_whole:
                 answer.on_end(None)
@@ -342,15 +345,14 @@
         """Report the time since `started_at` as the metric ``callers.<name>``."""
         self._metrics.timing(f"callers.{name}", 1000 * (self._clock.now() - started_at))
 
-    def _send(self, req, body, route, slot, may_send) -> AnswerStream:
-        target_req = self._target_request(req, body, route, slot.target_id, may_send)
+    def _send(self, target, target_req, route, slot) -> AnswerStream:
         started_at = self._clock.now()
         in_flight_context = (
             nullcontext() if route is None else self._routes.in_flight(route)
         )
         in_flight_context.__enter__()
         try:
-            answer = self._requests.send(self._target(req, route, slot), target_req)
+            answer = self._requests.send(target, target_req)
             stream = self._start_answer(answer, slot, in_flight_context)
             self._observer.record_answer(slot.target_id, self._clock.now() - started_at)
             return stream
--- a/src/persimmonspoke/internal/callers/trail.py
+++ b/src/persimmonspoke/internal/callers/trail.py
@@ -88,6 +88,10 @@
             )
         )
 
+    def was_tried(self, target_id: TargetId) -> bool:
+        """Return whether there was an attempt at a target."""
+        return any(attempt.target_id == target_id for attempt in self.attempts)
+
     def log(self, status: int | None, outcome: str, reason: str) -> None:
         """Write the log line.
 
--- a/src/persimmonspoke/internal/targets/connections.py
+++ b/src/persimmonspoke/internal/targets/connections.py
@@ -162,6 +162,7 @@
         self.wrote = False
         self.answered_at = None
         self._recent_requests = deque(maxlen=MAX_REMEMBERED_REQUESTS)
+        self._carried_count = 0
         self._recv_buffer: _ConnectionBuffer | None = None
         self._closing_sock: socket.socket | None = None
         self.response_class = self._make_response
@@ -214,6 +215,7 @@
         """Record the id of the request that is about to be sent."""
         self.wrote = False
         self._recent_requests.append(request_id)
+        self._carried_count += 1
         self.allow_bytes(MAX_HEAD_BYTES)
 
     def allow_bytes(self, count: int) -> None:
@@ -228,6 +230,17 @@
         """
         return request_id in self._recent_requests
 
+    def may_have_carried(self, request_id: RequestId, repeated: bool) -> bool:
+        """Return whether the request may have been sent on this connection.
+
+        Parameters
+        ----------
+        repeated : bool
+            Whether it was sent on any connection to the target before.
+        """
+        forgot_some = self._carried_count > MAX_REMEMBERED_REQUESTS
+        return self.has_carried(request_id) or (repeated and forgot_some)
+
     def is_reusable(self) -> bool:
         """Return whether the connection is open and has no unread bytes."""
         sock = self.sock
@@ -300,7 +313,11 @@
             self._permits.release()
 
     def acquire(
-        self, request_id: RequestId, deadline: Instant, require_recent: bool
+        self,
+        request_id: RequestId,
+        deadline: Instant,
+        require_recent: bool,
+        repeated: bool = False,
     ) -> TargetConnection:
         """Return a connection for one request.
 
@@ -309,11 +326,14 @@
         require_recent : bool
             Whether the connection must be new or have answered within
             `proved_alive_s`.
+        repeated : bool
+            Whether the request was sent to the target before; the connection must not
+            have carried it then.
         """
         self._acquire_permit(deadline)
         self._in_use += 1
         try:
-            conn = self._find_reusable(request_id, require_recent)
+            conn = self._find_reusable(request_id, require_recent, repeated)
             return self._open(deadline) if conn is None else conn
         except BaseException:
             self._release_permit()
@@ -365,7 +385,7 @@
         self._in_use -= 1
         self._permits.release()
 
-    def _find_reusable(self, request_id, require_recent):
+    def _find_reusable(self, request_id, require_recent, repeated):
         max_age_s = self._cfg.proved_alive_s if require_recent else self._cfg.idle_s
         min_answered_at = self._clock.now() - max_age_s
         # The most recently released come first, so all after a stale one are stale.
@@ -373,7 +393,7 @@
             conn = self._idle[index]
             if conn.answered_at < min_answered_at:
                 return None
-            if conn.has_carried(request_id):
+            if conn.may_have_carried(request_id, repeated):
                 continue
             del self._idle[index]
             if conn.is_reusable():
--- a/src/persimmonspoke/internal/targets/http_requests.py
+++ b/src/persimmonspoke/internal/targets/http_requests.py
@@ -152,7 +152,10 @@
         """
         pool = self._pools.of(target)
         conn = pool.acquire(
-            req.request_id, req.deadline, require_recent=not req.repeatable
+            req.request_id,
+            req.deadline,
+            require_recent=not req.repeatable,
+            repeated=req.repeated,
         )
         exchange = self._new_exchange(target, pool, conn, req)
         try:
--- a/src/persimmonspoke/internal/targets/request_api.py
+++ b/src/persimmonspoke/internal/targets/request_api.py
@@ -82,6 +82,8 @@
         Shard and epoch of the route; None for a service not divided by key.
     target_id : TargetId or None
         The only target that may run the request, for protocols that can express it.
+    repeated : bool
+        Whether this host has sent the request to the same target before.
     may_send : callable
         Called once the connection is open, just before the first byte is written;
         if it returns False, the attempt fails with `RouteLapsed`.
@@ -96,6 +98,7 @@
     protected: bool
     shard: GrantedShard | None = None
     target_id: TargetId | None = None
+    repeated: bool = False
     may_send: Callable[[], bool] = always_allowed
 
     @property
--- a/tests/loopback/test_unframed_answers.py
+++ b/tests/loopback/test_unframed_answers.py
@@ -9,7 +9,10 @@
 from persimmonspoke.errors import AnswerLost, TargetFenced, TargetShed
 from persimmonspoke.ids import Instant, RequestId
 from persimmonspoke.internal.clock import SystemClock
-from persimmonspoke.internal.targets.connections import TargetPools
+from persimmonspoke.internal.targets.connections import (
+    MAX_REMEMBERED_REQUESTS,
+    TargetPools,
+)
 from persimmonspoke.internal.targets.http_requests import HttpTargetRequests
 from persimmonspoke.internal.targets.rate_limits import UNLIMITED, RateLimits
 from persimmonspoke.internal.targets.request_api import TargetRequest
@@ -42,7 +45,7 @@
         self.addCleanup(raw.stop)
         return raw.config()
 
-    def ask(self, target, request_id="r1", left_s=5.0):
+    def ask(self, target, request_id="r1", left_s=5.0, repeated=False):
         req = TargetRequest(
             method="GET",
             path="/a/",
@@ -51,6 +54,7 @@
             deadline=Instant(self.clock.now() + left_s),
             request_id=RequestId(request_id),
             protected=True,
+            repeated=repeated,
             target_id=target.target_id,
         )
         return b"".join(self.client.send(target, req).chunks())
@@ -150,6 +154,70 @@
             self.ask(self.target(script))
 
 
+REFUSED = (
+    "HTTP/1.1 503 Full\r\n{id}Persimmonspoke-Not-Executed: 1\r\n"
+    "Content-Length: 0\r\n\r\n"
+)
+
+
+class TestRefusalsWrittenTwice(AnswerCase):
+    def refusal(self, request_id):
+        field = f"Persimmonspoke-Request-Id: {request_id}\r\n" if request_id else ""
+        return REFUSED.format(id=field).encode()
+
+    def answer(self, request_id):
+        head = HEAD.format(id=request_id) + "Content-Length: 3\r\n\r\n"
+        return (head + "run").encode()
+
+    def refuse_twice(self, second_id):
+        """Refuse r1; then write a refusal with `second_id` before r2's answer."""
+
+        def script(conn):
+            conn.receive()
+            conn.sock.sendall(self.refusal("r1"))
+            conn.receive()
+            conn.sock.sendall(self.refusal(second_id) + self.answer("r2"))
+            eventlet.sleep(1)
+
+        target = self.target(script)
+        with self.assertRaises(TargetShed):
+            self.ask(target, "r1")
+        return target
+
+    # Guards against REFUSED: a request that runs is reported as not run.
+    def test_one_to_an_earlier_request_is_skipped(self):
+        self.assertEqual(self.ask(self.refuse_twice("r1"), "r2"), b"run")
+
+    # Guards against REFUSED where the refusal does not say to which request.
+    def test_one_without_an_id_is_no_answer_to_a_later_request(self):
+        with self.assertRaises(AnswerLost):
+            self.ask(self.refuse_twice(None), "r2")
+
+    # Guards against REFUSED and TWICE: the earlier refusal is of the same request.
+    def test_one_to_the_same_request_is_not_met_again_after_many_others(self):
+        def refuses_again(conn):
+            conn.receive()
+            conn.sock.sendall(self.refusal("r1"))
+            for number in range(3 * MAX_REMEMBERED_REQUESTS):
+                conn.receive()
+                conn.sock.sendall(self.answer(f"other{number}"))
+            conn.receive()
+            conn.sock.sendall(self.refusal("r1"))
+            eventlet.sleep(1)
+
+        def runs(conn):
+            conn.receive()
+            conn.sock.sendall(self.answer("r1"))
+            eventlet.sleep(1)
+
+        target = self.target(refuses_again, runs)
+        with self.assertRaises(TargetShed):
+            self.ask(target, "r1")
+        for number in range(3 * MAX_REMEMBERED_REQUESTS):
+            self.ask(target, f"other{number}")
+        self.assertEqual(self.ask(target, "r1", repeated=True), b"run")
+
+
 class TestRateLimitsInAnswers(AnswerCase):
     """What answers of different kinds show about a target's rate limit."""
 
