Refuse what may outlast the grace of a planned stop before it is sent

Reported by another operator: requests that came late in the grace were taken and passed on, and cut with no answer at its end (LOST). It happens here: while a stopping host waits for its last answers it admits what comes on kept connections, whatever its deadline; and between the last answer and the end of the process, up to 0.3 s while its record is removed from the store, it admitted and then cut requests as well.

Once the balancer has noticed, a request is admitted only if its deadline is before the end of the grace, and none after the last answer. Others get 503, not run, at once, and go to another host. Not from the SIGTERM on: until the balancer has noticed, most callers come anew, and nearly all of their answers come in time.

--- a/src/persimmonspoke/daemon/gate.py
+++ b/src/persimmonspoke/daemon/gate.py
@@ -25,6 +25,8 @@
         Whether requests are still accepted, but each response closes its connection.
     stopping : bool
         Whether the process is about to end.
+    ends_at : Instant or None
+        When the process ends at the latest; None if that is not near.
     in_flight : int
         Number of requests in flight, that is, not yet answered.
     """
@@ -35,12 +37,17 @@
         self.draining = False
         self.leaving = False
         self.stopping = False
+        self.ends_at: Instant | None = None
         self.in_flight = 0
 
     def open(self) -> bool:
         """Return whether the host accepts new requests."""
         return not self.draining and not self.stopping and self._is_ready()
 
+    def may_last_until(self, deadline: Instant) -> bool:
+        """Return whether a request with a deadline ends before the process does."""
+        return self.ends_at is None or deadline <= self.ends_at
+
     @contextmanager
     def admitted(self) -> Iterator[None]:
         """Count one request as in flight for as long as the context lasts."""
--- a/src/persimmonspoke/daemon/routed.py
+++ b/src/persimmonspoke/daemon/routed.py
@@ -9,6 +9,7 @@
 import eventlet.wsgi
 
 from persimmonspoke.daemon.gate import HostGate
+from persimmonspoke.daemon.planned_stop import serve_until_stop
 from persimmonspoke.daemon.routed_settings import RoutedSettings
 from persimmonspoke.daemon.supervision import spawn_supervised
 from persimmonspoke.errors import InvalidSettings
@@ -228,10 +229,14 @@
         log.info("daemon: stopping", extra={"in_hand": self.gate.in_flight})
         self.gate.leaving = self.hosts.leaving = True
         eventlet.spawn(self.leadership.resign)
-        self.clock.sleep_until(Instant(started_at + self.cfg.linger_s))
-        self._server.kill()
         grace_s = self.platform.bounds.grace_s - EXIT_MARGIN_S
-        all_answered = self.gate.wait_until_idle(Instant(started_at + grace_s))
+        all_answered = serve_until_stop(
+            self.gate,
+            self.clock,
+            Instant(started_at + self.cfg.linger_s),
+            Instant(started_at + grace_s),
+            self._server.kill,
+        )
         self.hosts.remove(
             self.platform.host, Instant(self.clock.now() + REMOVE_RECORD_TIMEOUT_S)
         )
--- a/src/persimmonspoke/internal/callers/api.py
+++ b/src/persimmonspoke/internal/callers/api.py
@@ -3,6 +3,7 @@
 from contextlib import AbstractContextManager
 from typing import Protocol
 
+from persimmonspoke.ids import Instant
 from persimmonspoke.internal.questionnaire.configuration import TeamConfig
 
 
@@ -21,6 +22,9 @@
     def open(self) -> bool:
         """Return whether the host holds its lease and is not shutting down."""
 
+    def may_last_until(self, deadline: Instant) -> bool:
+        """Return whether a request with a deadline ends before the process does."""
+
     def admitted(self) -> AbstractContextManager[None]:
         """Return a context during which one request counts as in flight."""
 
--- a/src/persimmonspoke/internal/callers/app.py
+++ b/src/persimmonspoke/internal/callers/app.py
@@ -90,6 +90,8 @@
         """
         started = self._clock.now()
         req = trail.req = self._reader.read(environ, trail.request_id)
+        if not self._gate.may_last_until(req.deadline):
+            raise HostClosed("this host stops before the request's deadline")
         limit = req.entry.service.max_body_bytes
         body = BodyReader(self._cfg, self._clock, environ, limit, req.deadline).read()
         answer = self._runner.run(req, body, trail)
--- a/tests/fakes/caller_parts.py
+++ b/tests/fakes/caller_parts.py
@@ -185,6 +185,10 @@
         """Return whether requests are accepted."""
         return self.is_open
 
+    def may_last_until(self, deadline):
+        """Return True: the host does not stop."""
+        return True
+
     @contextmanager
     def admitted(self):
         """Count one request as in flight."""
