Report nothing to itself of the requests under which targets end

A leader merged all of its own rows with each of its reports to itself. A stored copy without a list of rows is logged as unreadable.

--- a/src/persimmonspoke/internal/fleet/reporter.py
+++ b/src/persimmonspoke/internal/fleet/reporter.py
@@ -193,6 +193,9 @@
 
     def _report(self, leader: PeerAddress):
         loads, work = self.load_recorder.drain()
+        suspects = []
+        if leader != self._hosts.me():
+            suspects = self._suspects.untold(leader.host_id)
         epoch, serial = self._routes.version()
         return HostReport(
             sender=entry_fields(self._hosts.my_entry),
@@ -205,7 +208,7 @@
             store_age_s=round(self._store_age_s(), 3),
             leaving=self._hosts.leaving,
             next_s=self._leadership.report_s,
-            suspects=self._suspects.untold(leader.host_id),
+            suspects=suspects,
             suspects_digest=self._suspects.digest(),
         )
 
--- a/src/persimmonspoke/internal/quarantine/keeping.py
+++ b/src/persimmonspoke/internal/quarantine/keeping.py
@@ -143,8 +143,8 @@
 
     Nobody knows how long ago they were stored, so their age counts from now.
     """
-    rows = []
-    for fields in stored.value.get("rows", ()):
+    rows, found = [], stored.value.get("rows")
+    for fields in found if isinstance(found, list) else [found]:
         try:
             fingerprint, answered, crashes, trials, shared, _ = fields
             rows.append(
