Drop what told a leader its lack of suspects twice

A host tells a new leader all that it knows, since it has told it nothing; what it learns later is told by its next report. So a leader can lack nothing that was told, but what it has forgotten.

--- a/src/persimmonspoke/internal/fleet/reporter.py
+++ b/src/persimmonspoke/internal/fleet/reporter.py
@@ -35,7 +35,7 @@
 from persimmonspoke.internal.fleet.settings import FleetSettings
 from persimmonspoke.internal.peers.api import PeerAddress, PeerLink
 from persimmonspoke.internal.quarantine.messages import SuspectsChanged
-from persimmonspoke.internal.quarantine.suspects import Suspects, digest_of
+from persimmonspoke.internal.quarantine.suspects import Suspects
 from persimmonspoke.internal.ranges.keeper import Keeper
 from persimmonspoke.internal.ranges.routes import RangeRoutes
 from persimmonspoke.internal.targets.rate_limits import RateLimits
@@ -259,9 +259,6 @@
         self._hosts.update_live(self._listed, until)
         if reply.suspects is not None:
             self._suspects.merge(reply.suspects, reply.leader[0])
-            if self._suspects.digest() != digest_of(reply.suspects):
-                # The leader may have started without what this host knows.
-                self._suspects.mark_untold()
 
     def _on_suspects_changed(self, changed: SuspectsChanged) -> None:
         self._suspects.merge(changed.rows, "leader")
--- a/src/persimmonspoke/internal/quarantine/suspects.py
+++ b/src/persimmonspoke/internal/quarantine/suspects.py
@@ -223,11 +223,6 @@
             if suspect and _content(self._row(fields[0], suspect)) == _content(fields):
                 suspect.told_to = leader
 
-    def mark_untold(self) -> None:
-        """Record that the leader lacks some of the shared rows."""
-        for suspect in self._suspects.values():
-            suspect.told_to = None
-
     def forget_old(self) -> None:
         """Forget requests that nothing was heard of for `forget_s`."""
         oldest = self._clock.now() - self._cfg.forget_s
