--- a/src/persimmonspoke/cli/explain.py
+++ b/src/persimmonspoke/cli/explain.py
@@ -166,13 +166,20 @@
     latest = max(line.time for line in request_lines) + FOLLOW_UP_TIME
     for line in lines:
         in_time = earliest <= line.time <= latest
-        if line in request_lines or (
-            in_time
-            and any(_is_related(line, request_line) for request_line in request_lines)
+        if line in request_lines or any(
+            _is_about_repetition(line, request_line)
+            or (in_time and _is_related(line, request_line))
+            for request_line in request_lines
         ):
             yield line
 
 
+def _is_about_repetition(line, request):
+    """Return whether a line concerns an equal request, however long ago."""
+    fingerprint = request.fields.get("fingerprint")
+    return fingerprint is not None and line.fields.get("fingerprint") == fingerprint
+
+
 def _is_related(line, request):
     """Return whether a line concerns a request's host, service, key or targets."""
     fields, request_fields = line.fields, request.fields
--- a/tests/cover/test_explain.py
+++ b/tests/cover/test_explain.py
@@ -68,6 +68,15 @@
 
 
 class TestRelevantLines(ExplainCase):
+    def test_lines_about_equal_requests_are_printed_however_old_they_are(self):
+        refused = ended(59.0, status=503, outcome="quarantined", fingerprint="f1")
+        crash = line(1.0, "b.1", "quarantine: target ended", fingerprint="f1")
+        other = line(1.0, "b.1", "quarantine: target ended", fingerprint="f2")
+        path = self.write("a.log", crash, other, refused)
+        _, lines = self.explain(ID, path)
+        self.assertEqual(len(lines), 2)
+        self.assertIn("quarantine: target ended", lines[0])
+
     def test_lines_of_several_hosts_are_printed_in_the_order_of_time(self):
         files = (self.write("a.log", REFUSED), self.write("b.log.gz", HELD, MOVED))
         status, lines = self.explain(ID, *files)
