--- a/tests/cover/test_crashing_requests.py
+++ b/tests/cover/test_crashing_requests.py
@@ -6,16 +6,23 @@
 
 import random
 import unittest
+from types import SimpleNamespace
 
 import eventlet
 
 from persimmonspoke.errors import OutcomeUnknown, Quarantined
+from persimmonspoke.internal.quarantine.keeping import (
+    QUARANTINE_KEY,
+    QuarantineKeeper,
+)
 from persimmonspoke.internal.quarantine.settings import QuarantineSettings
 from persimmonspoke.internal.quarantine.suspects import MAX_CRASHES_KEPT, Suspects
 from tests.fakes import virtual_hub
 from tests.fakes.caller_parts import HubClock
 from tests.fakes.crashing_pool import CrashingPool, PoolCaller, streamed
+from tests.fakes.process import FakeProcess
 from tests.fakes.range_fleet import RangeFleet
+from tests.fakes.store import FakePlatformStore, FakeStore
 
 SEED = 27
 SETTLE_S = 3.0  # the platform's `stable_window_s`
@@ -164,7 +171,68 @@
         self.assert_within_the_limit()
 
 
+class TestWhatHostsTellEachOther(CrashCase):
+    def crash(self, host, number):
+        """Let a host see that a target ended under the request."""
+        host.suspects.record_crash("bad", f"t{number}/1", "r")
+
+    def refusing(self):
+        return [host for host in self.living() if not host.suspects.allows("bad")]
+
+    def replace_leader(self):
+        former = self.fleet.leader()
+        former.kill()
+        self.fleet.restart(former)
+        while self.fleet.leader() in (None, former):
+            self.fleet.run_for(0.1)
+
+    def test_crashes_that_three_hosts_have_seen_are_counted_together(self):
+        for number, host in enumerate(self.living()[:3]):
+            self.crash(host, number)
+        self.fleet.run_for(1.0)
+        self.assertEqual(self.refusing(), self.living())
+
+    # Guards against BUDGET: the count begins anew with each leader.
+    def test_a_new_leader_learns_what_was_told_to_the_one_before(self):
+        # The first of them is the next leader.
+        third, second, first = [
+            host for host in self.living() if host is not self.fleet.leader()
+        ]
+        self.crash(first, 0)
+        self.fleet.run_for(1.0)
+        self.replace_leader()
+        self.crash(second, 1)
+        self.crash(third, 2)
+        self.fleet.run_for(1.0)
+        self.assertEqual(self.refusing(), self.living())
+
+    # In a large fleet a host reports only about once a second.
+    def test_all_hosts_know_as_soon_as_the_leader_does(self):
+        leader = self.fleet.leader()
+        host = next(h for h in self.living() if h is not leader)
+        for number in range(CFG.max_crashes):
+            self.crash(host, number)
+        while leader.suspects.allows("bad"):
+            self.fleet.run_for(0.001)
+        self.fleet.run_for(0.005)
+        self.assertEqual(self.refusing(), self.living())
+
+
+class TestServicesOfOneTarget(CrashCase):
+    targets = 1
+
+    # Guards against BUDGET where each key has one owner: one target ends often.
+    def test_each_start_of_a_target_counts(self):
+        self.play(30.0)
+        self.assert_within_the_limit()
+
+
 class TestOtherRequests(CrashCase):
+    def test_one_whose_connections_end_while_its_targets_live_is_sent_on(self):
+        self.pool.losing.add("/good")
+        for host in self.living() * CFG.max_crashes:
+            self.assertIsInstance(self.caller(host).send("/good"), OutcomeUnknown)
+
     def test_those_of_the_same_path_or_caller_are_served(self):
         mine, other = (("Cookie", "id=1"),), (("Cookie", "id=2"),)
         bad = {"method": "POST", "body": b"bad", "headers": mine}
@@ -203,6 +271,31 @@
             self.assertEqual(self.caller(host).send("/good"), 200)
 
 
+class TestWaitingRequests(CrashCase):
+    # Guards against BUDGET: many of them wait when the third target ends.
+    def test_they_are_refused_and_not_sent(self):
+        host = self.living()[1]
+        caller = self.caller(host)
+        caller.scheduler.wait_s = 1.0
+        waiting = [eventlet.spawn(caller.send, BAD) for _ in range(20)]
+        self.fleet.run_for(0.5)
+        self.crash_three_at_others(host)
+        reached = [a for a in self.pool.arrivals if a.host is host]
+        for task in waiting:
+            self.assertIsInstance(task.wait(), Quarantined)
+        self.assertEqual([a for a in self.pool.arrivals if a.host is host], reached)
+
+    def crash_three_at_others(self, host):
+        others = [other for other in self.living() if other is not host]
+        while host.suspects.allows(self.fingerprint()):
+            self.play(0.02, hosts=others)
+
+    def fingerprint(self):
+        """Return the fingerprint of the crashing request, once a host knows it."""
+        rows = [row for h in self.living() for row in h.suspects.shared_rows()]
+        return rows[0][0] if rows else None
+
+
 class TestRefusals(CrashCase):
     def setUp(self):
         super().setUp()
@@ -250,6 +343,8 @@
                 self.assertLessEqual(exc.retry_after_s, expected_s)
                 eventlet.sleep(exc.retry_after_s)
                 self.assertIsInstance(self.send(), OutcomeUnknown)
+        eventlet.sleep(0.5 * CFG.forget_s)
+        self.assertIsInstance(self.send(), Quarantined)
         self.assertEqual(len(self.pool.arrivals), reached + CFG.max_trials)
 
     # Guards against an answer of a target that fails: it does not end the refusals.
@@ -261,6 +356,71 @@
         self.assertIsInstance(self.send(), Quarantined)
 
 
+class TestStoredCopies(unittest.TestCase):
+    """The copy of one leader, whose epoch stays the same."""
+
+    def setUp(self):
+        self.platform = FakePlatformStore()
+        process = FakeProcess("h0.1", "10.0.0.0")
+        self.store = FakeStore(self.platform, process)
+        self.suspects = Suspects(CFG, HubClock())
+
+    def lead(self):
+        """Start the leader's task, and let it do its first work."""
+        keeper = QuarantineKeeper(
+            CFG,
+            HubClock(),
+            SimpleNamespace(serve=lambda kind, handler: None),
+            self.store,
+            SimpleNamespace(leading=True, epoch=1, leader=None),
+            self.suspects,
+            lambda fingerprints: None,
+        )
+        task = eventlet.spawn(keeper.run)
+        self.addCleanup(task.kill)
+        eventlet.sleep(1.0)
+
+    def refuse(self):
+        """Let the leader know of a refused request."""
+        for number in range(CFG.max_crashes):
+            self.suspects.record_crash("bad", f"t{number}/1", "r")
+        self.lead()
+
+    def stored(self):
+        """Return the fingerprints in the copy."""
+        return [row[0] for row in self.platform.get(QUARANTINE_KEY).value["rows"]]
+
+    def test_they_are_written_once_for_each_change(self):
+        self.refuse()
+        eventlet.sleep(10.0)
+        self.assertEqual(self.stored(), ["bad"])
+        self.assertEqual(len(self.platform.writes()), 1)
+        self.suspects.record_answer("bad", "r")
+        eventlet.sleep(10.0)
+        self.assertEqual(self.stored(), [])
+        self.assertEqual(len(self.platform.writes()), 2)
+
+    def test_they_are_written_again_after_the_store_was_restored(self):
+        self.refuse()
+        self.platform.restore(9.0)
+        self.store.era = self.platform.era
+        eventlet.sleep(3.0)
+        self.assertEqual(self.stored(), ["bad"])
+
+    def test_what_cannot_be_read_of_them_is_left_out(self):
+        readable = ["bad", 0, ["a", "b", "c"], 0, True, 1.0]
+        rows = [["f2"], None, readable, 7]
+        self.platform.put(QUARANTINE_KEY, {"rows": rows}, 0)
+        self.lead()
+        self.assertFalse(self.suspects.allows("bad"))
+        self.assertEqual(self.suspects.counts(), (1, 1))
+
+    def test_one_that_cannot_be_read_at_all_is_replaced(self):
+        self.platform.put(QUARANTINE_KEY, {"rows": "none"}, 0)
+        self.refuse()
+        self.assertEqual(self.stored(), ["bad"])
+
+
 class TestMemory(unittest.TestCase):
     def setUp(self):
         self.suspects = Suspects(CFG, HubClock())
--- a/tests/fakes/crashing_pool.py
+++ b/tests/fakes/crashing_pool.py
@@ -46,6 +46,8 @@
     ----------
     crashing : set of str
         Paths of the requests that end each target which begins to run them.
+    losing : set of str
+        Paths of the requests whose connections end, while their targets live on.
     statuses : dict of str to int
         Status of the answers to requests with a path; 200 by default.
     arrivals : list of Arrival
@@ -55,6 +57,7 @@
     def __init__(self, count):
         self.targets = tuple(target(f"t{n}", n + 1) for n in range(count))
         self.crashing = set()
+        self.losing = set()
         self.statuses = {}
         self.arrivals = []
         self.starts = dict.fromkeys((t.target_id for t in self.targets), 1)
@@ -127,6 +130,8 @@
         else:
             eventlet.spawn_after(WORK_S, self._answer, name, done)
         done.wait()
+        if req.path in pool.losing:
+            raise ConnectionLost("the connection broke")
         return FakeAnswer(status=pool.statuses.get(req.path, 200))
 
     def _crash(self, name, start):
@@ -150,13 +155,21 @@
 
 
 class _RandomScheduler:
-    """Gives each attempt a slot at a random candidate."""
+    """Gives each attempt a slot at a random candidate.
+
+    Attributes
+    ----------
+    wait_s : float
+        Time until the slot is free.
+    """
 
     def __init__(self, seed):
         self._random = random.Random(seed)
+        self.wait_s = 0.0
 
     def acquire(self, ticket, candidates):
         """Return a slot."""
+        eventlet.sleep(self.wait_s)
         return _RandomSlot(self._random.choice(candidates))
 
     def take_retry(self, ticket):
@@ -177,10 +190,11 @@
         self.host = host
         self.outcomes = []
         self._entry = ServiceEntry.of("a", service(targets=pool.targets, shard_count=0))
+        self.scheduler = _RandomScheduler(seed)
         self._runner = RequestRunner(
             CallerSettings(),
             OneOwnerRoutes(),
-            _RandomScheduler(seed),
+            self.scheduler,
             PoolRequests(pool, host),
             host.clock,
             NoMetrics(),
