--- a/tests/cover/test_callers_attempts.py
+++ b/tests/cover/test_callers_attempts.py
@@ -81,6 +81,15 @@
         return reply, self.clock.now() - before
 
 
+class TestRepetitions(HostCase):
+    # Guards against REFUSED: see TestRefusalsWrittenTwice.
+    def test_a_target_that_was_tried_before_is_told_from_others(self):
+        self.steps(Step(TargetShed("full")))
+        self.assertEqual(self.send_protected().status, 200)
+        repeated = [req.repeated for _, req in self.targets.attempts]
+        self.assertEqual(repeated, [False, True])
+
+
 class TestAtMostOnce(HostCase):
     def test_a_protected_request_is_not_repeated_after_its_first_byte(self):
         self.steps(LOST_ANSWER)
--- a/tests/cover/test_crashing_requests.py
+++ b/tests/cover/test_crashing_requests.py
@@ -163,6 +163,13 @@
         self.play(10.0, hosts=hosts)
         self.assertEqual(len(self.pool.arrivals), reached)
 
+    # Guards against BUDGET where targets end while a long answer is passed on.
+    def test_they_do_so_when_the_answer_has_begun(self):
+        self.pool.crashing.clear()
+        self.pool.breaking.add(BAD)
+        self.play(20.0)
+        self.assert_within_the_limit()
+
     def test_they_do_so_while_the_store_is_away(self):
         self.fleet.platform.faults.down = True
         self.play(8.0)
--- a/tests/fakes/crashing_pool.py
+++ b/tests/fakes/crashing_pool.py
@@ -7,6 +7,7 @@
 import eventlet.event
 
 from persimmonspoke.errors import (
+    AnswerLost,
     ConnectionLost,
     RequestFailure,
     RouteLapsed,
@@ -46,6 +47,8 @@
     ----------
     crashing : set of str
         Paths of the requests that end each target which begins to run them.
+    breaking : set of str
+        Paths of the requests that end each target in the middle of its answer.
     losing : set of str
         Paths of the requests whose connections end, while their targets live on.
     statuses : dict of str to int
@@ -57,6 +60,7 @@
     def __init__(self, count):
         self.targets = tuple(target(f"t{n}", n + 1) for n in range(count))
         self.crashing = set()
+        self.breaking = set()
         self.losing = set()
         self.statuses = {}
         self.arrivals = []
@@ -132,6 +136,9 @@
         done.wait()
         if req.path in pool.losing:
             raise ConnectionLost("the connection broke")
+        if req.path in pool.breaking:
+            arrival.ended = pool.incarnation_of(name)
+            return _BrokenAnswer(pool, name)
         return FakeAnswer(status=pool.statuses.get(req.path, 200))
 
     def _crash(self, name, start):
@@ -144,6 +151,21 @@
             done.send(None)
 
 
+class _BrokenAnswer(FakeAnswer):
+    """An answer whose target ends after the first chunk of the body."""
+
+    def __init__(self, pool, target_id):
+        super().__init__()
+        self._pool = pool
+        self._target_id = target_id
+
+    def chunks(self):
+        """Yield the first chunk."""
+        yield b"first"
+        self._pool.end(self._target_id)
+        raise ConnectionLost("the answer broke off")
+
+
 class _RandomSlot:
     target = None
 
@@ -183,7 +205,7 @@
     Attributes
     ----------
     outcomes : list of (str, object)
-        Path, and status or `RequestFailure`, of each request that has ended.
+        Path, and status or failure, of each request that has ended.
     """
 
     def __init__(self, pool, host, seed, **runner_fields):
@@ -203,7 +225,7 @@
         self._sent = 0
 
     def send(self, path, method="GET", body=b"", protected=False, headers=()):
-        """Send one request; return the status, or the `RequestFailure`."""
+        """Send one request; return the status, or the failure."""
         self._sent += 1
         kind = RouteKind.PROTECTED if protected else RouteKind.SAFE
         parts = (SplitPart(self._entry.service.service, 1.0),)
@@ -225,7 +247,7 @@
             outcome = stream.status
             for _ in stream.rest():
                 pass
-        except RequestFailure as exc:
+        except (RequestFailure, AnswerLost) as exc:
             outcome = exc
         self.outcomes.append((path, outcome))
         return outcome
