Test that no request or body is passed on whose head or chunk size was cut

Looked for the cause of the cut answers on the callers' side: the server's library parses heads and chunk sizes likewise, but a caller whose connection has ended is noticed before its request is passed on, and a body that ends early is refused.

--- a/tests/loopback/test_callers_server.py
+++ b/tests/loopback/test_callers_server.py
@@ -84,6 +84,33 @@
     return "\r\n".join(lines).encode("latin-1")
 
 
+class TestHeadsThatEndEarly(ServerCase):
+    # The library takes the end of the connection for the end of a head.
+    def test_no_target_gets_a_request_whose_head_was_cut(self):
+        head = request_head("POST /desk/lookup/k HTTP/1.1", "Content-Length: 12")
+        for end in range(len(head)):
+            sock = self.connect()
+            sock.sendall(head[:end])
+            sock.shutdown(socket.SHUT_WR)
+            with self.subTest(sent=head[:end]):
+                self.assertNotIn(" 200 ", self.read_all(sock))
+                self.assertEqual(self.target.received, [])
+
+    # Guards against UNASKED: a chunk size that was cut ends the body early.
+    def test_no_target_gets_a_body_whose_chunks_were_cut(self):
+        head = request_head(
+            "POST /desk/lookup/k HTTP/1.1", "Transfer-Encoding: chunked"
+        )
+        chunks = b"0005\r\nhello\r\n0\r\n\r\n"
+        for end in range(len(chunks) - 2):
+            sock = self.connect()
+            sock.sendall(head + chunks[:end])
+            sock.shutdown(socket.SHUT_WR)
+            with self.subTest(sent=chunks[:end]):
+                self.assertNotIn(" 200 ", self.read_all(sock))
+                self.assertEqual(self.target.received, [])
+
+
 class TestAnswers(ServerCase):
     def test_the_whole_answer_comes_back_under_the_callers_own_id(self):
         text = self.exchange(
