Recognize a repeated request whatever service it is sent to

A change of the configuration, or a split route, sends the same request to another service. Its fingerprint held the service, so crashes there were counted anew, and a request could end three targets of each (BUDGET). The new test of test_fingerprint failed before.

--- a/src/persimmonspoke/internal/callers/fingerprint.py
+++ b/src/persimmonspoke/internal/callers/fingerprint.py
@@ -37,8 +37,9 @@
 ) -> Fingerprint:
     """Return the hash of what the repetitions of a request have in common.
 
-    That is the service, method, path, query, header fields and body.  Of a body that is
-    streamed, only the part that is buffered before the request is sent counts.
+    That is the team, method, path, query, header fields and body, but not the service,
+    which may be another one at each repetition.  Of a body that is streamed, only the
+    part that is buffered before the request is sent counts.
 
     Parameters
     ----------
@@ -46,7 +47,7 @@
         Lower-case names of the protocol's fields that belong to a single attempt.
     """
     digest = xxhash.xxh3_128()
-    parts = [req.entry.service.service, req.method, req.path]
+    parts = [req.entry.team, req.method, req.path]
     for name, value in sorted(
         (name.lower(), value)
         for name, value in req.headers
--- a/tests/cover/test_fingerprint.py
+++ b/tests/cover/test_fingerprint.py
@@ -45,6 +45,11 @@
         )
         self.assertEqual(again, fingerprint())
 
+    # Guards against BUDGET after a change of the configuration, and on split routes.
+    def test_they_have_it_at_whatever_service_they_are_sent_to(self):
+        other = ServiceEntry.of("team", service("other"))
+        self.assertEqual(fingerprint(entry=other), fingerprint())
+
     def test_a_streamed_body_counts_as_far_as_it_was_buffered(self):
         whole = StreamedBody(iter(()), 10, b"12345")
         chunked = StreamedBody(iter(()), None, b"12345")
