Count the time to a trial from the newest crash that is known

A host that learned of an older crash from another one took its age for that of the newest, and could let a trial through up to 20 s early.

--- a/src/persimmonspoke/internal/quarantine/suspects.py
+++ b/src/persimmonspoke/internal/quarantine/suspects.py
@@ -158,7 +158,8 @@
             row = SuspectRow(*fields)
             if row.age_s >= self._cfg.forget_s:
                 continue
-            suspect = self._suspects.get(row.fingerprint) or _Suspect(-1, now)
+            changed_at = Instant(now - row.age_s)
+            suspect = self._suspects.get(row.fingerprint) or _Suspect(-1, changed_at)
             before = _state(suspect)
             if row.answered > suspect.answered:
                 suspect.answered = row.answered
@@ -171,7 +172,8 @@
             if _state(suspect) == before:
                 continue
             changed.append(row.fingerprint)
-            self._changed(row.fingerprint, suspect, Instant(now - row.age_s))
+            changed_at = max(changed_at, suspect.changed_at)
+            self._changed(row.fingerprint, suspect, changed_at)
             self._log_change(
                 "quarantine: told", row.fingerprint, suspect, None, None, source
             )
--- a/tests/cover/test_crashing_requests.py
+++ b/tests/cover/test_crashing_requests.py
@@ -460,6 +460,19 @@
         self.suspects.record_crash("bad", "t0/3", "r")
         self.assertFalse(self.suspects.allows("bad"))
 
+    def test_a_trial_is_due_after_the_newest_crash_that_is_known(self):
+        other = Suspects(CFG, HubClock())
+        other.record_crash("bad", "t0/1", "s")
+        eventlet.sleep(0.8 * CFG.trial_s)
+        for number in (1, 2):
+            self.suspects.record_crash("bad", f"t{number}/1", "r")
+        self.suspects.merge(other.untold("leader"), "other")
+        eventlet.sleep(0.8 * CFG.trial_s)
+        with self.assertRaises(Quarantined):
+            self.suspects.check("bad", "r")
+        eventlet.sleep(0.3 * CFG.trial_s)
+        self.assertTrue(self.suspects.check("bad", "r"))
+
     def test_what_two_hosts_know_joins_in_any_order(self):
         other = Suspects(CFG, HubClock())
         self.suspects.record_crash("bad", "t0/1", "r")
