--- a/tests/cover/test_crashing_requests.py
+++ b/tests/cover/test_crashing_requests.py
@@ -70,19 +70,31 @@
             host = self.random.choice(hosts or self.living())
             eventlet.spawn_n(self.caller(host).send, path, body=make_body(), **fields)
 
+    def restart_all(self):
+        """Kill all hosts at once, and return those that start in their place."""
+        for host in self.living():
+            host.kill()
+        return [self.fleet.restart(host) for host in list(self.fleet.hosts)]
+
     def crash_three(self):
         """Send the crashing request until it is refused."""
         while len(self.pool.crashes(BAD)) < CFG.max_crashes:
             self.play(0.2)
         self.fleet.run_for(0.1)
 
-    def assert_within_the_limit(self, hosts=None):
-        """Check the platform's rule for the requests that some hosts have sent."""
+    def assert_within_the_limit(self):
+        """Check the platform's rule."""
         late = self.pool.late_retries(BAD, SETTLE_S)
-        late = [a for a in late if hosts is None or a.host in hosts]
         self.assertLessEqual(len(late), ALLOWED_RETRIES)
         self.assertGreaterEqual(len(self.pool.crashes(BAD)), CFG.max_crashes)
 
+    def assert_none_is_sent_by(self, hosts):
+        """Check that hosts refuse the crashing request once they are connected."""
+        self.fleet.run_for(SETTLE_S)
+        reached = len(self.pool.arrivals)
+        self.play(10.0, hosts=hosts)
+        self.assertEqual(len(self.pool.arrivals), reached)
+
 
 class TestRequestsThatEndTargets(CrashCase):
     # Guards against BUDGET: one request ends target after target, through all hosts.
@@ -119,10 +131,7 @@
         self.play(6.0, hosts=others)
         self.assertGreaterEqual(len(self.pool.crashes(BAD)), CFG.max_crashes)
         self.fleet.network.heal()
-        self.fleet.run_for(SETTLE_S)
-        reached = len(self.pool.arrivals)
-        self.play(10.0, hosts=[cut])
-        self.assertEqual(len(self.pool.arrivals), reached)
+        self.assert_none_is_sent_by([cut])
 
     # Guards against BUDGET at hosts that start after the others have learned of it.
     def test_they_do_so_at_a_host_that_was_restarted(self):
@@ -130,22 +139,13 @@
         old = next(h for h in self.living() if h is not self.fleet.leader())
         old.kill()
         new = self.fleet.restart(old)
-        self.fleet.run_for(SETTLE_S)
-        reached = len(self.pool.arrivals)
-        self.play(10.0, hosts=[new])
-        self.assertEqual(len(self.pool.arrivals), reached)
+        self.assert_none_is_sent_by([new])
 
     # Guards against BUDGET after the loss of all hosts, whose memory is gone.
     def test_they_do_so_after_all_hosts_were_lost(self):
         self.crash_three()
         self.fleet.run_for(1.0)
-        for host in self.living():
-            host.kill()
-        hosts = [self.fleet.restart(host) for host in list(self.fleet.hosts)]
-        self.fleet.run_for(SETTLE_S)
-        reached = len(self.pool.arrivals)
-        self.play(10.0, hosts=hosts)
-        self.assertEqual(len(self.pool.arrivals), reached)
+        self.assert_none_is_sent_by(self.restart_all())
 
     # Guards against BUDGET when the store forgets its copy and all hosts are lost.
     def test_they_do_so_after_the_store_was_restored_and_all_hosts_were_lost(self):
@@ -155,13 +155,7 @@
         for host in self.fleet.hosts:
             host.store.era = self.fleet.platform.era
         self.fleet.run_for(3.0)
-        for host in self.living():
-            host.kill()
-        hosts = [self.fleet.restart(host) for host in list(self.fleet.hosts)]
-        self.fleet.run_for(SETTLE_S)
-        reached = len(self.pool.arrivals)
-        self.play(10.0, hosts=hosts)
-        self.assertEqual(len(self.pool.arrivals), reached)
+        self.assert_none_is_sent_by(self.restart_all())
 
     # Guards against BUDGET where targets end while a long answer is passed on.
     def test_they_do_so_when_the_answer_has_begun(self):
