--- a/tests/cover/test_callers_attempts.py
+++ b/tests/cover/test_callers_attempts.py
@@ -90,6 +90,14 @@
         self.assertEqual(repeated, [False, True])
 
 
+class TestLongBodies(HostCase):
+    def test_the_part_that_was_read_before_is_known_while_the_rest_is_streamed(self):
+        source = RequestInput(b"x" * 100_000)
+        self.assertEqual(self.send_protected(source=source).status, 200)
+        ((_, req),) = self.targets.attempts
+        self.assertEqual(req.body.buffered, b"x" * CallerSettings().buffered_bytes)
+
+
 class TestAtMostOnce(HostCase):
     def test_a_protected_request_is_not_repeated_after_its_first_byte(self):
         self.steps(LOST_ANSWER)
