Tell a host's paths to the targets from the targets, in logs and metrics

The logs of the incident could not tell a cut path from ended targets without comparing hosts. Nothing decides by it yet.

--- a/src/persimmonspoke/daemon/routed.py
+++ b/src/persimmonspoke/daemon/routed.py
@@ -40,8 +40,9 @@
 from persimmonspoke.internal.ranges.routes import RangeRoutes
 from persimmonspoke.internal.routing.reader import RoutedReader
 from persimmonspoke.internal.routing.state import RoutingState
-from persimmonspoke.internal.targets.connections import TargetPools
+from persimmonspoke.internal.targets.connections import TargetPools, can_connect
 from persimmonspoke.internal.targets.http_requests import HttpTargetRequests
+from persimmonspoke.internal.targets.paths import TargetPaths
 from persimmonspoke.internal.targets.rate_limits import RateLimits
 from persimmonspoke.platform import documents, headers
 from persimmonspoke.platform.objects import ObjectStore
@@ -172,6 +173,13 @@
             self.routes.owner
         )
         self.pools = TargetPools(cfg.targets, self.clock, self._connections)
+        self.paths = TargetPaths(
+            cfg.paths,
+            self.clock,
+            self.state.ready_addresses,
+            can_connect,
+            lambda: len(self.hosts.live()),
+        )
         self.gate = HostGate(self._knows_targets, self.clock)
         self._server = None
         self._ended = eventlet.event.Event()
@@ -191,6 +199,8 @@
             ("leading", lambda: int(self.leadership.leading)),
             ("key.moves", lambda: self.keeper.moves),
             ("peers.bytes_sent", lambda: self.link.bytes_sent),
+            ("paths.cut", lambda: int(self.paths.is_cut)),
+            ("paths.checks", lambda: self.paths.checks),
             ("in_hand", lambda: self.gate.in_flight),
             ("store.unreadable", lambda: self.state.unreadable_count),
         ):
@@ -209,6 +219,7 @@
             self.quarantine.run,
             self.scheduler.run,
             self.pools.run_cleanup,
+            self.paths.run,
             self._poll_settings_file,
         ):
             spawn_supervised(task, self.clock, self.metrics)
@@ -255,7 +266,9 @@
         return self.clock.now() - answered_at
 
     def _serve_callers(self):
-        requests = HttpTargetRequests(self.pools, self.clock, headers, self.rate_limits)
+        requests = HttpTargetRequests(
+            self.pools, self.clock, headers, self.rate_limits, self.paths
+        )
         app = CallerApp(
             reader=RoutedReader(self.state, headers.caller_fields, self.clock),
             runner=RequestRunner(
--- a/src/persimmonspoke/daemon/routed_settings.py
+++ b/src/persimmonspoke/daemon/routed_settings.py
@@ -16,6 +16,7 @@
 from persimmonspoke.internal.news.settings import UpdateSettings
 from persimmonspoke.internal.quarantine.settings import QuarantineSettings
 from persimmonspoke.internal.ranges.settings import RangeSettings
+from persimmonspoke.internal.targets.paths import PathSettings
 from persimmonspoke.internal.targets.settings import TargetSettings
 from persimmonspoke.internal.timers import Timers
 
@@ -45,6 +46,7 @@
     ranges: RangeSettings = RangeSettings()
     desk: DeskSettings = DeskSettings()
     quarantine: QuarantineSettings = QuarantineSettings()
+    paths: PathSettings = PathSettings()
     targets: TargetSettings = TargetSettings(proved_alive_s=3.0, idle_s=6.0)
     updates: UpdateSettings = UpdateSettings()
     timers: Timers = Timers(watch_s=4.0)
--- a/src/persimmonspoke/internal/routing/state.py
+++ b/src/persimmonspoke/internal/routing/state.py
@@ -32,6 +32,7 @@
 )
 from persimmonspoke.internal.routing.splits import WeightedRoundRobin
 from persimmonspoke.internal.routing.table import RouteTable
+from persimmonspoke.internal.targets.api import TargetAddress
 
 TEAM = TeamId("platform")
 """The platform has a single configuration, so all services belong to one team."""
@@ -149,6 +150,14 @@
         """Return when this host saw the store come back from an older copy, if ever."""
         return self._cache.restored_at
 
+    def ready_addresses(self) -> list[TargetAddress]:
+        """Return the addresses of all targets that are ready, of all services."""
+        return [
+            TargetAddress(record.target_id, record.ip, record.port)
+            for record in self.targets.values()
+            if record.state is TargetState.READY
+        ]
+
     def leaving_since(self, target_id: TargetId) -> Instant | None:
         """Return when a target may have begun to leave; None if it is not leaving."""
         return self._leaving.get(target_id)
--- a/src/persimmonspoke/internal/targets/connections.py
+++ b/src/persimmonspoke/internal/targets/connections.py
@@ -23,6 +23,7 @@
 from persimmonspoke.ids import Instant, RequestId
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.questionnaire.configuration import TargetConfig
+from persimmonspoke.internal.targets.api import TargetAddress
 from persimmonspoke.internal.targets.settings import TargetSettings
 
 MAX_HEAD_BYTES = 128 * 1024
@@ -283,6 +284,15 @@
     return conn
 
 
+def can_connect(target: TargetAddress, timeout_s: float) -> bool:
+    """Return whether a target accepts a connection within `timeout_s`."""
+    try:
+        connect(target.ip, target.port, timeout_s).drop()
+    except (TargetRefusedConnection, TargetUnreachable):
+        return False
+    return True
+
+
 class TargetPool:
     """The connections of this host to one target.
 
--- a/src/persimmonspoke/internal/targets/http_requests.py
+++ b/src/persimmonspoke/internal/targets/http_requests.py
@@ -34,6 +34,7 @@
     TargetPools,
     connect,
 )
+from persimmonspoke.internal.targets.paths import TargetPaths, always_open
 from persimmonspoke.internal.targets.rate_limits import UNLIMITED, RateLimits
 from persimmonspoke.internal.targets.request_api import TargetRequest
 
@@ -126,6 +127,8 @@
         Header fields of the protocol; has the functions of `targets.protocol`.
     limits : RateLimits
         Learns the rate limits that answers name.
+    paths : TargetPaths
+        Learns when targets answer.
     """
 
     def __init__(
@@ -134,8 +137,10 @@
         clock: Clock,
         protocol=protocol,
         limits: RateLimits | None = None,
+        paths: TargetPaths | None = None,
     ):
         self.protocol = protocol
+        self._paths = always_open(clock) if paths is None else paths
         self._limits = RateLimits(clock) if limits is None else limits
         self._pools = pools
         self._cfg = pools.cfg
@@ -150,6 +155,10 @@
         If a reused connection gives no answer in time, a repeatable request is sent
         again on a new one.
         """
+        with self._paths.in_flight():
+            return self._send(target, req)
+
+    def _send(self, target, req):
         pool = self._pools.of(target)
         conn = pool.acquire(
             req.request_id,
@@ -238,6 +247,7 @@
         try:
             self._write(exchange)
             exchange.resp = exchange.conn.getresponse()
+            self._paths.record_answer()
             while self._is_late_duplicate(exchange):
                 exchange.resp = self._skip_answer(exchange)
             self._read_short(exchange)
--- /dev/null
+++ b/tests/cover/test_target_paths.py
@@ -0,0 +1,151 @@
+"""Tests of how a host finds out whether its paths to the targets are cut."""
+
+import random
+import unittest
+
+import eventlet
+
+from persimmonspoke.internal.targets.api import TargetAddress
+from persimmonspoke.internal.targets.paths import PathSettings, TargetPaths
+from tests.fakes import virtual_hub
+from tests.fakes.caller_parts import HubClock
+
+SEED = 31
+CONNECT_S = 0.005
+
+
+class Reachable:
+    """Targets that accept, refuse or ignore connections.
+
+    Attributes
+    ----------
+    refusing, silent : set of str
+        Targets that refuse connections, and that never answer one.
+    tried : list of (float, str)
+        Time and target of each connection.
+    """
+
+    def __init__(self, count=10):
+        self.addresses = [TargetAddress(f"t{n}", "10.1.0.1", n) for n in range(count)]
+        self.refusing = set()
+        self.silent = set()
+        self.tried = []
+
+    def cut(self, how):
+        """Make all targets refuse connections, or ignore them."""
+        how |= {address.target_id for address in self.addresses}
+
+    def connects(self, target, timeout_s):
+        """Return whether a connection is accepted."""
+        self.tried.append((virtual_hub.now(), target.target_id))
+        if target.target_id in self.silent:
+            eventlet.sleep(timeout_s)
+            return False
+        eventlet.sleep(CONNECT_S)
+        return target.target_id not in self.refusing
+
+
+class PathCase(unittest.TestCase):
+    """One host's paths to ten targets, in virtual time."""
+
+    def setUp(self):
+        self.net = Reachable()
+        self.cfg = PathSettings()
+        self.changes = []
+        self.paths = TargetPaths(
+            self.cfg,
+            HubClock(),
+            lambda: self.net.addresses,
+            self.net.connects,
+            rng=random.Random(SEED),
+        )
+        self.paths.on_change.append(lambda: self.changes.append(virtual_hub.now()))
+        task = eventlet.spawn(self.paths.run)
+        self.addCleanup(task.kill)
+
+
+class TestACutIsNoticed(PathCase):
+    """Guards against a failure of a path that is taken for one of the target."""
+
+    def test_at_once_when_connections_are_refused(self):
+        self.net.cut(self.net.refusing)
+        self.assertTrue(self.paths.check())
+        self.assertEqual(len(self.net.tried), 1 + self.cfg.more_targets)
+
+    def test_within_two_timeouts_when_connections_hang(self):
+        self.net.cut(self.net.silent)
+        began = virtual_hub.now()
+        self.assertTrue(self.paths.check())
+        self.assertLessEqual(virtual_hub.now() - began, 2 * self.cfg.connect_s + 0.01)
+
+    def test_within_a_second_while_requests_wait_and_nothing_answers(self):
+        with self.paths.in_flight():
+            self.paths.record_answer()
+            self.net.cut(self.net.silent)
+            eventlet.sleep(1.0)
+        self.assertTrue(self.paths.is_cut)
+
+    def test_without_any_request(self):
+        eventlet.sleep(2 * self.cfg.idle_s)
+        self.net.cut(self.net.refusing)
+        eventlet.sleep(self.cfg.idle_s + 0.2)
+        self.assertTrue(self.paths.is_cut)
+
+    def test_its_end_is_noticed_within_half_a_second(self):
+        self.net.cut(self.net.silent)
+        self.paths.check()
+        self.net.silent.clear()
+        eventlet.sleep(0.5)
+        self.assertFalse(self.paths.is_cut)
+        self.assertEqual(len(self.changes), 2)
+
+    def test_beginning_and_end_leave_a_line_each_with_their_evidence(self):
+        with self.assertLogs("persimmonspoke.internal.targets.paths") as logs:
+            self.net.cut(self.net.refusing)
+            self.paths.check()
+            eventlet.sleep(2.0)
+            self.net.refusing.clear()
+            eventlet.sleep(1.0)
+        cut, restored = logs.records
+        self.assertEqual(len(cut.tried), 1 + self.cfg.more_targets)
+        self.assertGreaterEqual(cut.last_answer_age_s, 0.0)
+        self.assertAlmostEqual(restored.cut_s, 2.0, delta=0.5)
+
+
+class TestTargetsThatEndedAreToldApart(PathCase):
+    """Guards against an innocent host that takes ended targets for a cut."""
+
+    def test_one_target_that_accepts_a_connection_shows_that_nothing_is_cut(self):
+        self.net.refusing |= {"t0", "t1", "t2"}
+        for _ in range(20):
+            self.assertFalse(self.paths.check())
+            eventlet.sleep(0.2)
+        self.assertEqual(self.changes, [])
+
+    def test_a_service_without_targets_is_no_cut(self):
+        self.net.addresses.clear()
+        self.assertFalse(self.paths.check())
+
+
+class TestTheCostOfChecks(PathCase):
+    def test_many_failures_at_a_time_share_one_check(self):
+        tasks = [eventlet.spawn(self.paths.check) for _ in range(100)]
+        for task in tasks:
+            task.wait()
+        self.assertEqual(len(self.net.tried), 1)
+
+    def test_answers_make_checks_needless(self):
+        for _ in range(100):
+            self.paths.record_answer()
+            eventlet.sleep(0.1)
+        self.assertEqual(self.net.tried, [])
+
+    def test_a_host_without_requests_connects_once_a_second_at_most(self):
+        eventlet.sleep(20)
+        self.assertLessEqual(len(self.net.tried), 20)
+
+    def test_a_cut_host_tries_four_times_a_second_at_most(self):
+        self.net.cut(self.net.refusing)
+        eventlet.sleep(20)
+        bound = 20 / self.cfg.recheck_s * (1 + self.cfg.more_targets)
+        self.assertLessEqual(len(self.net.tried), bound)
