Reproduce the lost paths of hosts to targets in virtual time

A leader that reaches no target takes the keys of healthy targets back: 9.8 and 9.9 of 12 s without a holder, where one host of four is cut. Once all targets were silent at the same time, no key is ever held again.

--- /dev/null
+++ b/tests/cover/test_unreachable_targets.py
@@ -0,0 +1,92 @@
+"""Tests of hosts that can't connect to any target, while all else reaches them."""
+
+import unittest
+
+from tests.fakes.range_fleet import RangeFleet
+
+# A path that is lost counts as noticed within a second; a lost leader is replaced
+# within two (docs/decisions/platform.md).
+NOTICED_S = 3.0
+
+
+class CutPathsCase(unittest.TestCase):
+    """Hosts and targets in virtual time, whose keys are all held."""
+
+    def setUp(self):
+        self.fleet = RangeFleet(hosts=4, targets=6)
+        self.addCleanup(self.end)
+        self.fleet.run_for(8)
+        self.assertEqual(self.fleet.unheld_keys(), [])
+
+    def end(self):
+        self.fleet.stop()
+        self.assertEqual(self.fleet.double_holds, [])
+        self.assertEqual(self.fleet.fence_violations(), [])
+        self.assertEqual(self.fleet.network.crashes, [])
+
+    def owners(self):
+        """Return the owner of each range that the leader knows."""
+        leader = self.fleet.leader()
+        return {
+            (entry.first, entry.last): entry.owner
+            for entry in leader.keeper.ledger.map("stock").ranges
+        }
+
+    def longest_gap_s(self, seconds):
+        """Let time pass; return how long any key had no holder at a stretch."""
+        longest = gap = 0.0
+        for _ in range(round(seconds / 0.1)):
+            self.fleet.run_for(0.1)
+            gap = gap + 0.1 if self.fleet.unheld_keys() else 0.0
+            longest = max(longest, gap)
+        return longest
+
+
+class TestALeaderThatReachesNoTarget(CutPathsCase):
+    """Guards against a cut leader that takes the keys of healthy targets back."""
+
+    def test_keeps_no_key_from_its_owner_when_refused(self):
+        owners = self.owners()
+        self.fleet.cut_from_targets([self.fleet.leader()], refused=True)
+        self.assertLess(self.longest_gap_s(12), 0.1)
+        self.assertEqual(self.owners(), owners)
+
+    def test_keeps_no_key_from_its_owner_when_orders_hang(self):
+        owners = self.owners()
+        self.fleet.cut_from_targets([self.fleet.leader()], refused=False)
+        self.assertLess(self.longest_gap_s(12), 0.1)
+        self.assertEqual(self.owners(), owners)
+
+    def test_hands_over_to_a_host_that_reaches_them(self):
+        others = [host for host in self.fleet.hosts if host is not self.fleet.leader()]
+        cut = [self.fleet.leader(), *others[:2]]
+        self.fleet.cut_from_targets(cut, refused=True)
+        self.fleet.run_for(NOTICED_S)
+        self.assertNotIn(self.fleet.leader(), [None, *cut])
+        self.assertEqual(self.longest_gap_s(6), 0.0)
+
+
+class TestTheEndOfACut(CutPathsCase):
+    """Guards against keys that nobody holds after the paths are back."""
+
+    def test_owners_hold_their_keys_again_after_all_hosts_were_cut(self):
+        owners = self.owners()
+        self.fleet.cut_from_targets(self.fleet.hosts, refused=True)
+        self.fleet.run_for(12)
+        self.fleet.cut_from_targets([])
+        self.fleet.run_for(NOTICED_S)
+        self.assertEqual(self.fleet.unheld_keys(), [])
+        self.assertEqual(self.owners(), owners)
+
+    def test_keys_are_held_again_after_all_targets_were_silent(self):
+        for target in self.fleet.targets.values():
+            target.silent = True
+        self.fleet.run_for(12)
+        for target in self.fleet.targets.values():
+            target.silent = False
+        self.fleet.run_for(NOTICED_S)
+        self.assertEqual(self.fleet.unheld_keys(), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/fakes/range_fleet.py
+++ b/tests/fakes/range_fleet.py
@@ -57,6 +57,7 @@
 
     def __init__(self, fleet, number):
         self.process = FakeProcess(f"h{number}.{fleet.runs}", f"10.0.0.{number}")
+        self.cut_how = None
         self.clock = FakeClock(self.process)
         address = PeerAddress(HostId(self.process.name), self.process.machine, 7000)
         self.store = FakeStore(fleet.platform, self.process)
@@ -95,7 +96,9 @@
             self.suspects,
             self.reporter.publish_suspects,
         )
-        self.orders = FakeRangeOrders(self.process, fleet.targets)
+        self.orders = FakeRangeOrders(
+            self.process, fleet.targets, self.reaches, self.is_refused
+        )
         self.keeper = Keeper(
             RangeSettings(),
             self.clock,
@@ -124,6 +127,14 @@
         """Return the time since the store last answered this host."""
         return self.clock.now() - self.leadership.store_answered_at
 
+    def reaches(self, target_id):
+        """Return whether this host can connect to a target."""
+        return self.cut_how is None
+
+    def is_refused(self):
+        """Return whether connections on cut paths are refused instead of lost."""
+        return self.cut_how == "refused"
+
     def alive(self):
         """Return whether the process is running, paused or not."""
         return not self.process.killed
@@ -177,6 +188,13 @@
         for host in self.hosts:
             host.kill()
 
+    def cut_from_targets(self, hosts, refused=False):
+        """Cut the paths of `hosts`, and of no others, to all targets."""
+        for host in self.hosts:
+            host.cut_how = None
+        for host in hosts:
+            host.cut_how = "refused" if refused else "lost"
+
     def register(self, name):
         """Register a target."""
         self.records[name] = record(name)
--- a/tests/fakes/range_targets.py
+++ b/tests/fakes/range_targets.py
@@ -5,7 +5,12 @@
 
 import eventlet
 
-from persimmonspoke.errors import OrderOutcomeUnknown, TargetFenced, TargetUnreachable
+from persimmonspoke.errors import (
+    OrderOutcomeUnknown,
+    TargetFenced,
+    TargetRefusedConnection,
+    TargetUnreachable,
+)
 from tests.fakes import virtual_hub
 from tests.fakes.process import GateKind
 
@@ -108,12 +113,21 @@
         May be paused between its last check and the sending of an order.
     reaches : callable
         Returns whether the process can connect to a target.
+    is_refused : callable
+        Returns whether a connection to a target that it can't reach is refused.
     """
 
-    def __init__(self, process, targets, reaches=lambda name: True):
+    def __init__(
+        self,
+        process,
+        targets,
+        reaches=lambda name: True,
+        is_refused=lambda: False,
+    ):
         self._process = process
         self._targets = targets
         self._reaches = reaches
+        self._is_refused = is_refused
 
     def grant(self, target, order, deadline):
         """Grant keys to a target, or renew its grant."""
@@ -147,6 +161,8 @@
         self._process.gate(GateKind.ORDER, sending=True)
         found = self._targets[address.target_id]
         eventlet.sleep(LATENCY_S)
+        if not self._reaches(address.target_id) and self._is_refused():
+            raise TargetRefusedConnection("nothing listens")
         if found.silent or not self._reaches(address.target_id):
             eventlet.sleep(0.5)
             raise TargetUnreachable("no connection")
