Leave keys with their owners while the leader's paths are cut, and hand over

What callers saw: from the moment at which a leader lost its paths to the targets, no request of a divided service was served, at any host.

Cause: a failed order counted against the target, whatever had failed. A leader that reaches no target marked all of them silent within milliseconds (refused) or 2.4 s (hanging) and took their keys back, and went on leading since it reached the store and the hosts.

Before a target counts as silent the leader checks its paths. While they are cut it starts no transfer. It writes that nobody leads, 0.3 s after it noticed, if another host reports that it reaches targets; a host that is cut does not take over while another one reaches them. Without the store nobody could take over, so it leads on. Hosts report whether they are cut, and the leader tells all.

--- a/src/persimmonspoke/daemon/routed.py
+++ b/src/persimmonspoke/daemon/routed.py
@@ -128,6 +128,14 @@
         ranges = cfg.ranges.within(platform.bounds.drain_s, platform.bounds.hold_max_s)
         self.routes = RangeRoutes(self.state, self.clock, ranges.leaving_grace_s)
         self.leadership.on_ownership_read = self.routes.update_from_ownership
+        self.paths = TargetPaths(
+            cfg.paths,
+            self.clock,
+            self.state.ready_addresses,
+            can_connect,
+            lambda: len(self.hosts.live()),
+        )
+        self.leadership.may_lead = self._may_lead
         self.rate_limits = RateLimits(self.clock)
         self.suspects = Suspects(cfg.quarantine, self.clock)
         self.reporter = Reporter(
@@ -140,6 +148,7 @@
             self.store_age_s,
             self.rate_limits,
             self.suspects,
+            self.paths,
         )
         self.quarantine = QuarantineKeeper(
             cfg.quarantine,
@@ -157,6 +166,7 @@
             self.state,
             HttpRangeOrders(self.clock),
             self.reporter.publish,
+            self.paths,
         )
         self.reporter.keeper = self.keeper
         self.scheduler = DeskScheduler(
@@ -173,13 +183,6 @@
             self.routes.owner
         )
         self.pools = TargetPools(cfg.targets, self.clock, self._connections)
-        self.paths = TargetPaths(
-            cfg.paths,
-            self.clock,
-            self.state.ready_addresses,
-            can_connect,
-            lambda: len(self.hosts.live()),
-        )
         self.gate = HostGate(self._knows_targets, self.clock)
         self._server = None
         self._ended = eventlet.event.Event()
@@ -309,6 +312,10 @@
         start_response(status, [("Content-Length", "0")])
         return [b""]
 
+    def _may_lead(self):
+        """Return whether this host reaches targets, or no other host does either."""
+        return not (self.paths.is_cut and self.hosts.reaching_targets())
+
     def _knows_targets(self):
         """Return whether this host has a configuration and knows any target."""
         knows_any = self.state.table is not None and bool(self.state.targets)
--- a/src/persimmonspoke/internal/fleet/hosts.py
+++ b/src/persimmonspoke/internal/fleet/hosts.py
@@ -33,6 +33,8 @@
         Whether this host is stopping; it then does no work for other hosts.
     registered : bool
         Whether the record of this run is in the store.
+    cut_hosts : frozenset of HostId
+        The hosts that reach no target, as the leader last said.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         self._last_contact_at: dict[HostId, Instant] = {}
         self.leaving = False
         self.registered = False
+        self.cut_hosts: frozenset[HostId] = frozenset()
         self._registered_era = Era(0)
 
     def me(self) -> PeerAddress:
@@ -147,6 +150,16 @@
             if entry.address.host_id != lost and order(entry) < mine
         )
 
+    def reaching_targets(self) -> tuple[HostEntry, ...]:
+        """Return the other live hosts, without those that reach no target."""
+        mine = self.me().host_id
+        return tuple(
+            entry
+            for entry in self.entries()
+            if entry.address.host_id != mine
+            and entry.address.host_id not in self.cut_hosts
+        )
+
     def recorded_hosts(self) -> tuple[HostEntry, ...]:
         """Return the hosts that have a record in the store, without this one."""
         count = self._cache.kind_change_count(HOSTS_PREFIX)
--- a/src/persimmonspoke/internal/fleet/leadership.py
+++ b/src/persimmonspoke/internal/fleet/leadership.py
@@ -88,6 +88,8 @@
         targets than the owners in it may hold keys; the keeper resets it.
     remaining_grants : callable
         Returns the grants of this host that have not ended yet.
+    may_lead : callable
+        Returns whether this host could act as leader at present.
     on_ownership_read : callable
         Called with the content of the object whenever it was read to find a leader.
     on_takeover, on_stop : callable
@@ -132,6 +134,7 @@
         self.first_start = True
         self.owners_uncertain = False
         self.remaining_grants: Callable[[], tuple[GrantLeft, ...]] = tuple
+        self.may_lead: Callable[[], bool] = lambda: True
         self.on_ownership_read: Callable[[Ownership], None] = lambda ownership: None
         self.on_takeover: Callable[[], None] = lambda: None
         self.on_stop: Callable[[], None] = lambda: None
@@ -271,6 +274,28 @@
         Another host can then take over at once.
         """
         self._resigned = True
+        self._give_up_lead()
+
+    def hand_over(self, reason: str) -> None:
+        """Stop leading, and clear the leader in the store.
+
+        Any host that may lead can then take over at once.  While the store does not
+        answer, none could, and this host leads on.
+        """
+        if not self.leading:
+            return
+        try:
+            self._read_ownership()
+        except StoreError as exc:
+            log.info("leader: can't hand over", extra={"reason": repr(exc)})
+            return
+        log.warning("leader: hands over", extra={"epoch": self.epoch, "reason": reason})
+        self._give_up_lead()
+        self.leader = None
+        self.lease_until = LONG_AGO
+
+    def _give_up_lead(self):
+        """Stop leading, and clear the leader in the store."""
         if not self.leading:
             return
         with self._write_lock:
@@ -543,7 +568,7 @@
         A host that is not registered can't lead, because a later leader could take the
         record of an earlier run on its machine for the proof that it has ended.
         """
-        if not self._hosts.registered:
+        if not self._hosts.registered or not self.may_lead():
             return
         era = self._store.era
         is_copy = (
--- a/src/persimmonspoke/internal/fleet/messages.py
+++ b/src/persimmonspoke/internal/fleet/messages.py
@@ -113,6 +113,8 @@
         of `SuspectRow`.
     suspects_digest : int
         Hash of the shared ones that the host knows.
+    paths_cut : bool
+        Whether the host reaches no target.
     """
 
     sender: list
@@ -127,6 +129,7 @@
     next_s: float = 0.0
     suspects: list = field(default_factory=list)
     suspects_digest: int = 0
+    paths_cut: bool = False
 
 
 @flat_message
@@ -149,6 +152,8 @@
     suspects : list of list or None
         The shared requests under which targets end, as fields of `SuspectRow`; None if
         the host knows the same.
+    cut_hosts : list of HostId
+        Live hosts that reach no target.
     """
 
     leader: list
@@ -159,6 +164,7 @@
     table: dict | None
     store_age_s: float
     suspects: list | None = None
+    cut_hosts: list = field(default_factory=list)
 
 
 @message
--- a/src/persimmonspoke/internal/fleet/reporter.py
+++ b/src/persimmonspoke/internal/fleet/reporter.py
@@ -38,6 +38,7 @@
 from persimmonspoke.internal.quarantine.suspects import Suspects
 from persimmonspoke.internal.ranges.keeper import Keeper
 from persimmonspoke.internal.ranges.routes import RangeRoutes
+from persimmonspoke.internal.targets.paths import TargetPaths
 from persimmonspoke.internal.targets.rate_limits import RateLimits
 
 LIST_PERIOD_S = 0.1  # between two checks of which hosts have fallen silent
@@ -100,6 +101,7 @@
     present_until: Instant
     store_age_s: float
     leaving: bool
+    paths_cut: bool
 
 
 class Reporter:
@@ -111,6 +113,8 @@
         Returns the time since the store last answered this host.
     suspects : Suspects
         Requests under which targets end; the leader joins what all hosts know.
+    paths : TargetPaths
+        This host's paths to the targets; a leader that reaches none hands over.
     """
 
     def __init__(
@@ -124,12 +128,14 @@
         store_age_s: Callable[[], float],
         limits: RateLimits,
         suspects: Suspects,
+        paths: TargetPaths,
     ):
         self._cfg = cfg
         self._clock = clock
         self._link = link
         self._hosts = hosts
         self._suspects = suspects
+        self._paths = paths
         self._leadership = leadership
         self._routes = routes
         self._store_age_s = store_age_s
@@ -153,6 +159,7 @@
             if self._leadership.leading:
                 self._apply_reply(self._on_report(self._report(self._hosts.me())))
                 self._step_aside_if_isolated()
+                self._hand_over_if_cut()
             elif self._leadership.leader is not None:
                 self._report_to(self._leadership.leader)
             self._clock.sleep_until(report_at)
@@ -210,6 +217,7 @@
             next_s=self._leadership.report_s,
             suspects=suspects,
             suspects_digest=self._suspects.digest(),
+            paths_cut=self._paths.is_cut,
         )
 
     def _report_to(self, leader):
@@ -257,6 +265,7 @@
             self._host_list_number = reply.fleet
             self._listed = tuple(entry_from(fields) for fields in reply.hosts)
         self._hosts.update_live(self._listed, until)
+        self._hosts.cut_hosts = frozenset(reply.cut_hosts)
         if reply.suspects is not None:
             self._suspects.merge(reply.suspects, reply.leader[0])
 
@@ -273,7 +282,11 @@
         present_until = Instant(now + self._cfg.present_s + 2 * extra_s)
         before = self._host_states.get(host_id)
         self._host_states[host_id] = _HostState(
-            entry, present_until, report.store_age_s, report.leaving
+            entry,
+            present_until,
+            report.store_age_s,
+            report.leaving,
+            report.paths_cut,
         )
         if before is None or before.leaving != report.leaving:
             self._list_due_at = now
@@ -292,6 +305,7 @@
             table=_encode_rows(newest) if outdated else None,
             store_age_s=round(self._store_age_s(), 3),
             suspects=self._suspects_unlike(report.suspects_digest),
+            cut_hosts=[h for h, state in self._host_states.items() if state.paths_cut],
         )
 
     def _suspects_unlike(self, digest) -> list | None:
@@ -342,6 +356,18 @@
             for state in self._host_states.values()
         )
 
+    def _hand_over_if_cut(self):
+        """Let another host lead if it reaches targets and this one does not."""
+        cut_since = self._paths.cut_since
+        if cut_since is None or self._clock.now() - cut_since < self._cfg.cut_s:
+            return
+        me = self._hosts.me()
+        if any(
+            state.entry.address != me and not (state.paths_cut or state.leaving)
+            for state in self._host_states.values()
+        ):
+            self._leadership.hand_over("this host reaches no target, others do")
+
     def _on_change(self, change: TableChange) -> None:
         """Apply a change; if one before it is missing, the next reply has the table."""
         self._leadership.follow(PeerAddress(*change.leader), change.epoch)
--- a/src/persimmonspoke/internal/fleet/settings.py
+++ b/src/persimmonspoke/internal/fleet/settings.py
@@ -48,6 +48,9 @@
         store answered another host less than `fresh_s` before that host's report.
     isolated_s : float
         How long that must have been so; longer than a call of the store and its retry.
+    cut_s : float
+        How long a leader must have reached no target until it lets another host lead
+        that reaches one, so that hosts that lost their paths with it have noticed.
     forget_s : float
         How long the record of a silent host is kept.
     """
@@ -70,4 +73,5 @@
     yield_s: Seconds = 2.0
     fresh_s: Seconds = 1.5
     isolated_s: Seconds = 0.6
+    cut_s: Seconds = 0.3
     forget_s: Seconds = 30.0
--- a/src/persimmonspoke/internal/ranges/granter.py
+++ b/src/persimmonspoke/internal/ranges/granter.py
@@ -148,11 +148,16 @@
         except (TargetError, AuthorityLapsed) as exc:
             log.debug("ranges: target still silent", extra={"reason": str(exc)})
             return
-        log.info("ranges: target answers again", extra={"target": self.target_id})
-        self._last_answer_at = self._clock.now()
-        self.responsiveness = Responsiveness.ANSWERS
+        self.record_answer()
         self._granters.reconcile_soon()
 
+    def record_answer(self) -> None:
+        """Record that the target has just answered an order."""
+        self._last_answer_at = self._clock.now()
+        if self.responsiveness is Responsiveness.SILENT:
+            log.info("ranges: target answers again", extra={"target": self.target_id})
+            self.responsiveness = Responsiveness.ANSWERS
+
     def grant(self, entry: KeyRange) -> bool:
         """Grant one range; return whether the target has confirmed the grant."""
         if self.responsiveness is Responsiveness.SILENT:
@@ -199,7 +204,8 @@
                 return False
             self._incarnation_by_fence.setdefault(entry.fence, self._incarnation)
             try:
-                self._send(entry, self._hold_s())
+                with self._granters.paths.in_flight():
+                    self._send(entry, self._hold_s())
             except TargetFenced:
                 log.info("ranges: grant refused", extra=self._log_fields(entry))
                 self._last_answer_at = self._clock.now()
@@ -229,9 +235,10 @@
         return self._granters.hold_s()
 
     def _handle_no_answer(self, sent):
-        """Mark the target silent, unless perhaps only its answers were lost.
+        """Mark the target silent, unless its answers or this host's paths may be lost.
 
-        A target that an order was sent to may hold keys until that grant lapses.
+        While the paths are cut, the failure says nothing about the target.  A target
+        that an order was sent to may hold keys until that grant lapses.
         They can't be given to another target before, so there is time to retry.
 
         Parameters
@@ -240,7 +247,9 @@
             Whether the last order was sent, so that the target may have executed it.
         """
         silent_s = self._clock.now() - self._last_answer_at
-        if not sent or silent_s >= self._cfg.silent_s:
+        if (not sent or silent_s >= self._cfg.silent_s) and not (
+            self._granters.paths.check()
+        ):
             self._mark_silent()
 
     def _log_fields(self, entry):
@@ -271,8 +280,8 @@
             )
 
     def _on_granted(self, entry):
-        self.responsiveness = Responsiveness.ANSWERS
-        self._last_answer_at = self._clock.now()
+        self.record_answer()
+        self._granters.paths.record_answer()
         self._confirmed_fences.add(entry.fence)
         key = (entry.first, entry.last, entry.fence)
         if key not in self.granted:
--- a/src/persimmonspoke/internal/ranges/granters.py
+++ b/src/persimmonspoke/internal/ranges/granters.py
@@ -17,6 +17,7 @@
 from persimmonspoke.internal.routing.config import TargetRecord, TargetState
 from persimmonspoke.internal.routing.state import RoutingState
 from persimmonspoke.internal.targets.api import TargetAddress
+from persimmonspoke.internal.targets.paths import TargetPaths
 
 log = logging.getLogger(__name__)
 
@@ -29,6 +30,8 @@
 
     Attributes
     ----------
+    paths : TargetPaths
+        This host's paths to the targets.
     reconcile_soon : callable
         Starts to reassign the keys of lost targets before the next period.
     """
@@ -42,6 +45,7 @@
         orders: RangeOrders,
         ledger: Ledger,
         tasks: LeaderTasks,
+        paths: TargetPaths,
     ):
         self._cfg = cfg
         self._clock = clock
@@ -49,6 +53,7 @@
         self._state = state
         self._orders = orders
         self._tasks = tasks
+        self.paths = paths
         self._granters: dict[tuple[ServiceId, TargetId], Granter] = {}
         self.ledger = ledger
         self.reconcile_soon: Callable[[], None] = lambda: None
--- a/src/persimmonspoke/internal/ranges/keeper.py
+++ b/src/persimmonspoke/internal/ranges/keeper.py
@@ -25,6 +25,7 @@
 from persimmonspoke.internal.ranges.tasks import LeaderTasks
 from persimmonspoke.internal.routing.config import TargetState
 from persimmonspoke.internal.routing.state import MAX_REREGISTRATION_S, RoutingState
+from persimmonspoke.internal.targets.paths import TargetPaths
 
 log = logging.getLogger(__name__)
 
@@ -38,6 +39,9 @@
     ----------
     publish : callable
         Sends a change of the range table to all hosts, this one included.
+    paths : TargetPaths
+        This host's paths to the targets.  While they are cut nothing shows which
+        targets are lost, so owners keep their keys.
     """
 
     def __init__(
@@ -48,8 +52,10 @@
         state: RoutingState,
         orders: RangeOrders,
         publish: Callable[[TableChange], None],
+        paths: TargetPaths,
     ):
         self._cfg = cfg
+        self._paths = paths
         self._clock = clock
         self._leadership = leadership
         self._state = state
@@ -58,7 +64,7 @@
         self._tasks = LeaderTasks()
         self.ledger = Ledger(clock, leadership, publish)
         self.granters = Granters(
-            cfg, clock, leadership, state, orders, self.ledger, self._tasks
+            cfg, clock, leadership, state, orders, self.ledger, self._tasks, paths
         )
         self.granters.reconcile_soon = self._reconcile_soon
         self._mover = Mover(
@@ -174,7 +180,7 @@
         These are the keys of targets that are leaving, deregistered or silent, or that
         have restarted.
         """
-        if not self._leadership.leading:
+        if not self._leadership.leading or self._paths.is_cut:
             return
         for service in self._state.divided_services():
             if self._is_unresolved(service):
@@ -254,11 +260,12 @@
     def _plan(self):
         """Start moves that balance the load of the targets.
 
-        None start while the store is silent, since they could not be committed.
+        None start while the store is silent, since they could not be committed, nor
+        while this host reaches no target.
         """
         for loads in (self._loads, self._burst_loads):
             loads.decay(self._clock.now())
-        if not self.granters.store_is_reachable():
+        if self._paths.is_cut or not self.granters.store_is_reachable():
             return
         rebalance = self._clock.now() >= self._next_rebalance_at
         if rebalance:
--- a/tests/cover/test_unreachable_targets.py
+++ b/tests/cover/test_unreachable_targets.py
@@ -66,6 +66,61 @@
         self.assertEqual(self.longest_gap_s(6), 0.0)
 
 
+class TestTargetsThatAreLostIndeed(CutPathsCase):
+    """Guards against a leader that blames its paths for a target that is lost."""
+
+    def test_the_keys_of_a_silent_target_go_to_others(self):
+        lost = self.fleet.targets["t2"]
+        lost.silent = True
+        self.fleet.run_for(7)
+        self.assertEqual(self.fleet.unheld_keys(), [])
+        self.assertNotIn("t2", self.owners().values())
+
+    def test_the_leader_stays(self):
+        leader = self.fleet.leader()
+        for name in ("t0", "t1", "t2"):
+            self.fleet.targets[name].silent = True
+        self.fleet.run_for(7)
+        self.assertIs(self.fleet.leader(), leader)
+
+
+class TestCompanyOfACut(CutPathsCase):
+    """Guards against a cut leader that is followed by a host that can't lead either."""
+
+    def test_the_store_is_away(self):
+        owners = self.owners()
+        leader = self.fleet.leader()
+        self.fleet.platform.faults.down = True
+        self.fleet.cut_from_targets([leader], refused=True)
+        self.fleet.run_for(4)
+        self.assertTrue(leader.leadership.leading)
+        self.fleet.platform.faults.down = False
+        self.fleet.run_for(4)
+        self.assertNotIn(self.fleet.leader(), [None, leader])
+        self.assertEqual(self.fleet.unheld_keys(), [])
+        self.assertEqual(self.owners(), owners)
+
+    def test_the_leader_is_killed_and_hosts_that_are_cut_remain(self):
+        leader = self.fleet.leader()
+        others = [host for host in self.fleet.hosts if host is not leader]
+        self.fleet.cut_from_targets(others[:2], refused=True)
+        self.fleet.run_for(2)
+        leader.kill()
+        self.assertLess(self.longest_gap_s(8), 3.0)
+        self.assertTrue(others[2].leadership.may_order())
+        self.assertFalse(others[0].leadership.leading or others[1].leadership.leading)
+
+    def test_paths_that_are_lost_again_and_again_by_different_hosts(self):
+        longest = 0.0
+        for number in range(12):
+            cut = [self.fleet.hosts[(number + n) % 4] for n in range(2)]
+            self.fleet.cut_from_targets(cut, refused=number % 2 == 0)
+            longest = max(longest, self.longest_gap_s(2.0))
+            self.fleet.cut_from_targets([])
+            longest = max(longest, self.longest_gap_s(0.5))
+        self.assertLess(longest, 0.3)
+
+
 class TestTheEndOfACut(CutPathsCase):
     """Guards against keys that nobody holds after the paths are back."""
 
--- a/tests/fakes/range_fleet.py
+++ b/tests/fakes/range_fleet.py
@@ -1,5 +1,7 @@
 """A fleet of hosts that assign key ranges to fake targets, in virtual time."""
 
+import random
+
 import eventlet
 
 from persimmonspoke.ids import HostId
@@ -24,11 +26,14 @@
 )
 from persimmonspoke.internal.routing.state import RoutingState
 from persimmonspoke.internal.routing.table import RouteTable
+from persimmonspoke.internal.targets.api import TargetAddress
+from persimmonspoke.internal.targets.paths import PathSettings, TargetPaths
 from persimmonspoke.internal.targets.rate_limits import RateLimits
 from tests.fakes import virtual_hub
 from tests.fakes.network import FakeLink, FakeNetwork
 from tests.fakes.process import FakeClock, FakeProcess
 from tests.fakes.range_targets import (
+    LATENCY_S,
     SAMPLED_KEYS,
     FakeRangeOrders,
     FakeRangeTarget,
@@ -75,6 +80,16 @@
         self.state.targets = fleet.records
         self.routes = RangeRoutes(self.state, self.clock, 1.4)
         self.limits = RateLimits(self.clock)
+        self.paths = TargetPaths(
+            PathSettings(),
+            self.clock,
+            lambda: fleet.checked_addresses(),
+            lambda target, timeout_s: self.connects(fleet, target, timeout_s),
+            rng=random.Random(number),
+        )
+        self.leadership.may_lead = lambda: (
+            not (self.paths.is_cut and self.hosts.reaching_targets())
+        )
         self.suspects = Suspects(QuarantineSettings(), self.clock)
         self.reporter = Reporter(
             cfg,
@@ -86,6 +101,7 @@
             self.store_age_s,
             self.limits,
             self.suspects,
+            self.paths,
         )
         self.quarantine = QuarantineKeeper(
             QuarantineSettings(),
@@ -106,6 +122,7 @@
             self.state,
             self.orders,
             self.reporter.publish,
+            self.paths,
         )
         self.reporter.keeper = self.keeper
         self.tasks = []
@@ -119,6 +136,7 @@
                 self.leadership.run,
                 self.reporter.run,
                 self.quarantine.run,
+                self.paths.run,
                 lambda: self._read_hosts(fleet),
             )
         ]
@@ -131,6 +149,16 @@
         """Return whether this host can connect to a target."""
         return self.cut_how is None
 
+    def connects(self, fleet, target, timeout_s):
+        """Return whether a target accepts a connection of this host in time."""
+        eventlet.sleep(LATENCY_S)
+        found = fleet.targets.get(target.target_id)
+        if self.cut_how is None and not (found is not None and found.silent):
+            return True
+        if self.cut_how != "refused":
+            eventlet.sleep(timeout_s)
+        return False
+
     def is_refused(self):
         """Return whether connections on cut paths are refused instead of lost."""
         return self.cut_how == "refused"
@@ -161,6 +189,11 @@
     ----------
     cores : dict of int to float
         Processor shares of the hosts, by number; 1 for those that are not named.
+
+    Attributes
+    ----------
+    other_targets : list of str
+        Targets of other services.
     """
 
     def __init__(self, hosts=3, targets=4, registered=None, cfg=None, cores=None):
@@ -177,6 +210,7 @@
         service = RoutedService(SERVICE, 100, True)
         self.config = RoutingConfig(1, (), {SERVICE: service})
         self.hosts = [RangeHost(self, number) for number in range(hosts)]
+        self.other_targets = []
         self.double_holds = []
         self._watch = eventlet.spawn(self._detect_double_holds)
         for host in self.hosts:
@@ -195,6 +229,11 @@
         for host in hosts:
             host.cut_how = "refused" if refused else "lost"
 
+    def checked_addresses(self):
+        """Return the addresses of the targets that hosts try, of all services."""
+        names = [*self.records, *self.other_targets]
+        return [TargetAddress(name, "10.1.0.1", 1) for name in names]
+
     def register(self, name):
         """Register a target."""
         self.records[name] = record(name)
