Give a silent target its keys back if it answers their release

What callers saw: 75 s after the first cut had healed, all requests of a divided service were still answered 421, since no target held any key.

Cause: silent targets are probed only while they own nothing, and keep their keys while no other target may take them. If all targets of a service were silent at once, nothing ended that state but a new leader.

A release that is answered shows that the target is not silent. Its keys are granted to it again, warm and under new fences, instead of to another target. test_keys_are_held_again_after_all_targets_of_one_service_were_silent failed before (no key held 3 s after the targets were back).

--- a/src/persimmonspoke/internal/ranges/granters.py
+++ b/src/persimmonspoke/internal/ranges/granters.py
@@ -165,6 +165,12 @@
             if granter.may_hold_until > now
         )
 
+    def record_answer(self, service: ServiceId, target_id: TargetId) -> None:
+        """Record that a target has just answered an order."""
+        granter = self.find(service, target_id)
+        if granter is not None:
+            granter.record_answer()
+
     def is_silent(self, service: ServiceId, target_id: TargetId) -> bool:
         """Return whether a target is known not to answer orders."""
         granter = self.find(service, target_id)
--- a/src/persimmonspoke/internal/ranges/mover.py
+++ b/src/persimmonspoke/internal/ranges/mover.py
@@ -116,7 +116,8 @@
         """Transfer all ranges of one target with a single release and commit.
 
         The ranges of a target that has restarted are granted to it again; there is
-        nothing to release then.
+        nothing to release then.  So are those of a silent target that answers the
+        release.
         """
         first, last = entries[0].first, entries[-1].last
         record = self._state.targets.get(target_id)
@@ -126,7 +127,10 @@
             if not restarted:
                 whole = replace(entries[0], last=last)
                 handover = self._release(transfers, whole)
-            new_ranges = self._assign(service, target_id, entries, restarted, handover)
+            stays = restarted or (
+                record is not None and self._granters.may_receive_keys(record)
+            )
+            new_ranges = self._assign(service, target_id, entries, stays, handover)
             self._ledger.commit(service, new_ranges)
             self._grant_all(service, new_ranges)
             log.info(
@@ -141,6 +145,7 @@
                     "fence": new_ranges[0].fence,
                     "warm": handover is not None,
                     "reborn": restarted,
+                    "stays": stays,
                 },
             )
         except (StoreError, AuthorityLapsed, NoOwnerYet) as exc:
@@ -223,12 +228,12 @@
         except AuthorityLapsed as exc:
             return None, exc
 
-    def _assign(self, service, target_id, entries, restarted, handover):
+    def _assign(self, service, target_id, entries, stays, handover):
         """Return new grants of ranges, spread over the targets by load.
 
-        A target that has restarted keeps its ranges.
+        With `stays` the target keeps its ranges.
         """
-        if restarted:
+        if stays:
             owners = [(entry, self._state.targets[target_id]) for entry in entries]
         else:
             owners = self._distribute(service, target_id, entries)
@@ -323,7 +328,9 @@
                 deadline = Instant(self._clock.now() + self._cfg.release_s)
                 self._granters.check_lease()
                 try:
-                    return self._orders.release(address, order, deadline)
+                    handover = self._orders.release(address, order, deadline)
+                    self._granters.record_answer(service, piece.owner)
+                    return handover
                 except TargetError as exc:
                     log.info(
                         "ranges: release unanswered",
--- a/tests/cover/test_unreachable_targets.py
+++ b/tests/cover/test_unreachable_targets.py
@@ -133,6 +133,18 @@
         self.assertEqual(self.fleet.unheld_keys(), [])
         self.assertEqual(self.owners(), owners)
 
+    def test_keys_are_held_again_after_all_targets_of_one_service_were_silent(self):
+        owners = self.owners()
+        self.fleet.other_targets = [f"other-{number}" for number in range(6)]
+        for target in self.fleet.targets.values():
+            target.silent = True
+        self.fleet.run_for(12)
+        for target in self.fleet.targets.values():
+            target.silent = False
+        self.fleet.run_for(NOTICED_S)
+        self.assertEqual(self.fleet.unheld_keys(), [])
+        self.assertEqual(self.owners(), owners)
+
     def test_keys_are_held_again_after_all_targets_were_silent(self):
         for target in self.fleet.targets.values():
             target.silent = True
