Count no crash of a target on a host whose paths are cut

Cause: a target that refuses a connection after one was lost counted as ended. A host whose paths are cut is refused by all of them.

The host checks its paths before it reports a crash; the line about the lost connection says so. A check now begins after the failure that asks for it: one from just before the cut counted three innocent crashes in the test. test_they_count_as_crashes_of_no_target failed before: (1, 1) requests remembered and refused instead of (0, 0).

--- a/src/persimmonspoke/daemon/routed.py
+++ b/src/persimmonspoke/daemon/routed.py
@@ -285,6 +285,7 @@
                 headers.PROTOCOL_HEADERS,
                 self.suspects,
                 self._incarnation_of,
+                self.paths,
             ),
             watch=CallerWatch(self.cfg.callers, self.clock),
             cfg=self.cfg.callers,
--- a/src/persimmonspoke/internal/callers/attempts.py
+++ b/src/persimmonspoke/internal/callers/attempts.py
@@ -32,6 +32,7 @@
     Ticket,
 )
 from persimmonspoke.internal.targets.api import GrantedShard
+from persimmonspoke.internal.targets.paths import TargetPaths, always_open
 from persimmonspoke.internal.targets.request_api import (
     NOT_RUN_ERRORS,
     Body,
@@ -213,6 +214,8 @@
         Requests under which targets end; by default this host has its own.
     incarnation_of : callable
         Returns a text that tells one start of a target from another.
+    paths : TargetPaths
+        This host's paths to the targets; by default they are never cut.
     """
 
     def __init__(
@@ -227,7 +230,9 @@
         attempt_fields: frozenset[str] = frozenset(),
         suspects: Suspects | None = None,
         incarnation_of: Callable[[TargetId], str] = str,
+        paths: TargetPaths | None = None,
     ):
+        self._paths = always_open(clock) if paths is None else paths
         self._cfg = cfg
         self._attempt_fields = attempt_fields
         self._suspects = suspects or Suspects(QuarantineSettings(), clock)
@@ -379,8 +384,13 @@
             self._suspects.record_answer(trail.fingerprint, trail.request_id)
 
     def _check_target(self, target, trail, exc) -> None:
-        """After a lost connection, find out whether the target has ended."""
-        ended = self._requests.has_ended(target)
+        """After a lost connection, find out whether the target has ended.
+
+        A host whose paths are cut can't tell.
+        """
+        refused = self._requests.has_ended(target)
+        paths_cut = refused and self._paths.check()
+        ended = refused and not paths_cut
         log.info(
             "callers: connection lost",
             extra={
@@ -388,6 +398,7 @@
                 "fingerprint": trail.fingerprint,
                 "target": target.target_id,
                 "target_ended": ended,
+                "paths_cut": paths_cut,
                 "reason": str(exc),
             },
         )
--- a/src/persimmonspoke/internal/targets/paths.py
+++ b/src/persimmonspoke/internal/targets/paths.py
@@ -36,8 +36,8 @@
         Timeout of one connection of a check.
     more_targets : int
         Number of further targets that are tried if the first one can't be reached.
-    fresh_s : float
-        Age up to which the outcome of a check is used again.
+    pause_s : float
+        Shortest time from one check to the next.
     quiet_s : float
         The paths are checked if requests or orders are in flight and no target has
         answered any for so long.
@@ -54,7 +54,7 @@
 
     connect_s: Seconds = 0.2
     more_targets: Annotated[int, Field(ge=1)] = 3
-    fresh_s: Seconds = 0.1
+    pause_s: Seconds = 0.05
     quiet_s: Seconds = 0.3
     recheck_s: Seconds = 0.25
     idle_s: Seconds = 1.0
@@ -102,6 +102,7 @@
         self._waiting = 0
         self._waiting_since = LONG_AGO
         self._answered_at = clock.now()
+        self._begun_at = LONG_AGO
         self._checked_at = LONG_AGO
         self._running: Event | None = None
         self.cut_since: Instant | None = None
@@ -137,27 +138,34 @@
         """Check the paths when it is due, until the task is killed."""
         while True:
             self._clock.sleep_until(Instant(self._clock.now() + RUN_PERIOD_S))
-            if self._is_due(self._clock.now()):
-                self.check()
+            if self._running is None and self._is_due(self._clock.now()):
+                self._run_check()
 
     def check(self) -> bool:
-        """Return whether the paths are cut, by a check that is at most `fresh_s` old.
+        """Return whether the paths are cut, by a check that begins no earlier than now.
 
         Several tasks may share one check.
         """
-        if self._running is not None:
-            self._running.wait()
-            return self.is_cut
-        if self._clock.now() - self._checked_at <= self._cfg.fresh_s:
-            return self.is_cut
+        since = self._clock.now()
+        while not self.is_cut and self._begun_at < since:
+            if self._running is not None:
+                self._running.wait()
+            else:
+                self._run_check()
+        return self.is_cut
+
+    def _run_check(self):
         self._running = running = Event()
         try:
+            begin_at = Instant(self._begun_at + self._cfg.pause_s)
+            if begin_at > self._clock.now():
+                self._clock.sleep_until(begin_at)
+            self._begun_at = self._clock.now()
             self._check()
         finally:
             self._checked_at = self._clock.now()
             self._running = None
             running.send(None)
-        return self.is_cut
 
     def _is_due(self, now):
         since_check_s = now - self._checked_at
--- a/tests/cover/test_crashing_requests.py
+++ b/tests/cover/test_crashing_requests.py
@@ -56,6 +56,7 @@
                 self.random.random(),
                 suspects=host.suspects,
                 incarnation_of=self.pool.incarnation_of,
+                paths=host.paths,
             )
         return self.callers[host]
 
@@ -96,6 +97,24 @@
         self.assertEqual(len(self.pool.arrivals), reached)
 
 
+class TestRequestsOnLostPaths(CrashCase):
+    # Guards against RECOVER: a host that loses its paths reports innocent requests.
+    def test_they_count_as_crashes_of_no_target(self):
+        host = self.fleet.hosts[0]
+        caller = self.caller(host)
+        for _ in range(CFG.max_crashes + 1):
+            tasks = [eventlet.spawn(caller.send, "/innocent") for _ in range(10)]
+            self.fleet.run_for(0.02)
+            host.cut_how = "refused"
+            caller.requests.cut_paths()
+            for task in tasks:
+                task.wait()
+            host.cut_how, caller.requests.cut = None, False
+            self.fleet.run_for(0.5)
+        self.assertEqual(host.suspects.counts(), (0, 0))
+        self.assertEqual(caller.send("/innocent"), 200)
+
+
 class TestRequestsThatEndTargets(CrashCase):
     # Guards against BUDGET: one request ends target after target, through all hosts.
     def test_they_reach_few_more_targets_once_three_have_ended(self):
--- a/tests/fakes/crashing_pool.py
+++ b/tests/fakes/crashing_pool.py
@@ -105,22 +105,43 @@
 
 
 class PoolRequests:
-    """One host's connections to the pool; implements `TargetRequests`."""
+    """One host's connections to the pool; implements `TargetRequests`.
+
+    Attributes
+    ----------
+    cut : bool
+        Whether the host's paths are cut, so that connections end and are refused.
+    """
 
     def __init__(self, pool, host):
         self._pool = pool
         self._host = host
+        self._own = set()
+        self.cut = False
+
+    def cut_paths(self):
+        """Cut the paths to all targets; requests in flight lose their connections."""
+        self.cut = True
+        for running in self._pool._running.values():
+            for done in running & self._own:
+                running.remove(done)
+                done.send_exception(ConnectionLost("the connection broke"))
+
+    def connects(self, target, timeout_s):
+        """Return whether a target accepts a connection."""
+        eventlet.sleep(0.001)
+        return not self.cut and self._pool.is_up(target.target_id)
 
     def has_ended(self, to):
         """Return whether the target refuses connections."""
         eventlet.sleep(0.001)
-        return not self._pool.is_up(to.target_id)
+        return self.cut or not self._pool.is_up(to.target_id)
 
     def send(self, to, req):
         """Run the request at the target, which may end under it."""
         eventlet.sleep(0.001)
         pool, name = self._pool, to.target_id
-        if not pool.is_up(name):
+        if self.cut or not pool.is_up(name):
             raise TargetRefusedConnection(name)
         if not req.may_send():
             raise RouteLapsed("equal requests are refused")
@@ -128,6 +149,7 @@
         pool.arrivals.append(arrival)
         done = eventlet.event.Event()
         pool._running[name].add(done)
+        self._own.add(done)
         if req.path in pool.crashing:
             arrival.ended = pool.incarnation_of(name)
             eventlet.spawn_after(CRASH_S, self._crash, name, pool.starts[name])
@@ -213,11 +235,12 @@
         self.outcomes = []
         self._entry = ServiceEntry.of("a", service(targets=pool.targets, shard_count=0))
         self.scheduler = _RandomScheduler(seed)
+        self.requests = PoolRequests(pool, host)
         self._runner = RequestRunner(
             CallerSettings(),
             OneOwnerRoutes(),
             self.scheduler,
-            PoolRequests(pool, host),
+            self.requests,
             host.clock,
             NoMetrics(),
             **runner_fields,
