--- a/src/persimmonspoke/internal/targets/paths.py
+++ b/src/persimmonspoke/internal/targets/paths.py
@@ -103,6 +103,7 @@
         self._waiting_since = LONG_AGO
         self._answered_at = clock.now()
         self._begun_at = LONG_AGO
+        self._evidence_at = LONG_AGO  # beginning of the last check that has ended
         self._checked_at = LONG_AGO
         self._running: Event | None = None
         self.cut_since: Instant | None = None
@@ -147,7 +148,7 @@
         Several tasks may share one check.
         """
         since = self._clock.now()
-        while not self.is_cut and self._begun_at < since:
+        while not self.is_cut and self._evidence_at < since:
             if self._running is not None:
                 self._running.wait()
             else:
@@ -162,6 +163,7 @@
                 self._clock.sleep_until(begin_at)
             self._begun_at = self._clock.now()
             self._check()
+            self._evidence_at = self._begun_at
         finally:
             self._checked_at = self._clock.now()
             self._running = None
@@ -175,8 +177,8 @@
             quiet_s = now - max(self._answered_at, self._waiting_since)
             return min(quiet_s, since_check_s) >= self._cfg.quiet_s
         hosts = max(1.0, self._host_count() / self._cfg.hosts_per_idle)
-        evidence_at = max(self._answered_at, self._checked_at)
-        return now - evidence_at >= self._cfg.idle_s * hosts
+        idle_s = now - max(self._answered_at, self._checked_at)
+        return idle_s >= self._cfg.idle_s * hosts
 
     def _check(self):
         targets = list(self._targets())
--- a/tests/cover/test_target_paths.py
+++ b/tests/cover/test_target_paths.py
@@ -72,6 +72,17 @@
         self.assertTrue(self.paths.check())
         self.assertEqual(len(self.net.tried), 1 + self.cfg.more_targets)
 
+    def test_by_all_that_wait_for_the_same_check(self):
+        self.net.cut(self.net.refusing)
+        tasks = [eventlet.spawn(self.paths.check) for _ in range(10)]
+        self.assertEqual([task.wait() for task in tasks], 10 * [True])
+
+    def test_by_a_check_that_begins_after_the_question(self):
+        eventlet.spawn_n(self.paths.check)
+        eventlet.sleep(2 * CONNECT_S)
+        self.net.cut(self.net.refusing)
+        self.assertTrue(self.paths.check())
+
     def test_within_two_timeouts_when_connections_hang(self):
         self.net.cut(self.net.silent)
         began = virtual_hub.now()
