Let other hosts serve the requests of a host that does not reach their targets

What callers saw: a request ended at the host that took it.

A host now knows for each target whether it reaches it: after a failure it tries some targets; if few are reached, all others count as lost until they have been tried, four times a second. Requests for a target that is lost, or any if most are, are offered to up to three other hosts, over a port of their own: the other host serves them as its own and never forwards them again. Attempts so far and whether one may have run go along; deadline, cancellation and streamed bodies are those of a request to a target. Failures of lost paths count against no target at the desk, and desks avoid lost targets. If no host reaches any and nothing has answered for a second, callers are refused at once.

Weighed: not ready alone leaves kept connections, and does nothing where the platform uses all hosts of a data centre; the target's part alone (a slot here, one exchange there) needs the desk and the owner's table on a host whose view is worth nothing.

--- a/src/persimmonspoke/daemon/routed.py
+++ b/src/persimmonspoke/daemon/routed.py
@@ -12,7 +12,7 @@
 from persimmonspoke.daemon.planned_stop import serve_until_stop
 from persimmonspoke.daemon.routed_settings import RoutedSettings
 from persimmonspoke.daemon.supervision import spawn_supervised
-from persimmonspoke.errors import InvalidSettings
+from persimmonspoke.errors import HostClosed, InvalidSettings, PathsCut
 from persimmonspoke.ids import Instant
 from persimmonspoke.internal.callers.app import CallerApp
 from persimmonspoke.internal.callers.attempts import RequestRunner
@@ -26,6 +26,11 @@
 from persimmonspoke.internal.fleet.leadership import Leadership
 from persimmonspoke.internal.fleet.messages import HostEntry
 from persimmonspoke.internal.fleet.reporter import Reporter
+from persimmonspoke.internal.forwarding.forwarder import (
+    FORWARD_PORT_OFFSET,
+    ForwardedReader,
+    Forwarder,
+)
 from persimmonspoke.internal.membership.settings import new_host_id
 from persimmonspoke.internal.news.board import StoreCache
 from persimmonspoke.internal.news.relay import serve_news
@@ -44,7 +49,8 @@
 from persimmonspoke.internal.targets.http_requests import HttpTargetRequests
 from persimmonspoke.internal.targets.paths import TargetPaths
 from persimmonspoke.internal.targets.rate_limits import RateLimits
-from persimmonspoke.platform import documents, headers
+from persimmonspoke.internal.targets.request_api import Headers
+from persimmonspoke.platform import documents, forwarded, headers
 from persimmonspoke.platform.objects import ObjectStore
 from persimmonspoke.platform.orders import HttpRangeOrders
 from persimmonspoke.platform.settings_file import (
@@ -82,6 +88,9 @@
         self._caller_listener = _listen(platform.ip, platform.caller_port)
         self._readiness_listener = _listen(platform.ip, platform.ready_port)
         self._metrics_listener = _listen(platform.ip, cfg.metrics_port)
+        self._forward_listener = _listen(
+            platform.ip, platform.peer_port + FORWARD_PORT_OFFSET
+        )
         self.metrics = ServedMetrics()
         self.store = ObjectStore(platform.store_address, self.clock)
         self.cache = StoreCache(self.clock)
@@ -178,13 +187,24 @@
             platform.data_centre,
             self.hosts.cores_of,
             self.rate_limits,
+            lambda: self.paths.lost,
         )
         self.routes.on_change = lambda: self.scheduler.on_owners_changed(
             self.routes.owner
         )
         self.pools = TargetPools(cfg.targets, self.clock, self._connections)
+        forwards = TargetPools(
+            cfg.targets, self.clock, lambda target: target.connections
+        )
+        self.forward_pools = forwards
+        self.forwarder = Forwarder(
+            cfg.forwarding,
+            self.clock,
+            self.hosts,
+            HttpTargetRequests(forwards, self.clock, forwarded),
+        )
         self.gate = HostGate(self._knows_targets, self.clock)
-        self._server = None
+        self._servers = ()
         self._ended = eventlet.event.Event()
 
     def _register_gauges(self):
@@ -204,6 +224,7 @@
             ("peers.bytes_sent", lambda: self.link.bytes_sent),
             ("paths.cut", lambda: int(self.paths.is_cut)),
             ("paths.checks", lambda: self.paths.checks),
+            ("paths.lost_targets", lambda: len(self.paths.lost)),
             ("in_hand", lambda: self.gate.in_flight),
             ("store.unreadable", lambda: self.state.unreadable_count),
         ):
@@ -222,13 +243,18 @@
             self.quarantine.run,
             self.scheduler.run,
             self.pools.run_cleanup,
+            self.forward_pools.run_cleanup,
             self.paths.run,
             self._poll_settings_file,
         ):
             spawn_supervised(task, self.clock, self.metrics)
         self._serve(self._readiness_listener, self._ready_app)
         self._serve(self._metrics_listener, self.metrics.app)
-        self._server = eventlet.spawn(self._serve_callers)
+        runner = self._make_runner()
+        self._servers = (
+            eventlet.spawn(self._serve_callers, runner),
+            eventlet.spawn(self._serve_forwarded, runner),
+        )
         log.info(
             "daemon: started",
             extra={"host": self.platform.host, "callers": self.platform.caller_port},
@@ -249,7 +275,7 @@
             self.clock,
             Instant(started_at + self.cfg.linger_s),
             Instant(started_at + grace_s),
-            self._server.kill,
+            self._stop_listening,
         )
         self.hosts.remove(
             self.platform.host, Instant(self.clock.now() + REMOVE_RECORD_TIMEOUT_S)
@@ -268,33 +294,59 @@
             answered_at = max(answered_at, read_at)
         return self.clock.now() - answered_at
 
-    def _serve_callers(self):
+    def _stop_listening(self):
+        for server in self._servers:
+            server.kill()
+
+    def _make_runner(self):
         requests = HttpTargetRequests(
             self.pools, self.clock, headers, self.rate_limits, self.paths
         )
-        app = CallerApp(
-            reader=RoutedReader(self.state, headers.caller_fields, self.clock),
-            runner=RequestRunner(
-                self.cfg.callers,
-                self.routes,
-                self.scheduler,
-                requests,
-                self.clock,
-                self.metrics,
-                self.reporter.load_recorder,
-                headers.PROTOCOL_HEADERS,
-                self.suspects,
-                self._incarnation_of,
-                self.paths,
-            ),
+        return RequestRunner(
+            self.cfg.callers,
+            self.routes,
+            self.scheduler,
+            requests,
+            self.clock,
+            self.metrics,
+            self.reporter.load_recorder,
+            headers.PROTOCOL_HEADERS,
+            self.suspects,
+            self._incarnation_of,
+            self.paths,
+            self.forwarder,
+        )
+
+    def _serve_callers(self, runner):
+        reader = RoutedReader(self.state, headers.caller_fields, self.clock)
+        style = AnswerStyle(headers.REQUEST_ID, False, routed_refusal)
+        app = self._caller_app(reader, runner, style)
+        serve_callers(self._caller_listener, app, self.cfg.callers)
+
+    def _serve_forwarded(self, runner):
+        """Serve requests that other hosts forward."""
+        reader = ForwardedReader(
+            RoutedReader(self.state, headers.caller_fields, self.clock),
+            forwarded.forwarded_fields,
+            self.paths,
+        )
+        style = AnswerStyle(
+            headers.REQUEST_ID, False, routed_refusal, _not_taken_headers
+        )
+        app = self._caller_app(reader, runner, style)
+        serve_callers(self._forward_listener, app, self.cfg.callers)
+
+    def _caller_app(self, reader, runner, style):
+        return CallerApp(
+            reader=reader,
+            runner=runner,
             watch=CallerWatch(self.cfg.callers, self.clock),
             cfg=self.cfg.callers,
             clock=self.clock,
             gate=self.gate,
             metrics=self.metrics,
-            style=AnswerStyle(headers.REQUEST_ID, False, routed_refusal),
+            style=style,
         )
-        serve_callers(self._caller_listener, app, self.cfg.callers)
 
     def _serve(self, listener, app):
         eventlet.spawn(
@@ -382,6 +434,13 @@
         return self._candidates
 
 
+def _not_taken_headers(exc: Exception) -> Headers:
+    """Return the fields that let another host take a forwarded request, if it may."""
+    if isinstance(exc, (HostClosed, PathsCut)):
+        return forwarded.not_taken_headers(routed_refusal(exc).kind)
+    return ()
+
+
 def _weighted(entry: HostEntry) -> WeightedHost:
     return WeightedHost(entry.address, entry.data_centre, entry.cores)
 
--- a/src/persimmonspoke/daemon/routed_settings.py
+++ b/src/persimmonspoke/daemon/routed_settings.py
@@ -13,6 +13,7 @@
 from persimmonspoke.internal.checked_yaml import CheckedModel
 from persimmonspoke.internal.desk.settings import DeskSettings
 from persimmonspoke.internal.fleet.settings import FleetSettings
+from persimmonspoke.internal.forwarding.settings import ForwardingSettings
 from persimmonspoke.internal.news.settings import UpdateSettings
 from persimmonspoke.internal.quarantine.settings import QuarantineSettings
 from persimmonspoke.internal.ranges.settings import RangeSettings
@@ -45,6 +46,7 @@
     fleet: FleetSettings = FleetSettings()
     ranges: RangeSettings = RangeSettings()
     desk: DeskSettings = DeskSettings()
+    forwarding: ForwardingSettings = ForwardingSettings()
     quarantine: QuarantineSettings = QuarantineSettings()
     paths: PathSettings = PathSettings()
     targets: TargetSettings = TargetSettings(proved_alive_s=3.0, idle_s=6.0)
--- a/src/persimmonspoke/errors.py
+++ b/src/persimmonspoke/errors.py
@@ -307,6 +307,10 @@
     """This host accepts no requests: it has no lease, is draining or is stopping."""
 
 
+class PathsCut(NotRun):
+    """No host that was asked reaches a target that could serve the request."""
+
+
 class RouteUnreadable(NotRun):
     """The configuration's entry for this path, or for its service, can't be read."""
 
--- a/src/persimmonspoke/internal/callers/app.py
+++ b/src/persimmonspoke/internal/callers/app.py
@@ -210,7 +210,8 @@
         headers = refusal.headers(self._request_id, len(body), id_header)
         if self._environ["REQUEST_METHOD"] != "HEAD":
             self._body = body
-        start_response(_PHRASES[refusal.status], list(headers))
+        extra = self._app.style.extra_headers(exc)
+        start_response(_PHRASES[refusal.status], [*headers, *extra])
 
     def _has_unread_body(self) -> bool:
         """Return whether part of the request's body may still have to be read."""
--- a/src/persimmonspoke/internal/callers/refusals.py
+++ b/src/persimmonspoke/internal/callers/refusals.py
@@ -99,6 +99,11 @@
     return Refusal(HTTPStatus.SERVICE_UNAVAILABLE, "host_closed")
 
 
+@refusal.register
+def _(exc: errors.PathsCut) -> Refusal:
+    return Refusal(HTTPStatus.SERVICE_UNAVAILABLE, "paths_cut")
+
+
 @refusal.register
 def _(exc: errors.RouteUnreadable) -> Refusal:
     return Refusal(HTTPStatus.SERVICE_UNAVAILABLE, "route_unreadable")
@@ -181,8 +186,11 @@
         with the targets removes it from their answers.
     refusal : callable
         Returns the `Refusal` that reports an exception to the caller.
+    extra_headers : callable
+        Returns further header fields of the answer that reports an exception.
     """
 
     id_header: str = REQUEST_ID
     adds_id_header: bool = True
     refusal: Callable[[Exception], Refusal] = refusal
+    extra_headers: Callable[[Exception], Headers] = lambda exc: ()
--- a/src/persimmonspoke/internal/callers/request.py
+++ b/src/persimmonspoke/internal/callers/request.py
@@ -12,7 +12,7 @@
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.routing.config import RouteConfig
 from persimmonspoke.internal.targets import protocol
-from persimmonspoke.internal.targets.request_api import Headers
+from persimmonspoke.internal.targets.request_api import ForwardedFields, Headers
 
 HOP_BY_HOP = frozenset(
     (
@@ -59,6 +59,8 @@
         value; None without a route.
     generation : Generation or None
         Version of the configuration that contains the route.
+    forwarded : ForwardedFields or None
+        Set if another host took the request from its caller.
     """
 
     request_id: RequestId
@@ -72,6 +74,7 @@
     route: RouteConfig | None = None
     objective: Instant | None = None
     generation: Generation | None = None
+    forwarded: ForwardedFields | None = None
 
 
 class RequestReader:
--- a/src/persimmonspoke/internal/callers/trail.py
+++ b/src/persimmonspoke/internal/callers/trail.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from persimmonspoke.ids import Fingerprint, Instant, RequestId, TargetId
+from persimmonspoke.ids import Fingerprint, HostId, Instant, RequestId, TargetId
 from persimmonspoke.internal.callers.request import CallerRequest
 from persimmonspoke.internal.clock import Clock
 
@@ -46,6 +46,8 @@
         None if the request could not be parsed.
     fingerprint : Fingerprint or None
         None if the request's body could not be read.
+    forwarded_to : HostId or None
+        The host that took the request from this one.
     """
 
     request_id: RequestId
@@ -54,6 +56,7 @@
     req: CallerRequest | None = None
     fingerprint: Fingerprint | None = None
     attempts: list[Attempt] = field(default_factory=list)
+    forwarded_to: HostId | None = None
 
     def __post_init__(self):
         self.started_at = self.clock.now()
@@ -114,7 +117,11 @@
                 for a in self.attempts
             ],
         }
+        if self.forwarded_to is not None:
+            fields["forwarded_to"] = self.forwarded_to
         if self.req is not None:
+            if self.req.forwarded is not None:
+                fields["forwarded_by"] = self.req.forwarded.host
             fields["service"] = self.req.entry.service.service
             fields["key"] = self.req.key
             fields["fingerprint"] = self.fingerprint
--- a/src/persimmonspoke/internal/desk/scheduler.py
+++ b/src/persimmonspoke/internal/desk/scheduler.py
@@ -2,7 +2,7 @@
 
 import itertools
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
 import eventlet
@@ -105,6 +105,8 @@
         Returns the processor share of a host, as a number of cores.
     limits : RateLimits
         The rate limits that this host learns from answers and, as a desk, from others.
+    lost_targets : callable
+        Returns the targets that this host does not reach, which desks should avoid.
     """
 
     def __init__(
@@ -117,7 +119,9 @@
         data_centre: DataCentreId,
         cores_of: Callable[[HostId], float] = lambda host_id: 1.0,
         limits: RateLimits | None = None,
+        lost_targets: Callable[[], Iterable[TargetId]] = tuple,
     ):
+        self._lost_targets = lost_targets
         self._cfg = cfg
         self._clock = clock
         self._link = link
@@ -213,6 +217,7 @@
         avoid = []
         if not service.divided:
             avoid = self._leaving_targets(service.service)
+            avoid += self._lost_targets()
             avoid += [
                 target.target_id
                 for target in service.targets
@@ -292,7 +297,9 @@
 
     def _send_done(self, entry, outcome):
         took_s = 0.0
-        if entry.started_at is not None:
+        if outcome is SlotOutcome.NO_PATH:
+            outcome = SlotOutcome.CANCELLED
+        elif entry.started_at is not None:
             took_s = self._clock.now() - entry.started_at
         done = Done(
             self._me,
--- a/src/persimmonspoke/internal/ranges/granter.py
+++ b/src/persimmonspoke/internal/ranges/granter.py
@@ -204,7 +204,7 @@
                 return False
             self._incarnation_by_fence.setdefault(entry.fence, self._incarnation)
             try:
-                with self._granters.paths.in_flight():
+                with self._granters.paths.in_flight(self.address):
                     self._send(entry, self._hold_s())
             except TargetFenced:
                 log.info("ranges: grant refused", extra=self._log_fields(entry))
@@ -281,7 +281,7 @@
 
     def _on_granted(self, entry):
         self.record_answer()
-        self._granters.paths.record_answer()
+        self._granters.paths.record_answer(self.target_id)
         self._confirmed_fences.add(entry.fence)
         key = (entry.first, entry.last, entry.fence)
         if key not in self.granted:
--- a/src/persimmonspoke/internal/scheduling/api.py
+++ b/src/persimmonspoke/internal/scheduling/api.py
@@ -43,6 +43,8 @@
     SHED = "shed"
     FAILED = "failed"
     CANCELLED = "cancelled"
+    NO_PATH = "no_path"
+    """This host reaches no target, so the failure says nothing about the target."""
 
 
 class Slot(Protocol):
--- a/src/persimmonspoke/internal/targets/http_requests.py
+++ b/src/persimmonspoke/internal/targets/http_requests.py
@@ -8,6 +8,7 @@
 
 import eventlet
 from eventlet.greenpool import GreenPool
+from greenlet import getcurrent
 from urllib3.exceptions import HTTPError
 from urllib3.response import HTTPResponse
 
@@ -27,6 +28,7 @@
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.questionnaire.configuration import TargetConfig
 from persimmonspoke.internal.targets import protocol
+from persimmonspoke.internal.targets.api import TargetAddress
 from persimmonspoke.internal.targets.connections import (
     MAX_HEAD_BYTES,
     TargetConnection,
@@ -40,6 +42,8 @@
 
 log = logging.getLogger(__name__)
 
+MIN_QUIET_S = 0.1  # shorter than this, kept connections are taken to work
+
 CONNECTION_ERRORS = (HTTPError, HTTPException, OSError, ValueError)
 """What the library raises for a lost connection or an unreadable answer."""
 
@@ -51,6 +55,27 @@
     """
 
 
+class _PathsCut(Exception):
+    """The paths to all targets turned out to be cut while a request waited."""
+
+
+class _Waiting:
+    """A task that waits for the first bytes of an answer.
+
+    Attributes
+    ----------
+    conn : TargetConnection or None
+        The connection on which the request is sent, once there is one.
+    """
+
+    __slots__ = ("conn", "target", "task")
+
+    def __init__(self, target):
+        self.conn = None
+        self.target = TargetAddress(target.target_id, target.ip, target.port)
+        self.task = getcurrent()
+
+
 class _Exchange:
     """One request on one connection, until the end of its answer.
 
@@ -128,7 +153,8 @@
     limits : RateLimits
         Learns the rate limits that answers name.
     paths : TargetPaths
-        Learns when targets answer.
+        Learns when targets answer.  When the paths turn out to be cut, repeatable
+        requests that wait for an answer fail at once.
     """
 
     def __init__(
@@ -141,6 +167,8 @@
     ):
         self.protocol = protocol
         self._paths = always_open(clock) if paths is None else paths
+        self._paths.on_change.append(self._interrupt_waiting)
+        self._waiting: dict[_Waiting, None] = {}
         self._limits = RateLimits(clock) if limits is None else limits
         self._pools = pools
         self._cfg = pools.cfg
@@ -155,10 +183,35 @@
         If a reused connection gives no answer in time, a repeatable request is sent
         again on a new one.
         """
-        with self._paths.in_flight():
-            return self._send(target, req)
+        waiting = _Waiting(target)
+        if req.repeatable:
+            self._waiting[waiting] = None
+        try:
+            with self._paths.in_flight(waiting.target):
+                return self._send(target, req, waiting)
+        except _PathsCut as exc:
+            if waiting.conn is None or not waiting.conn.wrote:
+                raise TargetUnreachable("this host does not reach it") from exc
+            raise AnswerLost("this host does not reach the target any more") from exc
+        finally:
+            self._waiting.pop(waiting, None)
+
+    def _interrupt_waiting(self):
+        """End the wait of repeatable requests for targets that are not reached.
+
+        They wait on if a target still answers over connections that were kept.
+        """
+        for waiting in list(self._waiting):
+            target_id = waiting.target.target_id
+            is_reached = self._paths.reaches(target_id)
+            if not is_reached and self._paths.target_quiet_s(target_id) >= MIN_QUIET_S:
+                self._interrupt(waiting)
+
+    def _interrupt(self, waiting):
+        if waiting in self._waiting and waiting.task is not getcurrent():
+            eventlet.kill(waiting.task, _PathsCut())
 
-    def _send(self, target, req):
+    def _send(self, target, req, waiting):
         pool = self._pools.of(target)
         conn = pool.acquire(
             req.request_id,
@@ -166,6 +219,7 @@
             require_recent=not req.repeatable,
             repeated=req.repeated,
         )
+        waiting.conn = conn
         exchange = self._new_exchange(target, pool, conn, req)
         try:
             return self._run(exchange, self._answer_deadline(conn, req))
@@ -247,7 +301,7 @@
         try:
             self._write(exchange)
             exchange.resp = exchange.conn.getresponse()
-            self._paths.record_answer()
+            self._paths.record_answer(exchange.target.target_id)
             while self._is_late_duplicate(exchange):
                 exchange.resp = self._skip_answer(exchange)
             self._read_short(exchange)
--- a/src/persimmonspoke/internal/targets/request_api.py
+++ b/src/persimmonspoke/internal/targets/request_api.py
@@ -17,7 +17,7 @@
     TargetShed,
     TargetUnreachable,
 )
-from persimmonspoke.ids import Instant, RequestId, TargetId
+from persimmonspoke.ids import HostId, Instant, RequestId, TargetId
 from persimmonspoke.internal.questionnaire.configuration import TargetConfig
 from persimmonspoke.internal.targets.api import GrantedShard
 
@@ -61,6 +61,25 @@
     return True
 
 
+@dataclass(frozen=True, slots=True)
+class ForwardedFields:
+    """What the host that forwards a request to another one says about it.
+
+    Attributes
+    ----------
+    host : HostId
+        The host that took the request from its caller.
+    attempts : int
+        Attempts there that count against the route's limit.
+    may_have_run : bool
+        Whether one of them may have run at a target.
+    """
+
+    host: HostId
+    attempts: int = 0
+    may_have_run: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class TargetRequest:
     """A caller's request in the form in which it is sent to a target.
@@ -84,6 +103,8 @@
         The only target that may run the request, for protocols that can express it.
     repeated : bool
         Whether this host has sent the request to the same target before.
+    forwarded : ForwardedFields or None
+        Set if the request is sent to another host instead of a target.
     may_send : callable
         Called once the connection is open, just before the first byte is written;
         if it returns False, the attempt fails with `RouteLapsed`.
@@ -99,6 +120,7 @@
     shard: GrantedShard | None = None
     target_id: TargetId | None = None
     repeated: bool = False
+    forwarded: ForwardedFields | None = None
     may_send: Callable[[], bool] = always_allowed
 
     @property
--- a/tests/cover/test_crashing_requests.py
+++ b/tests/cover/test_crashing_requests.py
@@ -100,6 +100,7 @@
 class TestRequestsOnLostPaths(CrashCase):
     # Guards against RECOVER: a host that loses its paths reports innocent requests.
     def test_they_count_as_crashes_of_no_target(self):
+        self.fleet.other_targets = [f"other-{number}" for number in range(6)]
         host = self.fleet.hosts[0]
         caller = self.caller(host)
         for _ in range(CFG.max_crashes + 1):
--- /dev/null
+++ b/tests/cover/test_forwarding.py
@@ -0,0 +1,241 @@
+"""Tests of requests at hosts that reach no target, which other hosts serve."""
+
+import random
+import unittest
+from collections import Counter
+
+import eventlet
+
+from persimmonspoke.errors import OutcomeUnknown, PathsCut
+from persimmonspoke.internal.scheduling.api import SlotOutcome
+from persimmonspoke.internal.targets.request_api import ForwardedFields, TargetRequest
+from persimmonspoke.platform import forwarded, headers
+from tests.fakes import virtual_hub
+from tests.fakes.crashing_pool import streamed
+from tests.fakes.forwarding import ForwardingFleet
+
+SEED = 31
+PATH = "/things"
+
+
+class ForwardingCase(unittest.TestCase):
+    """Six hosts and eight targets, in virtual time."""
+
+    def setUp(self):
+        self.random = random.Random(SEED)
+        self.fleet = ForwardingFleet(6, 8, self.random)
+        self.addCleanup(self.fleet.stop)
+        eventlet.sleep(0.5)
+
+    def cut(self, hosts, known=True):
+        """Cut the paths of some hosts, which the leader knows or not."""
+        for host in hosts:
+            host.cut()
+        if known:
+            self.fleet.known_cut = [host.my_entry for host in hosts]
+
+    def play(self, hosts, seconds, per_s=50, **fields):
+        """Send requests at random moments; return the outcomes of each host's."""
+        tasks = {host: [] for host in hosts}
+        end = virtual_hub.now() + seconds
+        while virtual_hub.now() < end:
+            eventlet.sleep(self.random.expovariate(per_s))
+            host = self.random.choice(hosts)
+            tasks[host].append(eventlet.spawn(host.caller.send, PATH, **fields))
+        return {host: [t.wait() for t in sent] for host, sent in tasks.items()}
+
+    def served(self, outcomes):
+        """Return the share of requests with an answer of a target."""
+        return outcomes.count(200) / len(outcomes)
+
+    def runs(self):
+        """Return how often each request has reached a target."""
+        return Counter(arrival.request_id for arrival in self.fleet.pool.arrivals)
+
+
+class TestRequestsAtHostsThatReachNoTarget(ForwardingCase):
+    """Guards against RECOVER: callers of cut hosts are served worse than others."""
+
+    def test_are_served_as_often_as_at_other_hosts(self):
+        cut = self.fleet.hosts[:3]
+        before = self.play(self.fleet.hosts, 2.0)
+        self.cut(cut, known=False)
+        outcomes = self.play(self.fleet.hosts, 10.0)
+        for host in self.fleet.hosts:
+            self.assertEqual(self.served(before[host]), 1.0)
+            self.assertGreaterEqual(self.served(outcomes[host]), 0.98)
+
+    def test_run_at_most_once_if_they_are_protected(self):
+        for number in range(6):
+            cut = [self.fleet.hosts[(number + n) % 6] for n in range(3)]
+            self.cut(cut)
+            self.play(self.fleet.hosts, 1.0, method="POST", protected=True)
+            for host in cut:
+                host.caller.requests.cut = False
+            self.play(self.fleet.hosts, 0.3, method="POST", protected=True)
+        self.assertEqual(set(self.runs().values()), {1})
+
+    def test_count_against_no_target_at_the_desk(self):
+        host = self.fleet.hosts[0]
+        self.cut([host])
+        self.play([host], 2.0)
+        self.assertNotIn(SlotOutcome.FAILED, host.caller.scheduler.outcomes)
+
+    def test_do_not_count_an_attempt_that_reached_nothing(self):
+        host = self.fleet.hosts[0]
+        self.cut([host])
+        self.assertEqual(host.caller.send(PATH), 200)
+        self.assertEqual(host.caller.outcomes, [(PATH, 200)])
+
+    def test_are_forwarded_with_a_body_that_was_not_read(self):
+        host = self.fleet.hosts[0]
+        self.cut([host])
+        self.assertEqual(host.caller.send(PATH, "POST", streamed(b"a", b"b")), 200)
+
+    def test_go_the_direct_way_within_half_a_second_of_its_return(self):
+        host = self.fleet.hosts[0]
+        self.cut([host])
+        self.play([host], 1.0)
+        host.caller.requests.cut = False
+        eventlet.sleep(0.5)
+        taken = sum(len(other.taken) for other in self.fleet.hosts)
+        self.assertGreater(taken, 0)
+        self.play([host], 1.0)
+        self.assertEqual(sum(len(other.taken) for other in self.fleet.hosts), taken)
+
+    def test_are_refused_at_once_if_no_host_reaches_a_target(self):
+        self.cut(self.fleet.hosts)
+        self.play(self.fleet.hosts, 2.0)
+        reached = len(self.fleet.pool.arrivals)
+        began = virtual_hub.now()
+        exc = self.fleet.hosts[0].caller.send(PATH)
+        self.assertIsInstance(exc, PathsCut)
+        self.assertGreater(exc.retry_after_s, 0.0)
+        self.assertLess(virtual_hub.now() - began, 0.01)
+        self.assertEqual(len(self.fleet.pool.arrivals), reached)
+
+
+class TestTheOtherHost(ForwardingCase):
+    """Guards against a request that ends because the host that took it does."""
+
+    def test_that_is_cut_itself_does_not_forward_again(self):
+        self.cut(self.fleet.hosts[:5], known=False)
+        eventlet.sleep(1.5)
+        sent = self.play(self.fleet.hosts[:1], 2.0)[self.fleet.hosts[0]]
+        self.assertGreaterEqual(self.served(sent), 0.9)
+        for host in self.fleet.hosts[:5]:
+            self.assertEqual(host.taken, [])
+
+    def test_that_ends_loses_no_request_that_may_be_repeated(self):
+        host, *others = self.fleet.hosts
+        self.cut([host])
+        for other in others[:2]:
+            other.dies_with.add(PATH)
+        outcomes = [host.caller.send(PATH) for _ in range(30)]
+        self.assertEqual(set(outcomes), {200})
+
+    def test_that_ends_leaves_the_outcome_of_a_protected_one_unknown(self):
+        host, *others = self.fleet.hosts
+        self.cut([host])
+        for other in others:
+            other.dies_with.add(PATH)
+        exc = host.caller.send(PATH, "POST", protected=True)
+        self.assertIsInstance(exc, OutcomeUnknown)
+        self.assertEqual(sum(len(other.taken) for other in others), 1)
+
+    def test_that_refuses_after_a_part_of_the_body_is_the_last(self):
+        host, *others = self.fleet.hosts
+        self.cut([host])
+        for other in others:
+            other.cut()
+            other.paths.check()
+        others[0].caller.requests.cut = False
+        eventlet.sleep(0.5)
+        for _ in range(20):
+            body = streamed(b"a", b"b")
+            host.caller.send(PATH, "POST", body)
+            if body.chunks.started:
+                break
+            self.assertEqual(others[0].taken, [])
+        self.assertTrue(body.chunks.started)
+        self.assertEqual(others[0].taken, [])
+
+    def test_that_lost_a_request_is_not_used_for_a_second(self):
+        host, *others = self.fleet.hosts
+        self.cut([host])
+        for other in others:
+            other.loses.add(PATH)
+        for _ in range(5):
+            host.caller.send(PATH)
+        self.assertEqual({len(other.taken) for other in others}, {1})
+
+    def test_takes_no_request_that_it_would_have_to_forward(self):
+        other = self.fleet.hosts[1]
+        self.cut([other])
+        other.paths.check()
+        with self.assertRaises(PathsCut):
+            other.caller.run_forwarded(self.forwarded_request())
+        self.assertEqual([h.taken for h in self.fleet.hosts], 6 * [[]])
+
+    def test_does_not_say_that_a_request_has_not_run_which_may_have(self):
+        other = self.fleet.hosts[1]
+        for target in self.fleet.pool.targets:
+            self.fleet.pool.end(target.target_id)
+        with self.assertRaises(OutcomeUnknown):
+            other.caller.run_forwarded(self.forwarded_request(1, True))
+
+    def test_makes_no_more_attempts_than_are_left(self):
+        self.fleet.pool.losing.add(PATH)
+        with self.assertRaises(OutcomeUnknown):
+            self.fleet.hosts[1].caller.run_forwarded(self.forwarded_request(1, True))
+        self.assertEqual(len(self.fleet.pool.arrivals), 1)
+
+    def forwarded_request(self, attempts=0, may_have_run=False):
+        """Return a request that host h0 forwards."""
+        fields = ForwardedFields("h0", attempts, may_have_run)
+        deadline = virtual_hub.now() + 2.0
+        return TargetRequest(
+            "GET", PATH, (), b"", deadline, "r1", False, forwarded=fields
+        )
+
+    def test_in_the_same_data_centre_is_likelier(self):
+        host = self.fleet.hosts[0]
+        self.cut([host])
+        self.play([host], 6.0)
+        near = [h for h in self.fleet.hosts[1:] if h.my_entry.data_centre == "a"]
+        far = [h for h in self.fleet.hosts[1:] if h.my_entry.data_centre == "b"]
+        mean_near = sum(len(h.taken) for h in near) / len(near)
+        mean_far = sum(len(h.taken) for h in far) / len(far)
+        self.assertGreater(mean_near, 1.3 * mean_far)
+        self.assertGreater(mean_far, 0)
+
+
+class TestTheFieldsBetweenHosts(unittest.TestCase):
+    def sent(self, fields, given=()):
+        req = TargetRequest("GET", "/", given, b"", 2.0, "r1", False, forwarded=fields)
+        return forwarded.request_headers(req, "a", 1.0)
+
+    def test_come_back_as_they_were_sent(self):
+        for fields in (ForwardedFields("h1.ab"), ForwardedFields("h1.ab", 2, True)):
+            text = self.sent(fields)[headers.FORWARDED]
+            environ = {"HTTP_PERSIMMONSPOKE_FORWARDED": text}
+            self.assertEqual(forwarded.forwarded_fields(environ), fields)
+
+    def test_that_a_caller_sends_are_not_passed_on(self):
+        given = ((headers.FORWARDED, "h9 5 1"),)
+        fields = ForwardedFields("h1")
+        self.assertEqual(self.sent(fields, given)[headers.FORWARDED], "h1 0 0")
+        req = TargetRequest("GET", "/", given, b"", 2.0, "r1", False, target_id="t")
+        self.assertNotIn(headers.FORWARDED, headers.request_headers(req, "a", 1.0))
+
+    def test_name_no_target(self):
+        self.assertNotIn(headers.EXPECTED_TARGET, self.sent(ForwardedFields("h1")))
+
+    def test_that_can_not_be_read_count_as_none(self):
+        for text in ("", "h1", "h1 x y", "h1 -1 1", "h1 ² 0"):
+            environ = {"HTTP_PERSIMMONSPOKE_FORWARDED": text}
+            self.assertEqual(forwarded.forwarded_fields(environ).attempts, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
