Do not say of a request that was written to a silent connection that it has not run

Found while reading: a repeatable request that got no answer on a kept connection, and then no second connection, failed as one of which nothing had been written, so its caller was told 'not run' and the retry cost no budget. A target may run it. The answer counts as lost now.

test_one_that_gets_no_second_connection_may_have_run failed before (TargetUnreachable). Also tests that lost paths end the wait of repeatable requests over real sockets, and of no others.

--- a/src/persimmonspoke/internal/targets/http_requests.py
+++ b/src/persimmonspoke/internal/targets/http_requests.py
@@ -228,7 +228,10 @@
                 "targets: connection went silent",
                 extra={"target": target.target_id, "request_id": req.request_id},
             )
-        conn = pool.acquire_new(req.deadline)
+        try:
+            conn = pool.acquire_new(req.deadline)
+        except (TargetRefusedConnection, TargetUnreachable) as exc:
+            raise AnswerLost(f"no answer, and no second connection: {exc}") from exc
         exchange = self._new_exchange(target, pool, conn, req)
         return self._run(exchange, req.deadline)
 
--- a/tests/loopback/test_targets_requests.py
+++ b/tests/loopback/test_targets_requests.py
@@ -2,6 +2,7 @@
 
 import socket
 import unittest
+from unittest import mock
 
 import eventlet
 
@@ -16,9 +17,10 @@
     TargetUnreachable,
 )
 from persimmonspoke.internal.clock import SystemClock
-from persimmonspoke.internal.targets.api import GrantedShard
+from persimmonspoke.internal.targets.api import GrantedShard, TargetAddress
 from persimmonspoke.internal.targets.connections import TargetPools
 from persimmonspoke.internal.targets.http_requests import HttpTargetRequests
+from persimmonspoke.internal.targets.paths import PathSettings, TargetPaths
 from persimmonspoke.internal.targets.request_api import StreamedBody, TargetRequest
 from persimmonspoke.internal.targets.settings import TargetSettings
 from tests.fakes.raw_target import (
@@ -407,6 +409,53 @@
         self.assertEqual(self.silent_target.request_ids(), ["w0", "w1", "r1"])
         self.assertEqual(self.silent_target.connections, 3)
 
+    # Guards against REFUSED: a request that may have run is said not to have run.
+    def test_one_that_gets_no_second_connection_may_have_run(self):
+        pool = self.pools.of(self.config)
+        with (
+            mock.patch.object(pool, "acquire_new", side_effect=TargetUnreachable),
+            self.assertRaises(AnswerLost),
+        ):
+            self.ask(self.silent_target)
+
+
+class TestLostPaths(RequestCase):
+    """Guards against requests that wait for answers over a path that is lost."""
+
+    def setUp(self):
+        super().setUp()
+        self.reached = True
+        self.silent_target = self.target(never_answer)
+        cfg = self.silent_target.config()
+        address = TargetAddress(cfg.target_id, cfg.ip, cfg.port)
+        self.paths = TargetPaths(
+            PathSettings(),
+            self.clock,
+            lambda: [[address]],
+            lambda target, timeout_s: self.reached,
+        )
+        self.client = HttpTargetRequests(self.pools, self.clock, paths=self.paths)
+
+    def lose_path_later(self):
+        """Lose the path to the target while a request waits for its answer."""
+        self.reached = False
+        address = TargetAddress(self.silent_target.config().target_id, "", 1)
+        eventlet.spawn_after(0.2, self.paths.check_target, address, True)
+
+    def test_a_repeatable_request_waits_no_longer(self):
+        self.lose_path_later()
+        began = self.clock.now()
+        with self.assertRaises(AnswerLost):
+            self.ask(self.silent_target, wait_s=5.0)
+        self.assertLess(self.clock.now() - began, 1.0)
+
+    def test_a_protected_request_waits_on_since_it_may_run(self):
+        self.lose_path_later()
+        began = self.clock.now()
+        with self.assertRaises(AnswerLost):
+            self.ask(self.silent_target, wait_s=1.0, protected=True)
+        self.assertGreaterEqual(self.clock.now() - began, 0.9)
+
 
 class TestTargetsThatCloseConnections(RequestCase):
     def close_at_once(self, conn):
