Explain forwarded requests, and describe lost paths for operators

explain joins the lines of the host that took a request and of the one that served it, with the lost paths of both, and asks for the other one's log.

--- a/src/persimmonspoke/cli/explain.py
+++ b/src/persimmonspoke/cli/explain.py
@@ -22,10 +22,16 @@
     "news:",
     "routing: configuration",
     "store: new era",
+    "paths:",
     "lines dropped",
 )
-LEADERSHIP_MESSAGES = ("leader: took over", "leader: stopped", "leader: resigned")
-HOST_FIELDS = ("leader", "desk", "host", "former")
+LEADERSHIP_MESSAGES = (
+    "leader: took over",
+    "leader: hands over",
+    "leader: stopped",
+    "leader: resigned",
+)
+HOST_FIELDS = ("leader", "desk", "host", "former", "forwarded_to", "forwarded_by")
 COMMON_FIELDS = frozenset({"time", "level", "module", "message", "run"})
 
 
--- a/tests/cover/test_explain.py
+++ b/tests/cover/test_explain.py
@@ -164,3 +164,20 @@
         status, lines = self.explain(ID, str(self.folder / "none.log"))
         self.assertEqual(status, ExitStatus.INVALID)
         self.assertIn("none.log can't be read", lines[0])
+
+
+class TestForwardedRequests(ExplainCase):
+    def test_both_hosts_lines_and_the_lost_paths_are_shown(self):
+        taken = ended(20.0, status=200, outcome="answered", forwarded_to="b.1")
+        served = ended(20.1, "b.1", status=200, outcome="answered", forwarded_by="a.1")
+        cut = line(15.0, "a.1", "paths: cut", lost_count=8, known_count=8)
+        elsewhere = line(15.0, "c.1", "paths: cut", lost_count=8, known_count=8)
+        path = self.write("all.log", cut, elsewhere, taken, served)
+        _, lines = self.explain(ID, path)
+        self.assertEqual(len(lines), 3)
+        self.assertIn("paths: cut", lines[0])
+
+    def test_the_log_of_the_other_host_is_asked_for(self):
+        taken = ended(20.0, status=200, outcome="answered", forwarded_to="b.1")
+        _, lines = self.explain(ID, self.write("a.log", taken))
+        self.assertIn("no line was read of b.1", lines[-1])
