Send nothing to a target while it rests from this host

Cause: the Retry-After of a target's 503 was not read, so the refusal counted as any other: its keys' requests, retries and slots went on arriving.

A rest belongs to the incarnation of the target and to the host that was told; other hosts may still be served, and are not told: sharing it would take a target that refuses a part of its requests from everybody. A resting target is avoided at the desk, a slot of it that was assigned all the same is given back, and nothing is written to it, retries, streamed bodies and second connections included. If all targets that may serve a request rest, the owner of its key or all of a pool, it is refused at once, with a Retry-After that lies a random time behind the end of the first rest. Seconds with fractions are read; of several values the longest counts, 300 s are believed at most, and what can't be read, dates included, is logged once and ignored.

--- a/src/persimmonspoke/daemon/routed.py
+++ b/src/persimmonspoke/daemon/routed.py
@@ -51,6 +51,7 @@
 from persimmonspoke.internal.targets.paths import TargetPaths
 from persimmonspoke.internal.targets.rate_limits import RateLimits
 from persimmonspoke.internal.targets.request_api import Headers
+from persimmonspoke.internal.targets.rests import TargetRests
 from persimmonspoke.platform import documents, forwarded, headers
 from persimmonspoke.platform.objects import ObjectStore
 from persimmonspoke.platform.orders import HttpRangeOrders
@@ -148,6 +149,8 @@
         self.leadership.may_lead = self._may_lead
         self.notices = TargetNotices(self._incarnation)
         self.notices.on_leaving = self._on_leaving
+        self.rests = TargetRests(self.clock, self._incarnation)
+        self.notices.on_rest = self.rests.record
         self.rate_limits = RateLimits(self.clock)
         self.suspects = Suspects(cfg.quarantine, self.clock)
         self.reporter = Reporter(
@@ -193,6 +196,7 @@
             self.hosts.cores_of,
             self.rate_limits,
             lambda: self.paths.lost,
+            self.rests,
         )
         self.routes.on_change = lambda: self.scheduler.on_owners_changed(
             self.routes.owner
@@ -223,6 +227,7 @@
             ("store.read_here", lambda: int(self.updates.source is not Source.RELAYS)),
             ("quarantine.remembered", lambda: self.suspects.counts()[0]),
             ("quarantine.refused", lambda: self.suspects.counts()[1]),
+            ("targets.resting", lambda: len(self.rests.resting())),
             ("targets.rate_limited", self.rate_limits.limited_count),
             ("leading", lambda: int(self.leadership.leading)),
             ("key.moves", lambda: self.keeper.moves),
@@ -325,6 +330,7 @@
             self._incarnation_of,
             self.paths,
             self.forwarder,
+            self.rests,
         )
 
     def _serve_callers(self, runner):
--- a/src/persimmonspoke/internal/callers/attempts.py
+++ b/src/persimmonspoke/internal/callers/attempts.py
@@ -42,6 +42,7 @@
     TargetRequests,
     always_allowed,
 )
+from persimmonspoke.internal.targets.rests import TargetRests, no_rests
 
 log = logging.getLogger(__name__)
 
@@ -231,6 +232,8 @@
         This host's paths to the targets; by default they are never cut.
     forwarder : Forwarder or None
         Takes the requests of this host while its paths are cut.
+    rests : TargetRests
+        The targets that want nothing from this host.
     """
 
     def __init__(
@@ -247,7 +250,9 @@
         incarnation_of: Callable[[TargetId], str] = str,
         paths: TargetPaths | None = None,
         forwarder: Forwarder | None = None,
+        rests: TargetRests | None = None,
     ):
+        self._rests = no_rests(clock) if rests is None else rests
         self._forwarder = forwarder
         self._paths = always_open(clock) if paths is None else paths
         self._cfg = cfg
@@ -513,6 +518,7 @@
             )
 
     def _target_request(self, req, body, route, target_id, may_send) -> TargetRequest:
+        may_send = partial(self._may_reach, target_id, may_send)
         shard = None
         if route is not None:
             shard = GrantedShard(route.shard, route.epoch)
@@ -530,6 +536,9 @@
             may_send=may_send,
         )
 
+    def _may_reach(self, target_id, also) -> bool:
+        return also() and self._rests.may_send(target_id)
+
     def _may_send(self, route, also) -> bool:
         return also() and self._routes.may_send(route)
 
--- a/src/persimmonspoke/internal/desk/scheduler.py
+++ b/src/persimmonspoke/internal/desk/scheduler.py
@@ -43,6 +43,7 @@
 from persimmonspoke.internal.scheduling.lenders import Members
 from persimmonspoke.internal.scheduling.retry_budget import RetryBudget
 from persimmonspoke.internal.targets.rate_limits import RateLimits
+from persimmonspoke.internal.targets.rests import TargetRests, no_rests
 
 log = logging.getLogger(__name__)
 
@@ -107,6 +108,8 @@
         The rate limits that this host learns from answers and, as a desk, from others.
     lost_targets : callable
         Returns the targets that this host does not reach, which desks should avoid.
+    rests : TargetRests
+        The targets that want nothing from this host.
     """
 
     def __init__(
@@ -120,7 +123,9 @@
         cores_of: Callable[[HostId], float] = lambda host_id: 1.0,
         limits: RateLimits | None = None,
         lost_targets: Callable[[], Iterable[TargetId]] = tuple,
+        rests: TargetRests | None = None,
     ):
+        self._rests = no_rests(clock) if rests is None else rests
         self._lost_targets = lost_targets
         self._cfg = cfg
         self._clock = clock
@@ -171,6 +176,7 @@
             raise DeadlinePassed("the deadline passed before the request waited")
         if not candidates:
             raise NoOwnerYet(f"service {ticket.service.service} has no target")
+        self._refuse_if_resting(candidates)
         self._budget(ticket.service.service).count_attempt()
         ask = self._make_ask(ticket, candidates, now)
         entry = _OpenRequest(ticket, ask, Event(), now)
@@ -182,6 +188,12 @@
             self._cancel(entry)
             raise
 
+    def _refuse_if_resting(self, target_ids):
+        """Raise `Overloaded` if all of some targets rest."""
+        retry_s = self._rests.retry_after_s(target_ids)
+        if retry_s is not None:
+            raise Overloaded("the target rests", retry_after_s=round(retry_s, 3))
+
     def on_owners_changed(
         self, owner_of: Callable[[ServiceId, KeyText], TargetId | None]
     ) -> None:
@@ -217,7 +229,7 @@
         avoid = []
         if not service.divided:
             avoid = self._leaving_targets(service.service)
-            avoid += self._lost_targets()
+            avoid += [*self._lost_targets(), *self._rests.resting()]
             avoid += [
                 target.target_id
                 for target in service.targets
@@ -270,6 +282,10 @@
         routed = self._state.service_config(entry.ask.service)
         if record is None or routed is None or record.service != routed.service:
             raise NoOwnerYet(f"target {entry.target_id} is not known here")
+        if entry.ask.owner is not None:
+            self._refuse_if_resting([entry.target_id])
+        elif not self._rests.may_send(entry.target_id):
+            raise NoOwnerYet(f"target {entry.target_id} rests")
         if not routed.divided and record.state is TargetState.LEAVING:
             # The desk may be on a host that store updates do not reach.
             raise NoOwnerYet(f"target {entry.target_id} is leaving")
--- a/src/persimmonspoke/internal/targets/http_requests.py
+++ b/src/persimmonspoke/internal/targets/http_requests.py
@@ -418,8 +418,9 @@
         """
         if isinstance(error, TargetFenced):
             return
+        resp = exchange.resp
         self.protocol.read_notices(
-            exchange.resp.headers, exchange.incarnation, self._notices
+            resp.status, resp.headers, exchange.incarnation, self._notices
         )
 
     def _check_end(self, resp):
--- a/src/persimmonspoke/internal/targets/notices.py
+++ b/src/persimmonspoke/internal/targets/notices.py
@@ -42,11 +42,15 @@
     ----------
     on_leaving : callable
         Called with each incarnation whose answer says that it is leaving.
+    on_rest : callable
+        Called with each incarnation that turns a request of this host away and wants
+        nothing from it for some time, and with that time in seconds.
     """
 
     def __init__(self, incarnation_of: Callable[[TargetId], Incarnation]):
         self.incarnation_of = incarnation_of
         self.on_leaving: Callable[[Incarnation], None] = lambda incarnation: None
+        self.on_rest: Callable[[Incarnation, float], None] = lambda incarnation, s: None
         self._unreadable: set[tuple[Incarnation, str]] = set()
 
     def record_unreadable(self, incarnation: Incarnation, name: str, text: str) -> None:
--- a/src/persimmonspoke/internal/targets/protocol.py
+++ b/src/persimmonspoke/internal/targets/protocol.py
@@ -117,7 +117,9 @@
     return UNLIMITED
 
 
-def read_notices(fields, incarnation: Incarnation, notices: TargetNotices) -> None:
+def read_notices(
+    status: int, fields, incarnation: Incarnation, notices: TargetNotices
+) -> None:
     """Ignore notices: a leaving target refuses requests in this protocol."""
 
 
--- a/src/persimmonspoke/platform/forwarded.py
+++ b/src/persimmonspoke/platform/forwarded.py
@@ -60,7 +60,9 @@
     return UNLIMITED
 
 
-def read_notices(fields, incarnation: Incarnation, notices: TargetNotices) -> None:
+def read_notices(
+    status: int, fields, incarnation: Incarnation, notices: TargetNotices
+) -> None:
     """Ignore what the answer says of a target: the other host has read it."""
 
 
--- a/src/persimmonspoke/platform/headers.py
+++ b/src/persimmonspoke/platform/headers.py
@@ -6,6 +6,8 @@
 
 import logging
 import math
+import re
+from http import HTTPStatus
 
 from urllib3.util import SKIP_HEADER
 
@@ -30,6 +32,8 @@
 # Requests a second that the target takes from all hosts together.
 RATE_LIMIT = "Server-Limit"
 
+# On a refusal of status 503: seconds for which the target wants nothing from this host.
+RETRY_AFTER = "Retry-After"
 # "1" on all answers of a target that is leaving.
 LEAVING = "Server-Leaving"
 # Host that took the request from its caller, attempts so far, and whether one may have
@@ -51,6 +55,8 @@
 """Whether the end of the connection may mark the end of an answer (RFC 9112, 6.3)."""
 
 MS_PER_S = 1000
+MAX_REST_CHARS = 30
+_SECONDS = re.compile(r"[0-9]+(?:\.[0-9]*)?", re.ASCII)
 MAX_KEY = 65535
 
 log = logging.getLogger(__name__)
@@ -131,14 +137,22 @@
     return None
 
 
-def read_notices(fields, incarnation: Incarnation, notices: TargetNotices) -> None:
+def read_notices(
+    status: int, fields, incarnation: Incarnation, notices: TargetNotices
+) -> None:
     """Pass on what an answer says of its target, besides answering.
 
     A field that is repeated counts if any of its values can be read.
     """
-    text = fields.get(LEAVING)
-    if text is None:
-        return
+    leaving = fields.get(LEAVING)
+    if leaving is not None:
+        _read_leaving(leaving, incarnation, notices)
+    rest = fields.get(RETRY_AFTER)
+    if rest is not None and status == HTTPStatus.SERVICE_UNAVAILABLE:
+        _read_rest(rest, incarnation, notices)
+
+
+def _read_leaving(text, incarnation, notices):
     values = {value.strip() for value in text.split(",")}
     if "1" in values:
         notices.on_leaving(incarnation)
@@ -146,6 +160,19 @@
         notices.record_unreadable(incarnation, LEAVING, text)
 
 
+def _read_rest(text, incarnation, notices):
+    """Pass on the longest rest that the values of the field ask for."""
+    rests = [
+        float(value)
+        for value in map(str.strip, text.split(","))
+        if len(value) <= MAX_REST_CHARS and _SECONDS.fullmatch(value)
+    ]
+    if not rests:
+        notices.record_unreadable(incarnation, RETRY_AFTER, text)
+    elif max(rests) > 0:
+        notices.on_rest(incarnation, max(rests))
+
+
 def answer_headers(items) -> Headers:
     """Return the header fields of an answer; callers get all of them."""
     return tuple(items)
--- a/src/persimmonspoke/platform/orders.py
+++ b/src/persimmonspoke/platform/orders.py
@@ -101,7 +101,7 @@
         finally:
             timer.cancel()
         self._return_to_pool(target, conn)
-        headers.read_notices(resp.headers, incarnation, self._notices)
+        headers.read_notices(resp.status, resp.headers, incarnation, self._notices)
         if resp.status == 409:
             raise TargetFenced(f"{path}: the target has seen a higher fence")
         if resp.status != 200:
--- a/tests/cover/test_leaving_targets.py
+++ b/tests/cover/test_leaving_targets.py
@@ -35,7 +35,7 @@
         """Read an answer with some values of the field; return whether it leaves."""
         self.leaving.clear()
         fields = {headers.LEAVING: ", ".join(values)} if values else {}
-        headers.read_notices(fields, self.incarnation, self.notices)
+        headers.read_notices(200, fields, self.incarnation, self.notices)
         return bool(self.leaving)
 
     def test_is_read_whether_it_is_sent_once_or_twice(self):
--- a/tests/fakes/desk_fleet.py
+++ b/tests/fakes/desk_fleet.py
@@ -1,5 +1,7 @@
 """Hosts whose schedulers share the desks of one service, over a fake network."""
 
+from functools import partial
+
 import eventlet
 
 from persimmonspoke.ids import HostId, Instant
@@ -11,12 +13,16 @@
 from persimmonspoke.internal.routing.state import RoutingState
 from persimmonspoke.internal.routing.table import RouteTable
 from persimmonspoke.internal.scheduling.api import Ticket
+from persimmonspoke.internal.targets.notices import Incarnation
 from persimmonspoke.internal.targets.rate_limits import RateLimits
+from persimmonspoke.internal.targets.rests import TargetRests
 from tests.fakes.caller_parts import service, target
 from tests.fakes.network import FakeLink
 from tests.fakes.process import FakeClock, FakeProcess
 from tests.fakes.range_fleet import SERVICE
 
+FIRST_START = partial(Incarnation, born_ms=1)
+
 POOL = service(SERVICE, (target("t0"), target("t1")), shard_count=0)
 DIVIDED = service(SERVICE, (target("t0"), target("t1")))
 
@@ -49,6 +55,7 @@
         self.state.table = RouteTable(RoutingConfig(1, (), services))
         self.state.targets = dict(records)
         self.limits = RateLimits(self.clock)
+        self.rests = TargetRests(self.clock, FIRST_START)
         self.scheduler = DeskScheduler(
             DeskSettings(),
             self.clock,
@@ -58,6 +65,7 @@
             "a",
             self.cores_of,
             self.limits,
+            rests=self.rests,
         )
         self.task = eventlet.spawn(self.scheduler.run)
 
