Read the list around an odd entry of another writer

Here: one entry nested 100,000 deep, or with an integer of 5,000 digits, made the whole list unreadable on all hosts while it stood, for json.loads raised RecursionError or ValueError for the page. An integer beyond 64 bits or half of a surrogate pair was read, and could then not be packed for the other hosts, so no relay passed on any update. Slots of 400 digits were valid.

A page is read with long integers as floats, which no integer field accepts; one that is nested too deeply is cut at that depth first. What can't be passed on becomes NaN, which no field accepts, so it costs its field: an unknown field of an entry costs nothing, a cell of the configuration its route. Items are logged once and not at each poll. A listing goes on after the last item that has a name. Slots, counts and times have upper bounds, ports of the settings are checked, and header numbers of thousands of digits, which int() refuses with ValueError (an internal error for the caller), count as missing.

--- a/src/persimmonspoke/internal/callers/attempts.py
+++ b/src/persimmonspoke/internal/callers/attempts.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+import re
 from collections.abc import Callable, Iterator
 from contextlib import AbstractContextManager, nullcontext
 from dataclasses import dataclass, field, replace
@@ -46,6 +47,8 @@
 
 log = logging.getLogger(__name__)
 
+_LENGTH = re.compile(r"[0-9]{1,18}", re.ASCII)
+
 ANSWER_LOST = "the request reached a target, and no whole answer came back"
 DEADLINE_PASSED = "no target took the request before the deadline"
 
@@ -624,5 +627,5 @@
 def _content_length(headers) -> int | None:
     for name, value in headers:
         if name.lower() == "content-length":
-            return int(value) if value.isascii() and value.isdigit() else None
+            return int(value) if _LENGTH.fullmatch(value) else None
     return None
--- a/src/persimmonspoke/internal/membership/http_host_list.py
+++ b/src/persimmonspoke/internal/membership/http_host_list.py
@@ -12,6 +12,8 @@
 REFRESH_PERIOD_S = 2.0
 TIMEOUT_S = 2.0
 
+_UNREADABLE = (ValueError, KeyError, TypeError, RecursionError)
+
 log = logging.getLogger(__name__)
 
 
@@ -43,8 +45,8 @@
         while True:
             try:
                 self._read()
-            except (HTTPError, ValueError, KeyError) as exc:
-                log.info("hosts: the list is silent", extra={"cause": str(exc)})
+            except (HTTPError, *_UNREADABLE) as exc:
+                log.info("hosts: the list is silent", extra={"cause": str(exc)[:200]})
             self._clock.sleep_until(Instant(self._clock.now() + REFRESH_PERIOD_S))
 
     def _read(self):
--- a/src/persimmonspoke/internal/store/http_store.py
+++ b/src/persimmonspoke/internal/store/http_store.py
@@ -150,7 +150,7 @@
     """Return the answer's JSON body, or raise `failure`."""
     try:
         return json.loads(answer.data)
-    except ValueError as exc:
+    except (ValueError, RecursionError) as exc:
         raise failure("the store's answer is not JSON") from exc
 
 
--- a/src/persimmonspoke/internal/targets/http_orders.py
+++ b/src/persimmonspoke/internal/targets/http_orders.py
@@ -26,6 +26,7 @@
 from persimmonspoke.internal.targets.settings import TargetSettings
 
 MAX_REPLY_BYTES = 65536
+MAX_CLOCK_S = 1e15
 
 
 @singledispatch
@@ -148,10 +149,15 @@
 
 def _parse_reply(text: bytes) -> OrderReply:
     """Return the answer to an order, which contains the time on the target's clock."""
-    value = json.loads(text)
+    try:
+        value = json.loads(text)
+    except RecursionError as exc:
+        raise OrderOutcomeUnknown("the answer to an order is nested deeply") from exc
     clock = value.get("clock") if isinstance(value, dict) else None
     if isinstance(clock, bool) or not isinstance(clock, int | float):
         raise OrderOutcomeUnknown("the answer to an order names no clock")
+    if not abs(clock) <= MAX_CLOCK_S:
+        raise OrderOutcomeUnknown("the answer to an order names an impossible clock")
     return OrderReply(TargetInstant(float(clock)))
 
 
--- a/src/persimmonspoke/platform/documents.py
+++ b/src/persimmonspoke/platform/documents.py
@@ -5,7 +5,7 @@
 """
 
 import ipaddress
-import math
+import re
 from collections.abc import Callable
 from typing import Any
 
@@ -30,7 +30,13 @@
 DEFAULT_MAX_CONNECTIONS = 50  # for a service whose limit can't be read
 MAX_PORT = 65535
 MAX_SHOWN_CHARS = 80
+MAX_REASON_CHARS = 200
+MAX_SLOTS = 100_000
+MAX_COUNT = 10_000_000
+MAX_BODY_BYTES = 1 << 40
+MAX_NUMBER = 1e7  # seconds, or a weight; timers bear no infinite ones
 
+_PORT = re.compile(r"[0-9]{1,5}", re.ASCII)
 _KINDS = {
     "safe": RouteKind.SAFE,
     "unsafe": RouteKind.PROTECTED,
@@ -54,7 +60,8 @@
         route_rows = _rows(value["routes"], "routes", unreadable)
         service_rows = _rows(value["services"], "services", unreadable)
     except _DECODE_ERRORS as exc:
-        raise MalformedDocument(f"the configuration can't be read: {exc!r}") from exc
+        reason = f"{exc!r}"[:MAX_REASON_CHARS]
+        raise MalformedDocument(f"the configuration can't be read: {reason}") from exc
     routes = [_route(row) for row in route_rows]
     services = [_service(row) for row in service_rows]
     return RoutingConfig(
@@ -82,13 +89,14 @@
             ip=ip,
             port=port,
             data_centre=DataCentreId(_non_empty_str(value["zone"])),
-            slots=_non_negative_int(value["slots"]),
+            slots=_bounded_int(value["slots"], MAX_SLOTS),
             state=_STATES[value["state"]],
             born_ms=_non_negative_int(value.get("born", 0)),
             cold_s=_non_negative_float(value.get("warmup_left_s") or 0.0),
         )
     except _DECODE_ERRORS as exc:
-        raise MalformedDocument(f"entry {name} can't be read: {exc!r}") from exc
+        reason = f"{exc!r}"[:MAX_REASON_CHARS]
+        raise MalformedDocument(f"entry {name} can't be read: {reason}") from exc
 
 
 class _Row:
@@ -163,8 +171,8 @@
         timeout_s=timeout_s,
         # The objective is optional; without one the timeout takes its place.
         objective_s=row.optional("target_latency_s", _positive_float, timeout_s),
-        rank=row.optional("priority", _non_negative_int, 0),
-        max_attempts=row.optional("max_attempts", _positive_int, 1),
+        rank=row.optional("priority", _count, 0),
+        max_attempts=row.optional("max_attempts", _positive_count, 1),
         parts=parts,
     )
 
@@ -197,7 +205,7 @@
         return None
     return RoutedService(
         service=ServiceId(name),
-        max_connections=row.required("max_connections", _positive_int)
+        max_connections=row.required("max_connections", _positive_count)
         or DEFAULT_MAX_CONNECTIONS,
         divided=divided,
     )
@@ -212,8 +220,8 @@
         return default
     row = _Row({"name": "limits", **table}, unreadable)
     return CallerLimits(
-        row.optional("max_header_bytes", _positive_int, default.max_header_bytes),
-        row.optional("max_body_bytes", _positive_int, default.max_body_bytes),
+        row.optional("max_header_bytes", _positive_count, default.max_header_bytes),
+        row.optional("max_body_bytes", _positive_size, default.max_body_bytes),
         row.optional("header_timeout_s", _positive_float, default.header_timeout_s),
         row.optional("idle_timeout_s", _positive_float, default.idle_timeout_s),
     )
@@ -222,8 +230,8 @@
 def _address(text):
     ip, _, port = _non_empty_str(text).rpartition(":")
     ipaddress.ip_address(ip)  # a host name would have to be looked up
-    if not (port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT):
-        raise ValueError(f"address {text!r} has no valid port")
+    if not (_PORT.fullmatch(port) and 0 < int(port) <= MAX_PORT):
+        raise ValueError("the address has no valid port")
     return ip, int(port)
 
 
@@ -245,8 +253,24 @@
     return value
 
 
-def _positive_int(value):
-    if _non_negative_int(value) == 0:
+def _bounded_int(value, most):
+    if _non_negative_int(value) > most:
+        raise ValueError(f"the value is above {most}")
+    return value
+
+
+def _count(value):
+    return _bounded_int(value, MAX_COUNT)
+
+
+def _positive_count(value):
+    if _count(value) == 0:
+        raise ValueError("the value is 0")
+    return value
+
+
+def _positive_size(value):
+    if _bounded_int(value, MAX_BODY_BYTES) == 0:
         raise ValueError("the value is 0")
     return value
 
@@ -255,8 +279,8 @@
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise TypeError(f"{value!r} is not a number")
     number = float(value)
-    if not math.isfinite(number) or number < 0:
-        raise ValueError(f"{value!r} is not a finite, non-negative number")
+    if not 0 <= number <= MAX_NUMBER:
+        raise ValueError(f"the value is not between 0 and {MAX_NUMBER:g}")
     return number
 
 
--- a/src/persimmonspoke/platform/headers.py
+++ b/src/persimmonspoke/platform/headers.py
@@ -56,6 +56,7 @@
 
 MS_PER_S = 1000
 MAX_REST_CHARS = 30
+_WHOLE_NUMBER = re.compile(r"[0-9]{1,15}", re.ASCII)
 _SECONDS = re.compile(r"[0-9]+(?:\.[0-9]*)?", re.ASCII)
 MAX_KEY = 65535
 
@@ -179,13 +180,13 @@
 
 
 def _seconds(text):
-    if text is None or not text.isascii() or not text.isdigit():
+    if text is None or not _WHOLE_NUMBER.fullmatch(text):
         return None
     return int(text) / MS_PER_S
 
 
 def _key(text):
-    if text is None or not text.isascii() or not text.isdigit():
+    if text is None or not _WHOLE_NUMBER.fullmatch(text):
         return None
     key = int(text)
     return key if key <= MAX_KEY else None
--- a/src/persimmonspoke/platform/objects.py
+++ b/src/persimmonspoke/platform/objects.py
@@ -6,6 +6,7 @@
 
 import json
 import logging
+import re
 import socket
 from dataclasses import dataclass, replace
 from urllib.parse import quote, urlencode
@@ -25,6 +26,13 @@
 from persimmonspoke.ids import Era, Instant, Version
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.store.api import Listing, StoredObject, Value
+from persimmonspoke.platform.pages import (
+    MAX_INT,
+    Unreadable,
+    check_name,
+    decode_page,
+    usable,
+)
 
 # One connection for each watch, one for the leader, and some for retries.
 MAX_IDLE_CONNECTIONS = 8
@@ -34,7 +42,11 @@
 # Number that rises each time the store comes back from an older copy.
 ERA = "Store-Era"
 
-_ITEM_ERRORS = (KeyError, TypeError, IndexError)
+MAX_LOGGED = 512  # items that can't be read, each of which is logged once
+MAX_SHOWN_CHARS = 80
+
+_ITEM_ERRORS = (KeyError, TypeError, IndexError, AttributeError, Unreadable)
+_ERA_NUMBER = re.compile(r"[0-9]{1,18}", re.ASCII)
 
 log = logging.getLogger(__name__)
 
@@ -77,6 +89,7 @@
         )
         self.calls = 0
         self.era = Era(0)
+        self._logged: set[tuple[str, str]] = set()
 
     def get(self, key: str, deadline: Instant) -> StoredObject:
         """Return the object under `key`, or raise `StoreMissing`."""
@@ -102,7 +115,7 @@
             query = "" if after is None else "?" + urlencode({"after": after})
             page, era = self._read(f"/objects/{quote(kind)}{query}", deadline)
             rows = _list_of(page, "items")
-            items += _readable(_stored, kind, rows, era)
+            items += self._readable(_stored, kind, rows, era)
             if revision is None:
                 # A watch from the first page's revision also returns the changes made
                 # while later pages are read.
@@ -140,9 +153,37 @@
         query = urlencode({"watch": revision, "wait_ms": wait_ms})
         answer_deadline = Instant(deadline + WATCH_ANSWER_MARGIN_S)
         page, era = self._read(f"/objects/{quote(kind)}?{query}", answer_deadline)
-        items = _readable(_event, kind, _list_of(page, "events"), era)
+        items = self._readable(_event, kind, _list_of(page, "events"), era)
         return Listing(tuple(items), _revision(page), era)
 
+    def _readable(self, convert, kind, rows, era):
+        """Return the rows as objects, without those that can't be read."""
+        found = []
+        for row in rows:
+            try:
+                found.append(convert(kind, row, era))
+            except _ITEM_ERRORS as exc:
+                self._log_unreadable(kind, row, exc)
+        return found
+
+    def _log_unreadable(self, kind, row, exc):
+        """Log that a row can't be read, once for as long as it stands."""
+        item = row.get("object", row) if isinstance(row, dict) else row
+        shown = repr(usable(item))[:MAX_SHOWN_CHARS]
+        if (kind, shown) in self._logged:
+            return
+        if len(self._logged) >= MAX_LOGGED:
+            self._logged.clear()
+        self._logged.add((kind, shown))
+        log.warning(
+            "store: item can't be read",
+            extra={
+                "kind": kind,
+                "reason": f"{type(exc).__name__}: {exc}"[:MAX_SHOWN_CHARS],
+                "value": shown,
+            },
+        )
+
     def _read(self, path, deadline):
         """Return the JSON answer to a GET request, and the era of the answer."""
         try:
@@ -200,7 +241,7 @@
         text = headers.get(ERA)
         if text is None:
             return self.era
-        if not (text.isascii() and text.isdigit()):
+        if not _ERA_NUMBER.fullmatch(text):
             log.warning("store: era can't be read", extra={"value": text[:80]})
             return self.era
         era = Era(int(text))
@@ -248,7 +289,7 @@
 def _json(answer, failure):
     """Return the answer's JSON object, or raise `failure`."""
     try:
-        body = json.loads(answer.data)
+        body = decode_page(answer.data)
     except (ValueError, RecursionError) as exc:
         raise failure("the store's answer is not JSON") from exc
     if not isinstance(body, dict):
@@ -264,20 +305,6 @@
         raise failure(f"the store's answer for {key} is no object: {exc!r}") from exc
 
 
-def _readable(convert, kind, rows, era):
-    """Return the rows as objects, without those that can't be read."""
-    found = []
-    for row in rows:
-        try:
-            found.append(convert(kind, row, era))
-        except _ITEM_ERRORS as exc:
-            log.warning(
-                "store: item can't be read",
-                extra={"kind": kind, "reason": repr(exc), "value": repr(row)[:80]},
-            )
-    return found
-
-
 def _list_of(page, name):
     """Return a list of the page; a missing one is empty."""
     rows = page.get(name) or []
@@ -294,11 +321,16 @@
 
 
 def _last_name(rows):
-    """Return the name after which the next page of a listing starts."""
-    try:
-        return rows[-1]["metadata"]["name"]
-    except _ITEM_ERRORS as exc:
-        raise StoreUnavailable("the last item of a page has no name") from exc
+    """Return the name after which the next page of a listing starts.
+
+    It is that of the last item that has one.
+    """
+    for row in reversed(rows):
+        try:
+            return check_name(row["metadata"]["name"])
+        except _ITEM_ERRORS:
+            continue
+    raise StoreUnavailable("no item of a page has a name, so the next can't be read")
 
 
 def _stored(kind, item, era):
@@ -308,13 +340,13 @@
     ``unreadable``.
     """
     meta = item["metadata"]
-    spec = item.get("spec")
+    name, revision = check_name(meta["name"]), meta["revision"]
+    if type(revision) is not int or not 0 <= revision <= MAX_INT:
+        raise TypeError("the revision is no number that a store counts to")
+    spec = usable(item.get("spec"))
     if not isinstance(spec, dict) or not spec:
-        spec = {"unreadable": repr(spec)[:200]}
-    if not isinstance(meta["name"], str) or not isinstance(meta["revision"], int):
-        raise TypeError(f"name or revision has the wrong type: {meta!r}")
-    key = f"{kind}/{meta['name']}"
-    return StoredObject(key, spec, Version(meta["revision"]), era)
+        spec = {"unreadable": f"it is no object but {type(spec).__name__}"}
+    return StoredObject(f"{kind}/{name}", spec, Version(revision), era)
 
 
 def _event(kind, event, era):
--- a/src/persimmonspoke/platform/settings_file.py
+++ b/src/persimmonspoke/platform/settings_file.py
@@ -8,6 +8,7 @@
 import math
 import os
 import pathlib
+import re
 from dataclasses import dataclass
 
 from persimmonspoke.errors import InvalidSettings
@@ -15,6 +16,9 @@
 
 log = logging.getLogger(__name__)
 
+MAX_PORT = 65535
+_PORT = re.compile(r"[0-9]{1,5}", re.ASCII)
+
 SETTINGS_VARIABLE = "PERSIMMONSPOKE_BOOT"
 
 
@@ -155,7 +159,7 @@
             data_centre=DataCentreId(fields["zone"]),
             caller_port=_port(fields["listen.front"]),
             ready_port=_port(fields["listen.ready"]),
-            peer_port=int(fields["internal_ports"].split(",")[0]),
+            peer_port=_port(fields["internal_ports"].split(",")[0]),
             store_address=fields["platform.address"],
             bounds=_bounds(fields.get("bounds", "")),
             limits=_limits(fields),
@@ -175,7 +179,10 @@
 
 
 def _port(address):
-    return int(address.rpartition(":")[2])
+    text = address.rpartition(":")[2]
+    if not (_PORT.fullmatch(text) and 0 < int(text) <= MAX_PORT):
+        raise ValueError(f"{text[:20]!r} is not a port from 1 to {MAX_PORT}")
+    return int(text)
 
 
 def _bounds(text):
