--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -3,6 +3,7 @@
 More and new examples by hand: set ``PERSIMMONSPOKE_EXAMPLES`` to their number.
 """
 
+import itertools
 import json
 import os
 import random
@@ -266,9 +267,9 @@
 
     def test_a_list_of_hosts_that_can_not_be_read_leaves_the_one_before(self):
         hosts = HttpHostList("http://10.0.0.1:1", HubClock())
-        texts = iter(
-            (DEEP, "[]", '{"live": 5}', LONG_INT, '{"live":["b"],"leaving":[]}')
-        )
+        last = '{"live":["b"],"leaving":[]}'
+        odd = (DEEP, "[]", '{"live": 5}', LONG_INT)
+        texts = itertools.chain(odd, itertools.repeat(last))
         hosts._http = SimpleNamespace(
             request=lambda *args, **fields: SimpleNamespace(
                 status=200, data=next(texts).encode()
