Free the slot of a request whatever happens while its paths are checked

Cause: a slot was released only after the check of the paths that follows a failure, and a caller may leave meanwhile; and a host that found out with a slot in its hand that it did not reach the target, for a request of another host, refused it without releasing the slot. The desk gets lists of used slots from the host and keeps them for ever.

The slot is released first, or in any case. Two tests failed before: slots assigned and slots released differ.

--- a/src/persimmonspoke/internal/callers/attempts.py
+++ b/src/persimmonspoke/internal/callers/attempts.py
@@ -378,10 +378,13 @@
         retry_state.counted_attempts += 1
         slot_acquired_at = self._clock.now()
         target_id = slot.target_id
-        if self._must_forward(req, target_id):
+        if not self._paths.reaches(target_id) and self._forwarder is not None:
+            # Until now the target may have been reached, or not chosen.
             slot.done(SlotOutcome.NO_PATH)
             retry_state.counted_attempts -= 1
-            return self._forward(req, body, ticket, retry_state, owner)
+            if self._must_forward(req, target_id):
+                return self._forward(req, body, ticket, retry_state, owner)
+            raise errors.PathsCut("no host reaches the target", NO_HOST_RETRY_S)
         try:
             target = self._target(req, route, slot)
             may_send = always_allowed
@@ -468,10 +471,13 @@
             if isinstance(exc, errors.TargetError):
                 self._observer.record_failure(slot.target_id)
             outcome = slot_outcome(exc)
-            if outcome is SlotOutcome.FAILED and self._are_paths_cut(exc):
-                outcome = SlotOutcome.NO_PATH
-            slot.done(outcome)
-            in_flight_context.__exit__(type(exc), exc, exc.__traceback__)
+            try:
+                if outcome is SlotOutcome.FAILED and self._are_paths_cut(exc):
+                    outcome = SlotOutcome.NO_PATH
+            finally:
+                # The caller may leave while the paths are checked.
+                slot.done(outcome)
+                in_flight_context.__exit__(type(exc), exc, exc.__traceback__)
             raise
 
     def _are_paths_cut(self, exc):
--- a/tests/cover/test_forwarding.py
+++ b/tests/cover/test_forwarding.py
@@ -6,7 +6,7 @@
 
 import eventlet
 
-from persimmonspoke.errors import OutcomeUnknown, PathsCut
+from persimmonspoke.errors import CallerGone, OutcomeUnknown, PathsCut
 from persimmonspoke.internal.scheduling.api import SlotOutcome
 from persimmonspoke.internal.targets.request_api import ForwardedFields, TargetRequest
 from persimmonspoke.platform import forwarded, headers
@@ -81,6 +81,20 @@
         self.play([host], 2.0)
         self.assertNotIn(SlotOutcome.FAILED, host.caller.scheduler.outcomes)
 
+    # Guards against a slot that nobody frees: its service serves less and less.
+    def test_free_their_slot_if_the_caller_leaves_while_the_paths_are_checked(self):
+        host = self.fleet.hosts[0]
+        host.caller.requests.connect_s = 0.2
+        tasks = [eventlet.spawn(host.caller.send, PATH) for _ in range(10)]
+        eventlet.sleep(0.02)
+        self.cut([host])
+        eventlet.sleep(0.05)
+        for task in tasks:
+            eventlet.kill(task, CallerGone())
+        scheduler = host.caller.scheduler
+        self.assertEqual(len(scheduler.outcomes), scheduler.assigned_count)
+        self.assertGreaterEqual(scheduler.assigned_count, 10)
+
     def test_do_not_count_an_attempt_that_reached_nothing(self):
         host = self.fleet.hosts[0]
         self.cut([host])
@@ -190,6 +204,21 @@
             self.fleet.hosts[1].caller.run_forwarded(self.forwarded_request(1, True))
         self.assertEqual(len(self.fleet.pool.arrivals), 1)
 
+    def test_frees_the_slot_of_a_target_that_it_does_not_reach(self):
+        other = self.fleet.hosts[1]
+        for target in self.fleet.pool.targets[:3]:
+            other.paths.lost[target.target_id] = virtual_hub.now()
+        refused = 0
+        for _ in range(20):
+            try:
+                stream = other.caller.run_forwarded(self.forwarded_request())
+                self.assertEqual(list(stream.rest()), [])
+            except PathsCut:
+                refused += 1
+        scheduler = other.caller.scheduler
+        self.assertGreater(refused, 0)
+        self.assertEqual(len(scheduler.outcomes), scheduler.assigned_count)
+
     def forwarded_request(self, attempts=0, may_have_run=False):
         """Return a request that host h0 forwards."""
         fields = ForwardedFields("h0", attempts, may_have_run)
--- a/tests/fakes/crashing_pool.py
+++ b/tests/fakes/crashing_pool.py
@@ -112,12 +112,15 @@
     ----------
     cut : bool
         Whether the host's paths are cut, so that connections end and are refused.
+    connect_s : float
+        How long a check waits for a connection.
     """
 
     def __init__(self, pool, host):
         self._pool = pool
         self._host = host
         self._own = set()
+        self.connect_s = 0.001
         self.cut = False
 
     def cut_paths(self):
@@ -130,7 +133,7 @@
 
     def connects(self, target, timeout_s):
         """Return whether a target accepts a connection."""
-        eventlet.sleep(0.001)
+        eventlet.sleep(self.connect_s)
         return not self.cut and self._pool.is_up(target.target_id)
 
     def has_ended(self, to):
@@ -210,16 +213,20 @@
         Time until the slot is free.
     outcomes : list of SlotOutcome
         How the requests that used slots ended.
+    assigned_count : int
+        Number of slots that have been assigned.
     """
 
     def __init__(self, seed):
         self._random = random.Random(seed)
         self.wait_s = 0.0
         self.outcomes = []
+        self.assigned_count = 0
 
     def acquire(self, ticket, candidates):
         """Return a slot."""
         eventlet.sleep(self.wait_s)
+        self.assigned_count += 1
         return _RandomSlot(self._random.choice(candidates), self.outcomes)
 
     def take_retry(self, ticket):
