--- a/src/persimmonspoke/internal/fleet/reporter.py
+++ b/src/persimmonspoke/internal/fleet/reporter.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+import eventlet
 import xxhash
 
 from persimmonspoke.errors import PeerError, PeerRefused
@@ -156,6 +157,7 @@
         self._present_list: tuple[int, list] = (0, [])
         self._listed: tuple[HostEntry, ...] = ()
         self._isolated_since: Instant | None = None
+        self._is_handing_over = False
         self.keeper: Keeper | None = None
         self.load_recorder = LoadRecorder(limits)
         link.serve(HostReport, self._on_report)
@@ -383,14 +385,25 @@
     def _hand_over_if_cut(self):
         """Let another host lead if it reaches targets and this one does not."""
         cut_since = self._paths.cut_since
-        if cut_since is None or self._clock.now() - cut_since < self._cfg.cut_s:
+        is_due = cut_since is not None and (
+            self._clock.now() - cut_since >= self._cfg.cut_s
+        )
+        if self._is_handing_over or not is_due:
             return
         me = self._hosts.me()
         if any(
             state.entry.address != me and not (state.paths_cut or state.leaving)
             for state in self._host_states.values()
         ):
-            self._leadership.hand_over("this host reaches no target, others do")
+            # The store may be slow, and reports must not wait for it.
+            self._is_handing_over = True
+            eventlet.spawn_n(self._hand_over)
+
+    def _hand_over(self):
+        try:
+            self._leadership.hand_over("this host reaches few targets, others more")
+        finally:
+            self._is_handing_over = False
 
     def _on_change(self, change: TableChange) -> None:
         """Apply a change; if one before it is missing, the next reply has the table."""
