Take a host out of rotation while it is cut and others reach the targets

Readiness asked for a table and for updates, nothing of the paths. A host that reaches less than half of the targets is not ready now, unless no other host does more; kept connections are still served through other hosts.

--- a/src/persimmonspoke/daemon/routed.py
+++ b/src/persimmonspoke/daemon/routed.py
@@ -30,6 +30,7 @@
     FORWARD_PORT_OFFSET,
     ForwardedReader,
     Forwarder,
+    others_are_better_placed,
 )
 from persimmonspoke.internal.membership.settings import new_host_id
 from persimmonspoke.internal.news.board import StoreCache
@@ -146,7 +147,9 @@
             can_connect,
             lambda: len(self.hosts.live()),
         )
-        self.leadership.may_lead = self._may_lead
+        self.leadership.may_lead = lambda: (
+            not others_are_better_placed(self.paths, self.hosts)
+        )
         self.notices = TargetNotices(self._incarnation)
         self.notices.on_leaving = self._on_leaving
         self.rests = TargetRests(self.clock, self._incarnation)
@@ -376,15 +379,15 @@
         )
 
     def _ready_app(self, environ, start_response) -> Iterable[bytes]:
-        ready = self._knows_routes() and not self.gate.leaving
+        ready = (
+            self._knows_routes()
+            and not self.gate.leaving
+            and not others_are_better_placed(self.paths, self.hosts)
+        )
         status = "200 OK" if ready else "503 Service Unavailable"
         start_response(status, [("Content-Length", "0")])
         return [b""]
 
-    def _may_lead(self):
-        """Return whether this host reaches targets, or no other host does either."""
-        return not (self.paths.is_cut and self.hosts.reaching_targets())
-
     def _knows_targets(self):
         """Return whether this host has a configuration and knows any target."""
         knows_any = self.state.table is not None and bool(self.state.targets)
--- a/src/persimmonspoke/internal/forwarding/forwarder.py
+++ b/src/persimmonspoke/internal/forwarding/forwarder.py
@@ -41,6 +41,14 @@
 log = logging.getLogger(__name__)
 
 
+def others_are_better_placed(paths: TargetPaths, hosts: Hosts) -> bool:
+    """Return whether other hosts should lead and get new callers, instead of this one.
+
+    They should if this host reaches less than half of the targets and others do more.
+    """
+    return paths.is_cut and bool(hosts.reaching_targets())
+
+
 class Reader(Protocol):
     """Reads callers' requests; see `callers.request.RequestReader`."""
 
