--- a/tests/cover/test_forwarding.py
+++ b/tests/cover/test_forwarding.py
@@ -7,6 +7,7 @@
 import eventlet
 
 from persimmonspoke.errors import CallerGone, OutcomeUnknown, PathsCut
+from persimmonspoke.internal.forwarding.forwarder import others_are_better_placed
 from persimmonspoke.internal.scheduling.api import SlotOutcome
 from persimmonspoke.internal.targets.request_api import ForwardedFields, TargetRequest
 from persimmonspoke.platform import forwarded, headers
@@ -239,6 +240,35 @@
         self.assertGreater(mean_far, 0)
 
 
+class TestWhoGetsNewCallers(ForwardingCase):
+    """Guards against an innocent host that is taken out, or a cut one that is not."""
+
+    def is_passed_over(self, host):
+        return others_are_better_placed(host.paths, host)
+
+    def test_is_not_a_cut_host_while_others_reach_targets(self):
+        host, *others = self.fleet.hosts
+        self.cut([host])
+        host.paths.check()
+        self.assertTrue(self.is_passed_over(host))
+        self.assertFalse(any(map(self.is_passed_over, others)))
+        host.caller.requests.cut = False
+        eventlet.sleep(0.5)
+        self.assertFalse(self.is_passed_over(host))
+
+    def test_is_any_host_if_none_reaches_a_target(self):
+        self.cut(self.fleet.hosts)
+        for host in self.fleet.hosts:
+            host.paths.check()
+        self.assertFalse(any(map(self.is_passed_over, self.fleet.hosts)))
+
+    def test_is_a_host_that_does_not_reach_some_targets(self):
+        host = self.fleet.hosts[0]
+        for target in self.fleet.pool.targets[:3]:
+            host.paths.lost[target.target_id] = virtual_hub.now()
+        self.assertFalse(self.is_passed_over(host))
+
+
 class TestTheFieldsBetweenHosts(unittest.TestCase):
     def sent(self, fields, given=()):
         req = TargetRequest("GET", "/", given, b"", 2.0, "r1", False, forwarded=fields)
--- a/tests/fakes/range_fleet.py
+++ b/tests/fakes/range_fleet.py
@@ -10,6 +10,7 @@
 from persimmonspoke.internal.fleet.messages import HostEntry
 from persimmonspoke.internal.fleet.reporter import Reporter
 from persimmonspoke.internal.fleet.settings import FleetSettings
+from persimmonspoke.internal.forwarding.forwarder import others_are_better_placed
 from persimmonspoke.internal.news.board import StoreCache
 from persimmonspoke.internal.peers.api import PeerAddress
 from persimmonspoke.internal.quarantine.keeping import QuarantineKeeper
@@ -88,7 +89,7 @@
             rng=random.Random(number),
         )
         self.leadership.may_lead = lambda: (
-            not (self.paths.is_cut and self.hosts.reaching_targets())
+            not others_are_better_placed(self.paths, self.hosts)
         )
         self.suspects = Suspects(QuarantineSettings(), self.clock)
         self.reporter = Reporter(
