--- a/src/persimmonspoke/internal/callers/attempts.py
+++ b/src/persimmonspoke/internal/callers/attempts.py
@@ -379,7 +379,7 @@
         slot_acquired_at = self._clock.now()
         target_id = slot.target_id
         if not self._paths.reaches(target_id) and self._forwarder is not None:
-            # Until now the target may have been reached, or not chosen.
+            # The path may have been lost while the request waited for the slot.
             slot.done(SlotOutcome.NO_PATH)
             retry_state.counted_attempts -= 1
             if self._must_forward(req, target_id):
--- a/src/persimmonspoke/internal/fleet/hosts.py
+++ b/src/persimmonspoke/internal/fleet/hosts.py
@@ -34,7 +34,7 @@
     registered : bool
         Whether the record of this run is in the store.
     cut_hosts : frozenset of HostId
-        The hosts that reach no target, as the leader last said.
+        The hosts that reach less than half of the targets, as the leader last said.
     """
 
     def __init__(
@@ -151,7 +151,7 @@
         )
 
     def reaching_targets(self) -> tuple[HostEntry, ...]:
-        """Return the other live hosts, without those that reach no target."""
+        """Return the other live hosts that reach at least half of the targets."""
         mine = self.me().host_id
         return tuple(
             entry
--- a/src/persimmonspoke/internal/fleet/leadership.py
+++ b/src/persimmonspoke/internal/fleet/leadership.py
@@ -289,6 +289,8 @@
         except StoreError as exc:
             log.info("leader: can't hand over", extra={"reason": repr(exc)})
             return
+        if not self.leading:
+            return
         log.warning("leader: hands over", extra={"epoch": self.epoch, "reason": reason})
         self._give_up_lead()
         self.leader = None
--- a/src/persimmonspoke/internal/fleet/reporter.py
+++ b/src/persimmonspoke/internal/fleet/reporter.py
@@ -116,7 +116,7 @@
     suspects : Suspects
         Requests under which targets end; the leader joins what all hosts know.
     paths : TargetPaths
-        This host's paths to the targets; a leader that reaches none hands over.
+        This host's paths to the targets; a leader whose paths are cut hands over.
     state : RoutingState
         Learns from other hosts which targets are leaving.
 
@@ -383,7 +383,7 @@
         )
 
     def _hand_over_if_cut(self):
-        """Let another host lead if it reaches targets and this one does not."""
+        """Let another host lead if this one's paths are cut and the other's are not."""
         cut_since = self._paths.cut_since
         is_due = cut_since is not None and (
             self._clock.now() - cut_since >= self._cfg.cut_s
--- a/src/persimmonspoke/internal/fleet/settings.py
+++ b/src/persimmonspoke/internal/fleet/settings.py
@@ -49,8 +49,8 @@
     isolated_s : float
         How long that must have been so; longer than a call of the store and its retry.
     cut_s : float
-        How long a leader must have reached no target until it lets another host lead
-        that reaches one, so that hosts that lost their paths with it have noticed.
+        How long a leader's paths must have been cut until it lets another host lead
+        whose paths are not, so that hosts that lost theirs with it have noticed.
     forget_s : float
         How long the record of a silent host is kept.
     """
--- a/src/persimmonspoke/internal/ranges/keeper.py
+++ b/src/persimmonspoke/internal/ranges/keeper.py
@@ -261,7 +261,7 @@
         """Start moves that balance the load of the targets.
 
         None start while the store is silent, since they could not be committed, nor
-        while this host reaches no target.
+        while this host's paths are cut.
         """
         for loads in (self._loads, self._burst_loads):
             loads.decay(self._clock.now())
--- a/src/persimmonspoke/internal/targets/http_requests.py
+++ b/src/persimmonspoke/internal/targets/http_requests.py
@@ -60,8 +60,8 @@
     """
 
 
-class _PathsCut(Exception):
-    """The paths to all targets turned out to be cut while a request waited."""
+class _PathLost(Exception):
+    """The path to the target turned out to be lost while a request waited."""
 
 
 class _Waiting:
@@ -161,8 +161,8 @@
     limits : RateLimits
         Learns the rate limits that answers name.
     paths : TargetPaths
-        Learns when targets answer.  When the paths turn out to be cut, repeatable
-        requests that wait for an answer fail at once.
+        Learns when targets answer.  When the path to a target turns out to be lost,
+        repeatable requests that wait for its answer fail at once.
     notices : TargetNotices
         Receives what answers say of their targets.
     """
@@ -201,7 +201,7 @@
         try:
             with self._paths.in_flight(waiting.target):
                 return self._send(target, req, waiting)
-        except _PathsCut as exc:
+        except _PathLost as exc:
             if waiting.conn is None or not waiting.conn.wrote:
                 raise TargetUnreachable("this host does not reach it") from exc
             raise AnswerLost("this host does not reach the target any more") from exc
@@ -221,7 +221,7 @@
 
     def _interrupt(self, waiting):
         if waiting in self._waiting and waiting.task is not getcurrent():
-            eventlet.kill(waiting.task, _PathsCut())
+            eventlet.kill(waiting.task, _PathLost())
 
     def _send(self, target, req, waiting):
         pool = self._pools.of(target)
--- a/src/persimmonspoke/platform/orders.py
+++ b/src/persimmonspoke/platform/orders.py
@@ -101,11 +101,12 @@
         finally:
             timer.cancel()
         self._return_to_pool(target, conn)
-        headers.read_notices(resp.status, resp.headers, incarnation, self._notices)
         if resp.status == 409:
             raise TargetFenced(f"{path}: the target has seen a higher fence")
         if resp.status != 200:
             raise OrderOutcomeUnknown(f"{path}: the target answered {resp.status}")
+        # A refusal may come from another process at the address.
+        headers.read_notices(resp.status, resp.headers, incarnation, self._notices)
         return resp.headers.get(HANDOVER)
 
     def _connection(self, target, deadline):
