--- a/tests/cover/test_desk_scheduler.py
+++ b/tests/cover/test_desk_scheduler.py
@@ -12,6 +12,7 @@
 )
 from persimmonspoke.ids import Instant
 from persimmonspoke.internal.desk.settings import DeskSettings
+from persimmonspoke.internal.desk.targets import LONG_AGO
 from persimmonspoke.internal.routing.config import TargetState
 from persimmonspoke.internal.scheduling.api import SlotOutcome, Ticket
 from tests.fakes.caller_parts import service, target
@@ -63,6 +64,23 @@
         self.assertIn(other.acquire(3.0).target_id, ("t0", "t1"))
 
 
+class TestTargetsThatAHostDoesNotReach(SchedulerCase):
+    def test_are_avoided_for_that_host(self):
+        self.fleet[1].lost = ["t0"]
+        used = {self.fleet[1].acquire().target_id for _ in range(2)}
+        self.assertEqual(used, {"t1"})
+
+    def test_are_not_blamed_for_requests_on_lost_paths(self):
+        host = self.fleet[1]
+        slot = host.acquire()
+        eventlet.sleep(0.4)
+        slot.done(SlotOutcome.NO_PATH)
+        eventlet.sleep(0.01)
+        target = self.desk_host().scheduler._desks[SERVICE]._targets[slot.target_id]
+        self.assertEqual((target.slowness, target.avoid_until), (1.0, LONG_AGO))
+        self.assertEqual(target.in_use, {})
+
+
 class TestTargetsKnownDifferentlyToTheDesk(SchedulerCase):
     def test_a_leaving_target_is_not_used_although_the_desk_does_not_know(self):
         desk = self.desk_host()
--- a/tests/cover/test_forwarding.py
+++ b/tests/cover/test_forwarding.py
@@ -6,7 +6,7 @@
 
 import eventlet
 
-from persimmonspoke.errors import CallerGone, OutcomeUnknown, PathsCut
+from persimmonspoke.errors import CallerGone, OutcomeUnknown, PathsCut, TargetFenced
 from persimmonspoke.internal.forwarding.forwarder import others_are_better_placed
 from persimmonspoke.internal.scheduling.api import SlotOutcome
 from persimmonspoke.internal.targets.request_api import ForwardedFields, TargetRequest
@@ -287,6 +287,11 @@
         req = TargetRequest("GET", "/", given, b"", 2.0, "r1", False, target_id="t")
         self.assertNotIn(headers.FORWARDED, headers.request_headers(req, "a", 1.0))
 
+    def test_tell_a_host_that_did_not_take_the_request(self):
+        fields = dict(forwarded.not_taken_headers("paths_cut"))
+        self.assertIsInstance(forwarded.refusal(503, fields), TargetFenced)
+        self.assertIsNone(forwarded.refusal(503, {}))
+
     def test_name_no_target(self):
         self.assertNotIn(headers.EXPECTED_TARGET, self.sent(ForwardedFields("h1")))
 
--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -5,6 +5,7 @@
 
 import itertools
 import json
+import math
 import os
 import random
 import unittest
@@ -282,6 +283,10 @@
 
 
 class TestWhatHostsPassOn(unittest.TestCase):
+    def test_the_largest_integer_is_usable_and_the_next_one_is_not(self):
+        self.assertEqual(pages.usable(pages.MAX_INT), pages.MAX_INT)
+        self.assertTrue(math.isnan(pages.usable(pages.MAX_INT + 1)))
+
     @EXAMPLES
     @given(odd_values)
     def test_whatever_is_usable_can_be_sent(self, text):
--- a/tests/cover/test_target_paths.py
+++ b/tests/cover/test_target_paths.py
@@ -177,6 +177,26 @@
         self.assertTrue(self.paths.reaches("t4"))
 
 
+class TestManyTargets(PathCase):
+    """Guards against a sample that is taken for more, or for less, than it shows."""
+
+    def setUp(self):
+        super().setUp()
+        self.net.addresses[:] = Reachable(40).addresses
+
+    def test_all_count_as_lost_at_once_if_none_of_the_sample_is_reached(self):
+        self.net.cut(self.net.refusing)
+        self.paths.check()
+        self.assertEqual(len(self.paths.lost), 40)
+        self.assertLess(len(self.net.tried), 40)
+
+    def test_twelve_that_ended_are_never_taken_for_a_cut(self):
+        self.net.refusing |= {f"t{number}" for number in range(12)}
+        for _ in range(300):
+            self.assertFalse(self.paths.check())
+            eventlet.sleep(0.1)
+
+
 class TestTargetsThatEndedAreToldApart(PathCase):
     """Guards against an innocent host that takes ended targets for a cut."""
 
--- a/tests/cover/test_unreachable_targets.py
+++ b/tests/cover/test_unreachable_targets.py
@@ -1,7 +1,9 @@
 """Tests of hosts that can't connect to any target, while all else reaches them."""
 
 import unittest
+from dataclasses import replace
 
+from persimmonspoke.internal.routing.config import TargetState
 from tests.fakes.range_fleet import RangeFleet
 
 # A path that is lost counts as noticed within a second; a lost leader is replaced
@@ -66,6 +68,44 @@
         self.assertEqual(self.longest_gap_s(6), 0.0)
 
 
+class TestALeaderThatNobodyCanReplace(CutPathsCase):
+    """Guards against verdicts of a cut leader while no host is better placed."""
+
+    def setUp(self):
+        super().setUp()
+        self.leader = self.fleet.leader()
+        self.fleet.cut_from_targets(self.fleet.hosts, refused=True)
+        self.fleet.run_for(2)
+
+    def leading(self):
+        return next(h for h in self.fleet.hosts if h.leadership.leading)
+
+    def test_takes_no_target_for_silent(self):
+        granters = self.leading().keeper.granters
+        names = self.fleet.targets
+        self.assertFalse(any(granters.is_silent("stock", name) for name in names))
+
+    def test_begins_no_transfer(self):
+        leaving = replace(self.fleet.records["t1"], state=TargetState.LEAVING)
+        self.fleet.records["t1"] = leaving
+        self.fleet.run_for(1)
+        self.assertEqual(self.leading().keeper.ledger.transfers_of("stock"), [])
+
+
+class TestWhatTheFleetKnows(CutPathsCase):
+    """Guards against requests that are forwarded to a host that is cut, too."""
+
+    def test_all_hosts_learn_which_hosts_are_cut(self):
+        cut = [h for h in self.fleet.hosts if h is not self.fleet.leader()][0]
+        self.fleet.cut_from_targets([cut], refused=True)
+        self.fleet.run_for(2)
+        for host in self.fleet.hosts:
+            self.assertEqual(host.hosts.cut_hosts, {cut.process.name})
+            known = [e.address.host_id for e in host.hosts.reaching_targets()]
+            self.assertNotIn(cut.process.name, known)
+            self.assertGreaterEqual(len(known), 2)
+
+
 class TestTargetsThatAreLostIndeed(CutPathsCase):
     """Guards against a leader that blames its paths for a target that is lost."""
 
@@ -105,8 +145,10 @@
         others = [host for host in self.fleet.hosts if host is not leader]
         self.fleet.cut_from_targets(others[:2], refused=True)
         self.fleet.run_for(2)
+        epoch = leader.leadership.epoch
         leader.kill()
         self.assertLess(self.longest_gap_s(8), 3.0)
+        self.assertEqual(others[2].leadership.epoch, epoch + 1)
         self.assertTrue(others[2].leadership.may_order())
         self.assertFalse(others[0].leadership.leading or others[1].leadership.leading)
 
--- a/tests/fakes/desk_fleet.py
+++ b/tests/fakes/desk_fleet.py
@@ -55,6 +55,7 @@
         self.state.table = RouteTable(RoutingConfig(1, (), services))
         self.state.targets = dict(records)
         self.limits = RateLimits(self.clock)
+        self.lost = []
         self.rests = TargetRests(self.clock, FIRST_START)
         self.scheduler = DeskScheduler(
             DeskSettings(),
@@ -65,6 +66,7 @@
             "a",
             self.cores_of,
             self.limits,
+            lost_targets=lambda: self.lost,
             rests=self.rests,
         )
         self.task = eventlet.spawn(self.scheduler.run)
--- a/tests/loopback/test_unframed_answers.py
+++ b/tests/loopback/test_unframed_answers.py
@@ -1,5 +1,6 @@
 """Tests of answers without a length, duplicate answers and unexpected bytes."""
 
+import contextlib
 import socket
 import struct
 import unittest
@@ -9,6 +10,8 @@
 from persimmonspoke.errors import AnswerLost, TargetFenced, TargetShed
 from persimmonspoke.ids import Instant, RequestId
 from persimmonspoke.internal.clock import SystemClock
+from persimmonspoke.internal.ranges.api import RangeGrant
+from persimmonspoke.internal.targets.api import TargetAddress
 from persimmonspoke.internal.targets.connections import (
     MAX_REMEMBERED_REQUESTS,
     TargetPools,
@@ -19,6 +22,7 @@
 from persimmonspoke.internal.targets.request_api import TargetRequest
 from persimmonspoke.internal.targets.settings import TargetSettings
 from persimmonspoke.platform import headers
+from persimmonspoke.platform.orders import HttpRangeOrders
 from tests.fakes.raw_target import RawTarget
 
 HEAD = (
@@ -262,6 +266,23 @@
             self.ask_once("421 Misdirected", not_run, "Server-Leaving: 1")
         self.assertEqual(self.leaving, [])
 
+    def test_so_does_the_answer_to_an_order_but_no_refusal_of_one(self):
+        for status, heard in (("200 OK", 1), ("409 Conflict", 0)):
+
+            def script(conn, status=status):
+                conn.receive()
+                lines = "Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n"
+                conn.sock.sendall(f"HTTP/1.1 {status}\r\n{lines}".encode())
+
+            self.leaving.clear()
+            found = self.target(script)
+            address = TargetAddress("a", found.ip, found.port)
+            orders = HttpRangeOrders(self.clock, self.notices)
+            order = RangeGrant(0, 9, 1, 1.0, None)
+            with contextlib.suppress(TargetFenced):
+                orders.grant(address, order, Instant(self.clock.now() + 2))
+            self.assertEqual(len(self.leaving), heard)
+
     def test_it_speaks_for_the_start_that_the_request_was_sent_to(self):
         def script(conn):
             conn.receive()
