Name each request that the end of a process cuts

A request in flight when the process of a host ended had no line at all: its task was gone before its end could be logged, and `daemon: stopped` told only their number. Each now has `callers: request ended` with outcome `cut`, its stage, its target and how long that had it, and the counter callers.cut. No decision about a request changes.

The test is new; before, a stop with a request in flight logged nothing about it.

--- a/src/persimmonspoke/daemon/routed.py
+++ b/src/persimmonspoke/daemon/routed.py
@@ -217,6 +217,7 @@
         )
         self.gate = HostGate(self._knows_targets, self.clock)
         self._servers = ()
+        self._apps: list[CallerApp] = []
         self._ended = eventlet.event.Event()
 
     def _register_gauges(self):
@@ -293,9 +294,15 @@
         self.hosts.remove(
             self.platform.host, Instant(self.clock.now() + REMOVE_RECORD_TIMEOUT_S)
         )
+        reason = "this process ended"
+        cut_count = sum(app.log_cut_requests(reason) for app in self._apps)
         log.info(
             "daemon: stopped",
-            extra={"empty": all_answered, "in_hand": self.gate.in_flight},
+            extra={
+                "empty": all_answered,
+                "in_hand": self.gate.in_flight,
+                "cut": cut_count,
+            },
         )
         self._ended.send(0)
 
@@ -356,7 +363,7 @@
         serve_callers(self._forward_listener, app, self.cfg.callers)
 
     def _caller_app(self, reader, runner, style):
-        return CallerApp(
+        app = CallerApp(
             reader=reader,
             runner=runner,
             watch=CallerWatch(self.cfg.callers, self.clock),
@@ -366,6 +373,8 @@
             metrics=self.metrics,
             style=style,
         )
+        self._apps.append(app)
+        return app
 
     def _serve(self, listener, app):
         eventlet.spawn(
--- a/src/persimmonspoke/internal/callers/app.py
+++ b/src/persimmonspoke/internal/callers/app.py
@@ -20,7 +20,7 @@
 from persimmonspoke.internal.callers.request import HOP_BY_HOP, RequestReader
 from persimmonspoke.internal.callers.services import ServiceTable
 from persimmonspoke.internal.callers.settings import CallerSettings
-from persimmonspoke.internal.callers.trail import RequestTrail
+from persimmonspoke.internal.callers.trail import RequestStage, RequestTrail
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.observe.api import Metrics, NoMetrics
 from persimmonspoke.internal.ownership.api import Routes
@@ -62,6 +62,7 @@
         self._clock = clock
         self._gate = gate
         self._metrics = metrics
+        self._in_flight: dict[_Request, None] = {}
 
     def __call__(self, environ: dict, start_response) -> "_Request":
         """Answer one request; the server closes what is returned."""
@@ -79,6 +80,24 @@
             raise HostClosed("this host takes no new requests")
         return self._gate.admitted()
 
+    def add_in_flight(self, request: "_Request") -> None:
+        """Record that a request is in flight."""
+        self._in_flight[request] = None
+
+    def remove_in_flight(self, request: "_Request") -> None:
+        """Record that a request is no longer in flight, if it was."""
+        self._in_flight.pop(request, None)
+
+    def log_cut_requests(self, reason: str) -> int:
+        """Log each request in flight as broken off; return their number.
+
+        Call it just before the process ends.
+        """
+        cut = tuple(self._in_flight)
+        for request in cut:
+            request.log_cut(reason)
+        return len(cut)
+
     def trail(self, request_id: RequestId) -> RequestTrail:
         """Return a new record of the attempts made for one request."""
         return RequestTrail(request_id, self._clock)
@@ -95,6 +114,7 @@
         limit = req.entry.service.max_body_bytes
         body = BodyReader(self._cfg, self._clock, environ, limit, req.deadline).read()
         answer = self._runner.run(req, body, trail)
+        trail.stage = RequestStage.ANSWERING
         self._metrics.timing("callers.begun", 1000 * (self._clock.now() - started))
         return answer
 
@@ -120,6 +140,7 @@
         self._body = b""
         self._trail = app.trail(request_id)
         self._logged_outcome = (None, "left open", "")
+        self._is_cut = False
 
     def start(self, start_response) -> None:
         """Process the request and call `start_response`; failures become refusals."""
@@ -143,6 +164,7 @@
         admission = self._app.admit_request()
         admission.__enter__()
         self._admission = admission
+        self._app.add_in_flight(self)
         sock = self._environ["wsgi.input"].get_socket()
         self._watched_request = self._app.watch.add(sock)
         self._app.watch.check_request(self._watched_request)
@@ -172,7 +194,9 @@
 
     def close(self) -> None:
         """Log the request's end and release everything that it holds."""
-        self._trail.log(*self._logged_outcome)
+        if not self._is_cut:
+            self._trail.log(*self._logged_outcome)
+        self._app.remove_in_flight(self)
         self._app.watch.remove(self._watched_request)
         if self._answer is not None:
             self._answer.close()
@@ -180,6 +204,12 @@
             admission, self._admission = self._admission, None
             admission.__exit__(None, None, None)
 
+    def log_cut(self, reason: str) -> None:
+        """Log that the request is broken off with this process."""
+        self._is_cut = True
+        self._app.count("cut")
+        self._trail.log_cut(self._logged_outcome[0], reason)
+
     def _status(self):
         status = self._answer.status
         return _PHRASES.get(status) or f"{status} Status"
--- a/src/persimmonspoke/internal/callers/attempts.py
+++ b/src/persimmonspoke/internal/callers/attempts.py
@@ -333,6 +333,7 @@
 
     def _forward(self, req, body, ticket, retry_state, target_id):
         """Let another host serve the request; see `_attempt`."""
+        retry_state.trail.send(None)
         try:
             retry_state.trail.forwarded_to, answer = self._forwarder.send(
                 req,
@@ -358,6 +359,7 @@
         raise the error that ends the request.
         """
         trail = retry_state.trail
+        trail.wait()
         is_trial = self._suspects.check(trail.fingerprint, trail.request_id)
         route = self._route(req)
         owner = None if route is None else route.target.target_id
@@ -393,6 +395,7 @@
             target_req = self._target_request(req, body, route, target_id, may_send)
             if trail.was_tried(target_id):
                 target_req = replace(target_req, repeated=True)
+            trail.send(target_id)
             answer = self._send(target, target_req, route, slot)
             answer.on_end = partial(self._on_answer_end, target, trail, answer.status)
             if answer.is_whole:
@@ -402,6 +405,7 @@
         except BaseException as exc:
             reason = f"{type(exc).__name__}: {exc}"
             trail.add(target_id, route, started_at, slot_acquired_at, reason)
+            trail.wait()
             if not isinstance(exc, (*NOT_RUN_ERRORS, errors.AnswerLost)):
                 raise
             self._record_failure(exc, route, slot, retry_state)
--- a/src/persimmonspoke/internal/callers/trail.py
+++ b/src/persimmonspoke/internal/callers/trail.py
@@ -2,6 +2,7 @@
 
 import logging
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import Any
 
 from persimmonspoke.ids import Fingerprint, HostId, Instant, RequestId, TargetId
@@ -13,6 +14,21 @@
 MS_PER_S = 1000
 
 
+class RequestStage(Enum):
+    """What a request in flight waits for."""
+
+    READING = "reading"
+    """The caller, who has not sent the whole request."""
+    WAITING = "waiting"
+    """An owner, a slot, or the pause before another attempt."""
+    FORWARDED = "forwarded"
+    """Another host, which has been sent the request."""
+    AT_TARGET = "at_target"
+    """A target, which has been sent the request or is about to be."""
+    ANSWERING = "answering"
+    """The rest of the answer, or the caller who reads it."""
+
+
 @dataclass(frozen=True, slots=True)
 class Attempt:
     """One attempt at a target.
@@ -48,6 +64,12 @@
         None if the request's body could not be read.
     forwarded_to : HostId or None
         The host that took the request from this one.
+    stage : RequestStage
+        What the request waits for.
+    target_id : TargetId or None
+        The target that has the request or has answered it.
+    sent_at : Instant or None
+        When the request was handed to that target or to another host.
     """
 
     request_id: RequestId
@@ -57,10 +79,23 @@
     fingerprint: Fingerprint | None = None
     attempts: list[Attempt] = field(default_factory=list)
     forwarded_to: HostId | None = None
+    stage: RequestStage = RequestStage.READING
+    target_id: TargetId | None = None
+    sent_at: Instant | None = None
 
     def __post_init__(self):
         self.started_at = self.clock.now()
 
+    def wait(self) -> None:
+        """Record that the request waits on this host, and no target has it."""
+        self.stage, self.target_id, self.sent_at = RequestStage.WAITING, None, None
+
+    def send(self, target_id: TargetId | None) -> None:
+        """Record that the request is sent to a target, or to another host if None."""
+        forwarded = target_id is None
+        self.stage = RequestStage.FORWARDED if forwarded else RequestStage.AT_TARGET
+        self.target_id, self.sent_at = target_id, self.clock.now()
+
     def add(
         self,
         target_id: TargetId,
@@ -105,6 +140,22 @@
         """
         log.info("callers: request ended", extra=self._fields(status, outcome, reason))
 
+    def log_cut(self, status: int | None, reason: str) -> None:
+        """Write the log line about a request that is broken off with this process.
+
+        Parameters
+        ----------
+        status : int or None
+            Status of an answer that has begun.
+        """
+        fields = self._fields(status, "cut", reason)
+        fields["stage"] = self.stage.value
+        fields["target"] = self.target_id
+        if self.sent_at is not None:
+            had_s = self.clock.now() - self.sent_at
+            fields["target_had_ms"] = round(had_s * MS_PER_S, 1)
+        log.warning("callers: request ended", extra=fields)
+
     def _fields(self, status, outcome, reason) -> dict[str, Any]:
         fields = {
             "request_id": self.request_id,
--- a/tests/cover/test_planned_stop.py
+++ b/tests/cover/test_planned_stop.py
@@ -87,6 +87,20 @@
         self.assertEqual(reply.error(), (503, "host_closed", "not_run"))
         self.assertEqual(self.targets.written, [])
 
+    # Guards against requests that a stop cuts without a line that names them.
+    def test_each_request_that_the_end_cuts_is_logged_with_its_target(self):
+        self.send_later(1.0, took_s=9.0, X_Request_Id="r1", x_deadline_ms="9000")
+        self.assertFalse(self.stopped.wait())
+        with self.assertLogs("persimmonspoke", "INFO") as logs:
+            self.assertEqual(self.app.log_cut_requests("this process ended"), 1)
+            eventlet.sleep(9.0)
+        (line,) = logs.records
+        self.assertEqual(line.getMessage(), "callers: request ended")
+        self.assertEqual((line.request_id, line.target), ("r1", "a"))
+        self.assertEqual((line.outcome, line.stage), ("cut", "at_target"))
+        self.assertAlmostEqual(line.target_had_ms, 4000, delta=100)
+        self.assertEqual(self.app.log_cut_requests("this process ended"), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
