Log and count each exchange with a target that this host ends early

A caller got an answer of this host's own, or none, for a request at which its target was at work, and no line said which part had broken off the exchange, on what evidence, and how long the target had had it: one warning for silent connections, nothing for lost paths, deadlines, callers that left, or answers that could not be read.

Each exchange that had reached its target and is ended by this host has now one line with request, target, stage, reason, evidence and its age, and a counter by reason. Ends by the target have none. `explain` prints the line of its request and leaves out those of others.

Nothing decides by it.

--- a/src/persimmonspoke/cli/explain.py
+++ b/src/persimmonspoke/cli/explain.py
@@ -16,6 +16,9 @@
 STANDARD_INPUT = "-"
 FOLLOW_UP_TIME = timedelta(seconds=1)  # the leader learns of a refusal by then
 REQUEST_ENDED = "callers: request ended"
+OWN_MESSAGES = (REQUEST_ENDED, "targets: exchange ended early")
+"""Messages of lines that concern only the request that they name."""
+
 TIME_FORMAT = "%Y-%m-%d %H:%M:%S,%f"
 OWN_RUN_PREFIXES = (
     "daemon:",
@@ -117,7 +120,7 @@
 
 
 def read_lines(request_id: str, files: Iterable[str]) -> LogLines:
-    """Read files; skip the lines that other requests wrote when they ended."""
+    """Read files; skip the lines that concern only other requests."""
     collected = LogLines([], set())
     for name in files:
         try:
@@ -145,7 +148,7 @@
             collected.unreadable += 1
             continue
         collected.runs.add(line.run)
-        if line.message != REQUEST_ENDED or _has_request_id(line, request_id):
+        if line.message not in OWN_MESSAGES or _has_request_id(line, request_id):
             collected.lines.append(line)
 
 
--- a/src/persimmonspoke/daemon/daemon.py
+++ b/src/persimmonspoke/daemon/daemon.py
@@ -140,7 +140,7 @@
             self.in_force,
             self.control.node.routes,
             self.scheduler,
-            HttpTargetRequests(self._pools, self.clock),
+            HttpTargetRequests(self._pools, self.clock, metrics=self.metrics),
             self.clock,
             self.gate,
             self.metrics,
--- a/src/persimmonspoke/daemon/routed.py
+++ b/src/persimmonspoke/daemon/routed.py
@@ -213,7 +213,7 @@
             cfg.forwarding,
             self.clock,
             self.hosts,
-            HttpTargetRequests(forwards, self.clock, forwarded),
+            HttpTargetRequests(forwards, self.clock, forwarded, metrics=self.metrics),
         )
         self.gate = HostGate(self._knows_targets, self.clock)
         self._servers = ()
@@ -326,6 +326,7 @@
             self.rate_limits,
             self.paths,
             self.notices,
+            self.metrics,
         )
         return RequestRunner(
             self.cfg.callers,
--- a/src/persimmonspoke/internal/targets/http_requests.py
+++ b/src/persimmonspoke/internal/targets/http_requests.py
@@ -4,7 +4,7 @@
 import logging
 import secrets
 from collections.abc import Iterator
-from http.client import HTTPException
+from http.client import HTTPException, IncompleteRead
 
 import eventlet
 from eventlet.greenpool import GreenPool
@@ -14,6 +14,7 @@
 
 from persimmonspoke.errors import (
     AnswerLost,
+    CallerGone,
     ConnectionLost,
     MalformedRequest,
     NotRun,
@@ -26,6 +27,7 @@
 )
 from persimmonspoke.ids import Instant
 from persimmonspoke.internal.clock import Clock
+from persimmonspoke.internal.observe.api import Metrics, NoMetrics
 from persimmonspoke.internal.questionnaire.configuration import TargetConfig
 from persimmonspoke.internal.targets import protocol
 from persimmonspoke.internal.targets.api import TargetAddress
@@ -36,6 +38,11 @@
     TargetPools,
     connect,
 )
+from persimmonspoke.internal.targets.early_ends import (
+    EarlyEnd,
+    EarlyEndRecorder,
+    Stage,
+)
 from persimmonspoke.internal.targets.notices import (
     Incarnation,
     TargetNotices,
@@ -88,6 +95,10 @@
     ----------
     incarnation : Incarnation
         The target's incarnation when the request was sent.
+    sent_at : Instant
+        When the request's first byte was sent, if any was.
+    is_sent : bool
+        Whether the whole request has been sent.
     body : bytes or None
         The whole body if the answer is short; None if it must be streamed.
     finished : bool
@@ -102,9 +113,18 @@
         self.req: TargetRequest = req
         self.attempt: str = attempt
         self.resp: HTTPResponse | None = None
+        self.sent_at = Instant(0.0)
+        self.is_sent = False
         self.body: bytes | None = None
         self.finished = False
 
+    @property
+    def stage(self) -> Stage:
+        """Return how far the exchange has come."""
+        if self.resp is not None:
+            return Stage.READING
+        return Stage.WAITING if self.is_sent else Stage.SENDING
+
     def succeed(self) -> None:
         """Return the connection to the pool after a complete answer.
 
@@ -146,7 +166,7 @@
     def close(self) -> None:
         """Release the answer; cancel the request if it was not read to its end."""
         if not self._exchange.finished:
-            self._client.cancel(self._exchange)
+            self._client.drop_answer(self._exchange)
 
 
 class HttpTargetRequests:
@@ -165,6 +185,8 @@
         repeatable requests that wait for its answer fail at once.
     notices : TargetNotices
         Receives what answers say of their targets.
+    metrics : Metrics
+        Counts the exchanges that this host ends early, by reason.
     """
 
     def __init__(
@@ -175,6 +197,7 @@
         limits: RateLimits | None = None,
         paths: TargetPaths | None = None,
         notices: TargetNotices | None = None,
+        metrics: Metrics | None = None,
     ):
         self._notices = no_notices() if notices is None else notices
         self.protocol = protocol
@@ -185,6 +208,7 @@
         self._pools = pools
         self._cfg = pools.cfg
         self._clock = clock
+        self._early_ends = EarlyEndRecorder(clock, metrics or NoMetrics())
         self._cancels = GreenPool(self._cfg.cancel_tasks)
         self._prefix = secrets.token_hex(6)
         self._counter = itertools.count()
@@ -277,7 +301,26 @@
             yield chunk
         exchange.succeed()
 
-    def cancel(self, exchange: _Exchange) -> None:
+    def drop_answer(self, exchange: _Exchange) -> None:
+        """Give up an answer whose body was not read to its end."""
+        now = self._clock.now()
+        self._record_end(exchange, EarlyEnd.UNREAD, "nobody reads the answer", now)
+        self._cancel(exchange)
+
+    def _record_end(self, exchange, reason, evidence, evidence_at):
+        """Record that this host ends an exchange, if it has reached the target."""
+        if exchange.conn.wrote and not exchange.finished:
+            self._early_ends.record(
+                reason,
+                exchange.stage,
+                exchange.req.request_id,
+                exchange.target.target_id,
+                exchange.sent_at,
+                evidence,
+                evidence_at,
+            )
+
+    def _cancel(self, exchange):
         """Close the connection, and send the target a cancellation of the request."""
         wrote = exchange.conn.wrote
         exchange.fail()
@@ -307,11 +350,24 @@
         except (NotRun, TargetError, _ConnectionSilent):
             exchange.fail()
             raise
-        except BaseException:
-            # The task was interrupted: the caller disconnected, or the host stops.
-            self.cancel(exchange)
+        except BaseException as exc:
+            self._record_interruption(exchange, exc)
+            self._cancel(exchange)
             raise
 
+    def _record_interruption(self, exchange, exc):
+        """Record that the exchange's task was interrupted by `exc`."""
+        now = self._clock.now()
+        if isinstance(exc, CallerGone):
+            self._record_end(exchange, EarlyEnd.CALLER_GONE, str(exc), now)
+        elif isinstance(exc, _PathLost):
+            target_id = exchange.target.target_id
+            since = self._paths.lost.get(target_id, now)
+            evidence = "the target is not reached and answers nothing"
+            self._record_end(exchange, EarlyEnd.PATH_LOST, evidence, since)
+        else:
+            self._record_end(exchange, EarlyEnd.INTERRUPTED, repr(exc), now)
+
     def _read_answer_head(self, exchange, answer_deadline):
         timer = eventlet.Timeout(max(0.0, answer_deadline - self._clock.now()))
         try:
@@ -326,6 +382,7 @@
                 raise
             raise self._timeout_error(exchange, answer_deadline) from exc
         except CONNECTION_ERRORS as exc:
+            self._record_unreadable(exchange, exc)
             raise _connection_error(exchange, exc) from exc
         finally:
             timer.cancel()
@@ -370,9 +427,10 @@
         if not isinstance(body, bytes):
             if body.length is not None:
                 fields["Content-Length"] = str(body.length)
-            body = _request_chunks(exchange, body.chunks)
+            body = self._request_chunks(exchange, body.chunks)
         if not req.may_send():
             raise RouteLapsed("the right to send ended before the first byte")
+        exchange.sent_at = now
         exchange.conn.request(
             req.method,
             req.path,
@@ -381,15 +439,32 @@
             preload_content=False,
             decode_content=False,
         )
+        exchange.is_sent = True
+
+    def _request_chunks(self, exchange, chunks):
+        """Yield `chunks`; raise `AnswerLost` if they fail after the first write."""
+        try:
+            yield from chunks
+        except RequestFailure as exc:
+            if not exchange.conn.wrote:
+                raise
+            now = self._clock.now()
+            self._record_end(exchange, EarlyEnd.BODY_BROKE_OFF, str(exc), now)
+            raise AnswerLost(f"the request broke off: {exc}") from exc
 
     def _checked_answer(self, exchange):
         resp = exchange.resp
-        self.protocol.check_answer(
-            exchange.req.request_id, exchange.attempt, resp.status, resp.headers
-        )
-        error = self.protocol.refusal(resp.status, resp.headers)
-        if error is None:
-            self._check_end(resp)
+        try:
+            self.protocol.check_answer(
+                exchange.req.request_id, exchange.attempt, resp.status, resp.headers
+            )
+            error = self.protocol.refusal(resp.status, resp.headers)
+            if error is None:
+                self._check_end(resp)
+        except AnswerLost as exc:
+            now = self._clock.now()
+            self._record_end(exchange, EarlyEnd.BAD_ANSWER, str(exc), now)
+            raise
         self._record_rate_limit(exchange, error)
         self._record_notices(exchange, error)
         if exchange.body is not None:
@@ -444,23 +519,41 @@
                 raise
             raise self._timeout_error(exchange, exchange.req.deadline) from exc
         except CONNECTION_ERRORS as exc:
+            self._record_unreadable(exchange, exc)
             exchange.fail()
             raise ConnectionLost(f"the answer broke off: {exc}") from exc
         finally:
             timer.cancel()
 
+    def _record_unreadable(self, exchange, exc):
+        """Record the end of an exchange whose answer can't be read.
+
+        An error of the connection is the target's end, and not recorded.
+        """
+        is_unreadable = isinstance(exc, (HTTPException, ValueError))
+        if is_unreadable and not isinstance(exc, (OSError, IncompleteRead)):
+            now = self._clock.now()
+            self._record_end(exchange, EarlyEnd.BAD_ANSWER, repr(exc), now)
+
     def _timeout_error(self, exchange, answer_deadline) -> Exception:
         """Close a timed-out connection and all idle ones; return the resulting error.
 
         If the request was written and its deadline has passed, also cancel it.
         """
         wrote = exchange.conn.wrote
+        if answer_deadline < exchange.req.deadline:
+            evidence = "no answer on a connection that answered before"
+            answered_at = exchange.conn.answered_at
+            self._record_end(exchange, EarlyEnd.SILENCE, evidence, answered_at)
+        else:
+            evidence = "the deadline has passed"
+            self._record_end(exchange, EarlyEnd.DEADLINE, evidence, answer_deadline)
         exchange.fail(drop_idle=True)
         if not wrote:
             return TargetUnreachable("nothing could be written before the deadline")
         if answer_deadline < exchange.req.deadline:
             return _ConnectionSilent()
-        self.cancel(exchange)
+        self._cancel(exchange)
         return AnswerLost("no whole answer before the deadline")
 
     def _send_cancel(self, exchange):
@@ -486,16 +579,6 @@
             exchange.pool.discard(conn)
 
 
-def _request_chunks(exchange, chunks):
-    """Yield `chunks`; raise `AnswerLost` if they fail after the first write."""
-    try:
-        yield from chunks
-    except RequestFailure as exc:
-        if exchange.conn.wrote:
-            raise AnswerLost(f"the request broke off: {exc}") from exc
-        raise
-
-
 def _connection_error(exchange, exc) -> Exception:
     """Return the error for a failure that the library raised.
 
--- a/tests/cover/test_explain.py
+++ b/tests/cover/test_explain.py
@@ -77,6 +77,15 @@
         self.assertEqual(len(lines), 2)
         self.assertIn("quarantine: target ended", lines[0])
 
+    # Guards against LOST that an operator can't trace.
+    def test_the_early_end_of_an_exchange_is_printed(self):
+        early = "targets: exchange ended early"
+        own = line(19.9, "a.1", early, request_id=ID, target="t1", reason="deadline")
+        other = line(19.9, "a.1", early, request_id="other", target="t1")
+        _, lines = self.explain(ID, self.write("a.log", own, other, REFUSED))
+        self.assertEqual(len(lines), 2)
+        self.assertIn('reason="deadline"', lines[0])
+
     def test_lines_of_several_hosts_are_printed_in_the_order_of_time(self):
         files = (self.write("a.log", REFUSED), self.write("b.log.gz", HELD, MOVED))
         status, lines = self.explain(ID, *files)
--- a/tests/loopback/test_targets_requests.py
+++ b/tests/loopback/test_targets_requests.py
@@ -2,21 +2,26 @@
 
 import socket
 import unittest
+from collections import Counter
 from unittest import mock
 
 import eventlet
 
 from persimmonspoke.errors import (
     AnswerLost,
+    CallerGone,
     ConnectionLost,
+    RequestFailure,
     RouteLapsed,
     TargetDraining,
+    TargetError,
     TargetFenced,
     TargetRefusedConnection,
     TargetShed,
     TargetUnreachable,
 )
 from persimmonspoke.internal.clock import SystemClock
+from persimmonspoke.internal.observe.api import NoMetrics
 from persimmonspoke.internal.targets.api import GrantedShard, TargetAddress
 from persimmonspoke.internal.targets.connections import TargetPools
 from persimmonspoke.internal.targets.http_requests import HttpTargetRequests
@@ -31,6 +36,8 @@
     never_answer,
 )
 
+EARLY_ENDS = "persimmonspoke.internal.targets.early_ends"
+
 LONG_TIMEOUT_S = 20.0
 SHORT_TIMEOUT_S = 0.15
 
@@ -457,6 +464,93 @@
         self.assertGreaterEqual(self.clock.now() - began, 0.9)
 
 
+class CountedMetrics(NoMetrics):
+    """Keeps the counters."""
+
+    def __init__(self):
+        self.counts = Counter()
+
+    def incr(self, name):
+        """Add 1 to a counter."""
+        self.counts[name] += 1
+
+
+class TestEarlyEnds(RequestCase):
+    """Guards against LOST whose cause no log line names."""
+
+    def setUp(self):
+        super().setUp()
+        self.metrics = CountedMetrics()
+        self.client = HttpTargetRequests(self.pools, self.clock, metrics=self.metrics)
+
+    def end_early(self, target, end=None, **fields):
+        """Send a request, call `end` with its task soon after; return the one line."""
+        with self.assertLogs(EARLY_ENDS, "INFO") as logs:
+            task = eventlet.spawn(self.ask, target, **fields)
+            if end is not None:
+                eventlet.sleep(SHORT_TIMEOUT_S)
+                end(task)
+            with self.assertRaises((AnswerLost, CallerGone)):
+                task.wait()
+        (line,) = logs.records
+        self.assertEqual(line.message, "targets: exchange ended early")
+        self.assertEqual(line.request_id, "r1")
+        self.assertEqual(line.target, target.config().target_id)
+        counted = {f"targets.ended_early.{line.reason}": 1}
+        self.assertEqual(self.metrics.counts, counted)
+        return line
+
+    def test_at_the_deadline_have_a_line_with_the_time_at_the_target(self):
+        line = self.end_early(self.target(never_answer), wait_s=SHORT_TIMEOUT_S)
+        self.assertEqual((line.reason, line.stage), ("deadline", "waiting"))
+        self.assertGreaterEqual(line.target_had_ms, 0.9 * 1000 * SHORT_TIMEOUT_S)
+        self.assertLess(line.evidence_age_ms, line.target_had_ms)
+
+    def test_by_a_caller_that_has_left_have_a_line(self):
+        line = self.end_early(
+            self.target(never_answer),
+            lambda task: eventlet.kill(task, CallerGone("left")),
+        )
+        self.assertEqual((line.reason, line.evidence), ("caller_gone", "left"))
+
+    def test_by_answers_that_are_none_have_a_line(self):
+        def send_noise(conn):
+            conn.receive()
+            conn.sock.sendall(b"no answer\r\n\r\n")
+
+        other = answer_with(x_request_id="other")
+        for script, stage in ((other, "reading"), (send_noise, "waiting")):
+            self.metrics.counts.clear()
+            line = self.end_early(self.target(script))
+            self.assertEqual((line.reason, line.stage), ("bad_answer", stage))
+
+    def test_by_a_body_that_breaks_off_have_a_line(self):
+        def chunks():
+            yield b"begun"
+            raise RequestFailure("the caller left")
+
+        body = StreamedBody(chunks(), 100)
+        target = self.target(never_answer)
+        line = self.end_early(target, method="POST", body=body)
+        self.assertEqual((line.reason, line.stage), ("body_broke_off", "sending"))
+
+    def test_by_an_answer_that_nobody_reads_have_a_line(self):
+        target = self.target(answer_with(length=1 << 20))
+        answer = self.client.send(target.config(), self.request())
+        with self.assertLogs(EARLY_ENDS, "INFO") as logs:
+            answer.close()
+        self.assertEqual([line.reason for line in logs.records], ["unread"])
+
+    def test_by_the_target_itself_have_none(self):
+        def close_at_once(conn):
+            conn.receive()
+            raise EOFError
+
+        for script in (answer_with(status="503 Full", x_outcome="shed"), close_at_once):
+            with self.assertNoLogs(EARLY_ENDS, "INFO"), self.assertRaises(TargetError):
+                self.ask(self.target(script))
+
+
 class TestTargetsThatCloseConnections(RequestCase):
     def close_at_once(self, conn):
         conn.receive()
