Act on signals at once, and lose none

Cause: the handlers started a task from within the signal handler. A hub that waits in its poll goes on waiting (PEP 475) until a timer or a socket wakes it, and a handler that runs just after the hub has copied its new timers adds one that the hub then deletes: a SIGTERM is lost, and the platform kills the process with its requests.

Ruled out: the first alone matters little on a host in use, whose timers fire every 50 ms.

Change: the signal's number goes through the wakeup descriptor to a task that the hub serves like any other.

--- a/src/persimmonspoke/daemon/command.py
+++ b/src/persimmonspoke/daemon/command.py
@@ -3,9 +3,12 @@
 import argparse
 import pathlib
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import eventlet
+from eventlet.green import socket
+
+MAX_SIGNALS = 64  # read at a time
 
 
 def settings_parser(prog: str, description: str, epilog: str):
@@ -29,16 +32,25 @@
     return parser
 
 
-def stop_on_signals(stop: Callable[[], None]) -> None:
-    """Call `stop` on SIGTERM and SIGINT."""
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        on_signal(signal_number, stop)
-
-
-def on_signal(signal_number: signal.Signals, callback: Callable[[], None]) -> None:
-    """Run `callback` in a new task when the signal arrives.
+def run_on_signals(callbacks: Mapping[signal.Signals, Callable[[], None]]) -> None:
+    """Run a signal's callback in a new task whenever the signal arrives.
 
-    A signal handler interrupts whichever task is running, so it must not block;
-    it only starts the new task.
+    Call it once, in the main thread.
     """
-    signal.signal(signal_number, lambda *_: eventlet.spawn(callback))
+    reader, writer = socket.socketpair()
+    writer.setblocking(False)
+    for signal_number in callbacks:
+        # A handler of its own could run while the event hub changes its timers, and
+        # would not wake a hub that waits.
+        signal.signal(signal_number, lambda *_: None)
+    signal.set_wakeup_fd(writer.fileno(), warn_on_full_buffer=False)
+    eventlet.spawn(_run_callbacks, reader, writer, callbacks)
+
+
+def _run_callbacks(reader, writer, callbacks):
+    """Run callbacks for the signal numbers that are read, until `writer` is closed."""
+    with reader, writer:
+        while numbers := reader.recv(MAX_SIGNALS):
+            for number in numbers:
+                if number in callbacks:
+                    eventlet.spawn(callbacks[number])
--- a/src/persimmonspoke/daemon/main.py
+++ b/src/persimmonspoke/daemon/main.py
@@ -16,9 +16,8 @@
 import sys
 
 from persimmonspoke.daemon.command import (
-    on_signal,
+    run_on_signals,
     settings_parser,
-    stop_on_signals,
 )
 from persimmonspoke.daemon.daemon import Daemon, ExitStatus
 from persimmonspoke.daemon.settings import Settings
@@ -61,8 +60,13 @@
         print(f"cannot listen: {exc}", file=sys.stderr)
         return ExitStatus.FAILED
     start_logs(settings.observe.log_level, daemon.host_id)
-    stop_on_signals(daemon.stop)
-    on_signal(signal.SIGUSR1, lambda: _print_dump(daemon))
+    run_on_signals(
+        {
+            signal.SIGTERM: daemon.stop,
+            signal.SIGINT: daemon.stop,
+            signal.SIGUSR1: lambda: _print_dump(daemon),
+        }
+    )
     return daemon.run()
 
 
--- a/src/persimmonspoke/daemon/routed_main.py
+++ b/src/persimmonspoke/daemon/routed_main.py
@@ -17,11 +17,7 @@
 import sys
 from enum import IntEnum
 
-from persimmonspoke.daemon.command import (
-    on_signal,
-    settings_parser,
-    stop_on_signals,
-)
+from persimmonspoke.daemon.command import run_on_signals, settings_parser
 from persimmonspoke.daemon.routed import RoutedDaemon
 from persimmonspoke.daemon.routed_settings import RoutedSettings
 from persimmonspoke.errors import InvalidSettings
@@ -74,8 +70,13 @@
         return ExitStatus.FAILED
     handler = start_bounded_logs(cfg.observe.log_level, daemon.host_id, daemon.clock)
     daemon.metrics.gauge("log.lines_dropped", lambda: handler.dropped)
-    stop_on_signals(daemon.stop)
-    on_signal(signal.SIGHUP, daemon.reload)
+    run_on_signals(
+        {
+            signal.SIGTERM: daemon.stop,
+            signal.SIGINT: daemon.stop,
+            signal.SIGHUP: daemon.reload,
+        }
+    )
     daemon.run()
     handler.flush_without_blocking()
     return ExitStatus.STOPPED
