Close a caller's connection only if nothing has arrived on it

Cause: a stop killed the library's server at the balancer's second check. Its end shuts down all connections on which it waits for a request, also those whose request is in the kernel's buffer while the event hub is late; the handler then reads the request, takes the connection for one whose caller left, and closes it without an answer. From then on nobody accepted connections, and the listener was not closed either: callers that the balancer still sent here, and hosts that forwarded, waited in the kernel's queue until the process ended and reset them. An answer begun before the stop, whose head invites another request, was followed by a close.

Ruled out: the gate, which was open; the watch of callers, which only sees the shutdown.

Change: the listeners are served until the last answer. Then the queue is emptied, the listener closed, and connections closed whose handler waits and on which a look without waiting finds no byte; what has arrived is read and answered 503 host_closed. Such a close does not linger: what crosses it must be reset, not read. The server runs the library's handlers with an accept loop of its own, which an error of accept no longer ends.

--- a/src/persimmonspoke/daemon/planned_stop.py
+++ b/src/persimmonspoke/daemon/planned_stop.py
@@ -12,7 +12,7 @@
     clock: Clock,
     unready_at: Instant,
     ends_at: Instant,
-    stop_listening: Callable[[], None],
+    end_connections: Callable[[Instant], None],
 ) -> bool:
     """Serve the last requests; return whether all of them have been answered.
 
@@ -25,10 +25,12 @@
         later, on kept connections, are admitted only if they end before `ends_at`.
     ends_at : Instant
         When the process ends, whether or not requests are in flight.
+    end_connections : callable
+        Closes the listeners and waits until no connection is open, or until an instant.
     """
     clock.sleep_until(unready_at)
     gate.ends_at = ends_at
-    stop_listening()
     all_answered = gate.wait_until_idle(ends_at)
     gate.stopping = True
+    end_connections(ends_at)
     return all_answered
--- a/src/persimmonspoke/daemon/routed.py
+++ b/src/persimmonspoke/daemon/routed.py
@@ -18,7 +18,7 @@
 from persimmonspoke.internal.callers.attempts import RequestRunner
 from persimmonspoke.internal.callers.gone import CallerWatch
 from persimmonspoke.internal.callers.refusals import AnswerStyle, routed_refusal
-from persimmonspoke.internal.callers.server import serve_callers
+from persimmonspoke.internal.callers.server import CallerServer
 from persimmonspoke.internal.clock import SystemClock
 from persimmonspoke.internal.desk.scheduler import DeskScheduler
 from persimmonspoke.internal.desk.settings import DeskSettings
@@ -66,6 +66,7 @@
 MAX_UPDATE_WAIT_S = 0.5
 EXIT_MARGIN_S = 1.0  # part of the platform's grace period kept for the exit itself
 REMOVE_RECORD_TIMEOUT_S = 0.3
+CLOSE_INTERVAL_S = 0.02  # between two looks at the connections that are left
 
 log = logging.getLogger(__name__)
 
@@ -216,7 +217,7 @@
             HttpTargetRequests(forwards, self.clock, forwarded, metrics=self.metrics),
         )
         self.gate = HostGate(self._knows_targets, self.clock)
-        self._servers = ()
+        self._servers: tuple[CallerServer, ...] = ()
         self._apps: list[CallerApp] = []
         self._ended = eventlet.event.Event()
 
@@ -265,10 +266,9 @@
         self._serve(self._readiness_listener, self._ready_app)
         self._serve(self._metrics_listener, self.metrics.app)
         runner = self._make_runner()
-        self._servers = (
-            eventlet.spawn(self._serve_callers, runner),
-            eventlet.spawn(self._serve_forwarded, runner),
-        )
+        self._servers = (self._caller_server(runner), self._forward_server(runner))
+        for server in self._servers:
+            eventlet.spawn(server.run)
         log.info(
             "daemon: started",
             extra={"host": self.platform.host, "callers": self.platform.caller_port},
@@ -289,7 +289,7 @@
             self.clock,
             Instant(started_at + self.cfg.linger_s),
             Instant(started_at + grace_s),
-            self._stop_listening,
+            self._end_connections,
         )
         self.hosts.remove(
             self.platform.host, Instant(self.clock.now() + REMOVE_RECORD_TIMEOUT_S)
@@ -314,9 +314,16 @@
             answered_at = max(answered_at, read_at)
         return self.clock.now() - answered_at
 
-    def _stop_listening(self):
+    def _end_connections(self, deadline):
+        """Close the listeners, and wait until no caller's connection is open."""
         for server in self._servers:
-            server.kill()
+            server.close_listener()
+        while self.clock.now() < deadline and any(
+            server.open_connections() for server in self._servers
+        ):
+            for server in self._servers:
+                server.close_unused()
+            self.clock.sleep_until(Instant(self.clock.now() + CLOSE_INTERVAL_S))
 
     def _make_runner(self):
         requests = HttpTargetRequests(
@@ -344,14 +351,14 @@
             self.rests,
         )
 
-    def _serve_callers(self, runner):
+    def _caller_server(self, runner):
         reader = RoutedReader(self.state, headers.caller_fields, self.clock)
         style = AnswerStyle(headers.REQUEST_ID, False, routed_refusal)
         app = self._caller_app(reader, runner, style)
-        serve_callers(self._caller_listener, app, self.cfg.callers)
+        return CallerServer(self._caller_listener, app, self.cfg.callers)
 
-    def _serve_forwarded(self, runner):
-        """Serve requests that other hosts forward."""
+    def _forward_server(self, runner):
+        """Return the server of the requests that other hosts forward."""
         reader = ForwardedReader(
             RoutedReader(self.state, headers.caller_fields, self.clock),
             forwarded.forwarded_fields,
@@ -361,7 +368,7 @@
             headers.REQUEST_ID, False, routed_refusal, _not_taken_headers
         )
         app = self._caller_app(reader, runner, style)
-        serve_callers(self._forward_listener, app, self.cfg.callers)
+        return CallerServer(self._forward_listener, app, self.cfg.callers)
 
     def _caller_app(self, reader, runner, style):
         app = CallerApp(
--- a/src/persimmonspoke/internal/callers/gone.py
+++ b/src/persimmonspoke/internal/callers/gone.py
@@ -89,10 +89,25 @@
 
 def is_closed_by_peer(sock) -> bool:
     """Return whether the other end of `sock` has closed the connection."""
-    raw_sock = sock.fd if isinstance(sock, greenio.GreenSocket) else sock
     try:
-        return raw_sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+        return _peek(sock) == b""
     except BlockingIOError:
         return False
     except OSError:
         return True
+
+
+def has_nothing_to_read(sock) -> bool:
+    """Return whether no byte, end or error has arrived on `sock`."""
+    try:
+        _peek(sock)
+    except BlockingIOError:
+        return True
+    except OSError:
+        pass
+    return False
+
+
+def _peek(sock):
+    raw_sock = sock.fd if isinstance(sock, greenio.GreenSocket) else sock
+    return raw_sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
--- a/src/persimmonspoke/internal/callers/server.py
+++ b/src/persimmonspoke/internal/callers/server.py
@@ -5,7 +5,8 @@
 from http import HTTPStatus
 
 import eventlet
-from eventlet import wsgi
+from eventlet import greenio, hubs, wsgi
+from greenlet import getcurrent, greenlet
 
 from persimmonspoke.errors import (
     HeadTooLarge,
@@ -15,6 +16,7 @@
 )
 from persimmonspoke.ids import RequestId
 from persimmonspoke.internal.callers.app import CONNECTION_KEY, CallerApp
+from persimmonspoke.internal.callers.gone import has_nothing_to_read
 from persimmonspoke.internal.callers.refusals import refusal
 from persimmonspoke.internal.callers.settings import CallerSettings
 
@@ -23,6 +25,7 @@
 MAX_LINGER_S = 1.0
 MAX_LINGER_BYTES = 1 << 20
 MAX_CHUNK_LINE_BYTES = 4096
+ACCEPT_RETRY_S = 0.05
 END_OF_HEAD = b"\r\n\r\n"
 
 _LENGTH = re.compile(r"[0-9]{1,18}", re.ASCII)
@@ -32,6 +35,10 @@
     """The head of a request did not arrive in time."""
 
 
+class _ConnectionUnused(Exception):
+    """This host closes a connection on which no request has arrived."""
+
+
 class _BoundedLines:
     """A file whose lines are short, for the sizes and extensions of chunks."""
 
@@ -52,10 +59,16 @@
 class CallerConnection(wsgi.HttpProtocol):
     """One caller's connection; rejects request heads that violate HTTP."""
 
+    _lingers = True
+
     def handle(self):
         """Answer requests until the caller or this host closes the connection."""
         try:
             super().handle()
+        except _ConnectionUnused:
+            # Nothing may be read from now on: the caller can then tell by the reset
+            # that a request which crosses the close has not been taken.
+            self._lingers = False
         except TimeoutError:
             raise
         except OSError as exc:
@@ -84,10 +97,13 @@
     def _start_head_timer(self):
         """Wait for the first bytes; start a timer if the head is incomplete."""
         self.connection.settimeout(self.cfg.idle_s)
+        self.waiting[self] = getcurrent()
         try:
             first_bytes = self.rfile.peek(1)
         except ConnectionError:
             return
+        finally:
+            del self.waiting[self]
         # Most heads arrive in one segment, and a timer costs as much as a system call.
         if END_OF_HEAD not in first_bytes:
             self._head_timer = eventlet.Timeout(self.cfg.head_s, _HeadTooSlow)
@@ -165,7 +181,8 @@
 
     def finish(self):
         """Close the connection after giving the caller time to read the answer."""
-        self._linger()
+        if self._lingers:
+            self._linger()
         super().finish()
 
     def _linger(self):
@@ -191,27 +208,103 @@
         """Do nothing: refusals are already logged."""
 
 
-def serve_callers(listener, app: CallerApp, settings: CallerSettings) -> None:
-    """Serve callers on `listener` until it is closed or the task is killed.
+class CallerServer:
+    """Serves callers on one listener.
 
-    Return once no request is in flight.
+    The server of the library shuts down the connections on which it waits for a
+    request when it ends, also those on which one has just arrived.  This one ends in
+    two steps that lose none, `close_listener` and `close_unused`.
     """
 
-    class _Connection(CallerConnection):
-        cfg = settings
+    def __init__(self, listener, app: CallerApp, settings: CallerSettings):
+        self._waiting: dict[CallerConnection, greenlet] = {}
+
+        class _Connection(CallerConnection):
+            cfg = settings
+            waiting = self._waiting
 
-    watch = eventlet.spawn(app.watch.run)
-    try:
-        wsgi.server(
+        self._listener = listener
+        self._is_closed = False
+        self._watch = app.watch
+        self._handlers = eventlet.GreenPool(settings.max_connections)
+        self._library_server = wsgi.Server(
             listener,
+            listener.getsockname(),
             app,
             protocol=_Connection,
-            max_size=settings.max_connections,
             keepalive=settings.idle_s,
             socket_timeout=settings.stalled_s,
             url_length_limit=settings.max_line_bytes,
             log_output=False,
             debug=False,
         )
-    finally:
-        watch.kill()
+
+    def run(self) -> None:
+        """Accept connections until `close_listener`, or until the task is killed.
+
+        Return once no connection is open.
+        """
+        watch = eventlet.spawn(self._watch.run)
+        try:
+            while not self._is_closed:
+                try:
+                    self._start(*self._listener.accept())
+                except OSError as exc:
+                    if not self._is_closed:
+                        log.warning(
+                            "callers: connection not accepted",
+                            extra={"reason": str(exc)},
+                        )
+                        eventlet.sleep(ACCEPT_RETRY_S)
+        finally:
+            self._listener.close()
+            self._handlers.waitall()
+            watch.kill()
+
+    def open_connections(self) -> int:
+        """Return the number of callers' connections."""
+        return self._handlers.running()
+
+    def close_listener(self) -> None:
+        """Take the connections that wait in the kernel's queue, and no later ones."""
+        if self._is_closed:
+            return
+        self._is_closed = True
+        while self._handlers.free():
+            try:
+                sock, address = self._listener.fd.accept()
+            except OSError:
+                break
+            hubs.notify_opened(sock.fileno())
+            self._start(greenio.GreenSocket(sock), address)
+        # This wakes `run`, which closes the listener.
+        greenio.shutdown_safe(self._listener)
+
+    def close_unused(self) -> None:
+        """Close the connections that wait for a request of which nothing has arrived.
+
+        It happens in the next round of the event hub.
+        """
+        for conn in self._waiting:
+            hubs.get_hub().schedule_call_global(0, self._close_if_unused, conn)
+
+    def _close_if_unused(self, conn):
+        task = self._waiting.get(conn)
+        if task is not None and has_nothing_to_read(conn.connection):
+            task.throw(_ConnectionUnused())
+
+    def _start(self, sock, address):
+        sock.settimeout(self._library_server.socket_timeout)
+        self._handlers.spawn(self._serve, sock, address)
+
+    def _serve(self, sock, address):
+        try:
+            self._library_server.process_request([address, sock, wsgi.STATE_REQUEST])
+        finally:
+            greenio.shutdown_safe(sock)
+            sock.close()
+
+
+def serve_callers(listener, app: CallerApp, settings: CallerSettings) -> None:
+    """Serve callers on `listener` until the task is killed; see `CallerServer.run`."""
+    CallerServer(listener, app, settings).run()
--- a/tests/cover/test_planned_stop.py
+++ b/tests/cover/test_planned_stop.py
@@ -46,7 +46,7 @@
             self.clock,
             now + UNREADY_S,
             now + GRACE_S,
-            lambda: None,
+            lambda deadline: None,
         )
 
     def send_at(self, at_s, took_s, **fields):
--- a/tests/loopback/test_callers_server.py
+++ b/tests/loopback/test_callers_server.py
@@ -7,7 +7,7 @@
 import eventlet
 
 from persimmonspoke.internal.callers.app import make_caller_app
-from persimmonspoke.internal.callers.server import serve_callers
+from persimmonspoke.internal.callers.server import CallerServer
 from persimmonspoke.internal.callers.settings import CallerSettings
 from persimmonspoke.internal.clock import SystemClock
 from persimmonspoke.internal.targets.connections import TargetPools
@@ -50,8 +50,9 @@
             self.gate,
         )
         self.listener = eventlet.listen(("127.0.0.1", 0))
-        server = eventlet.spawn(serve_callers, self.listener, app, cfg)
-        self.addCleanup(server.kill)
+        self.server = CallerServer(self.listener, app, cfg)
+        self.server_task = eventlet.spawn(self.server.run)
+        self.addCleanup(self.server_task.kill)
         limit = eventlet.Timeout(TEST_TIMEOUT_S, AssertionError("the test hangs"))
         self.addCleanup(limit.cancel)
 
