Listen to the first exchange while a silent connection is told from a slow target

The second send also took nothing from the retry budget.

Silence does not tell a dead connection from a slow target, so it ends nothing now. After the same time a repeatable request is sent once more over a new connection in a task of its own, if the retry budget grants it and the right to send still holds; the first whole answer is returned, and the other exchange is ended. A second send that fails in any way is ignored until the deadline. If the first connection breaks meanwhile, the second is waited for; if both fail and one may have run, the error says so. Idle connections are dropped only once the second has answered first, and only those no younger than the silent one. Forwarded requests draw on the same budget. An ordinary request pays for one small object; only one on an older kept connection for a timer.

Ruled out: a check over a new connection before the second send, which a slow target passes like a sound one, and which costs the same connection. A body that was streamed was never sent a second time, as `repeatable` asks for one held whole; a test holds that now.

--- a/src/persimmonspoke/cli/explain.py
+++ b/src/persimmonspoke/cli/explain.py
@@ -16,7 +16,11 @@
 STANDARD_INPUT = "-"
 FOLLOW_UP_TIME = timedelta(seconds=1)  # the leader learns of a refusal by then
 REQUEST_ENDED = "callers: request ended"
-OWN_MESSAGES = (REQUEST_ENDED, "targets: exchange ended early")
+OWN_MESSAGES = (
+    REQUEST_ENDED,
+    "targets: exchange ended early",
+    "targets: sent a second time",
+)
 """Messages of lines that concern only the request that they name."""
 
 TIME_FORMAT = "%Y-%m-%d %H:%M:%S,%f"
--- a/src/persimmonspoke/internal/callers/attempts.py
+++ b/src/persimmonspoke/internal/callers/attempts.py
@@ -341,6 +341,7 @@
                 target_id,
                 retry_state.counted_attempts,
                 retry_state.may_have_run,
+                partial(self._take_second_send, ticket),
             )
             stream = self._start_answer(answer, _NoSlot(), nullcontext())
         except errors.AnswerLost as exc:
@@ -393,6 +394,8 @@
             if not is_trial:
                 may_send = partial(self._suspects.allows, trail.fingerprint)
             target_req = self._target_request(req, body, route, target_id, may_send)
+            may_repeat = partial(self._take_second_send, ticket)
+            target_req = replace(target_req, may_repeat=may_repeat)
             if trail.was_tried(target_id):
                 target_req = replace(target_req, repeated=True)
             trail.send(target_id)
@@ -549,6 +552,13 @@
             may_send=may_send,
         )
 
+    def _take_second_send(self, ticket) -> bool:
+        """Take a second send during one attempt from the retry budget."""
+        is_allowed = self._scheduler.take_retry(ticket)
+        if is_allowed:
+            self._metrics.incr("callers.second_sends")
+        return is_allowed
+
     def _may_reach(self, target_id, also) -> bool:
         return also() and self._rests.may_send(target_id)
 
--- a/src/persimmonspoke/internal/forwarding/forwarder.py
+++ b/src/persimmonspoke/internal/forwarding/forwarder.py
@@ -33,6 +33,7 @@
     TargetAnswer,
     TargetRequest,
     TargetRequests,
+    always_allowed,
 )
 
 FORWARD_PORT_OFFSET = 1  # from the port of the peer link to that for forwarded requests
@@ -135,6 +136,7 @@
         target_id: TargetId | None,
         attempts: int,
         may_have_run: bool,
+        may_repeat: Callable[[], bool] = always_allowed,
     ) -> tuple[HostId, TargetAnswer]:
         """Forward a request; return the host that took it and its answer.
 
@@ -146,6 +148,8 @@
             Attempts so far that count against the route's limit.
         may_have_run : bool
             Whether one of them may have run.
+        may_repeat : callable
+            See `TargetRequest`.
 
         Raises
         ------
@@ -164,6 +168,7 @@
             request_id=req.request_id,
             protected=req.protected,
             forwarded=fields,
+            may_repeat=may_repeat,
         )
         for _ in range(self._cfg.max_hosts):
             entry = self._choose(target_id)
--- a/src/persimmonspoke/internal/targets/connections.py
+++ b/src/persimmonspoke/internal/targets/connections.py
@@ -370,10 +370,18 @@
         conn.drop()
         self._release_permit()
 
-    def drop_idle(self) -> None:
-        """Close all idle connections, because one to this target went silent."""
-        while self._idle:
-            self._idle.pop().drop()
+    def drop_idle(self, answered_by: Instant | None = None) -> None:
+        """Close the idle connections, because one to this target went silent.
+
+        Parameters
+        ----------
+        answered_by : Instant or None
+            Only those that have not answered after this; all of them if None.
+        """
+        while self._idle and (
+            answered_by is None or self._idle[0].answered_at <= answered_by
+        ):
+            self._idle.popleft().drop()
 
     def drop_expired(self) -> None:
         """Close the connections that have been idle for longer than `idle_s`."""
--- a/src/persimmonspoke/internal/targets/early_ends.py
+++ b/src/persimmonspoke/internal/targets/early_ends.py
@@ -15,13 +15,14 @@
 class EarlyEnd(Enum):
     """Why this host ended an exchange that a target may have been working on."""
 
+    ANSWERED_ELSEWHERE = "answered_elsewhere"
     CALLER_GONE = "caller_gone"
     DEADLINE = "deadline"
     BAD_ANSWER = "bad_answer"
     BODY_BROKE_OFF = "body_broke_off"
     INTERRUPTED = "interrupted"
+    NOT_NEEDED = "not_needed"
     PATH_LOST = "path_lost"
-    SILENCE = "silence"
     UNREAD = "unread"
 
 
--- a/src/persimmonspoke/internal/targets/http_requests.py
+++ b/src/persimmonspoke/internal/targets/http_requests.py
@@ -1,9 +1,15 @@
-"""Sends requests to targets over HTTP."""
+"""Sends requests to targets over HTTP.
+
+An exchange that a target may be working on is ended by its own end, by its caller, or
+by an answer to the same request from elsewhere; see `targets.early_ends`.
+"""
 
 import itertools
 import logging
 import secrets
 from collections.abc import Iterator
+from dataclasses import replace
+from functools import partial
 from http.client import HTTPException, IncompleteRead
 
 import eventlet
@@ -39,6 +45,7 @@
     connect,
 )
 from persimmonspoke.internal.targets.early_ends import (
+    MS_PER_S,
     EarlyEnd,
     EarlyEndRecorder,
     Stage,
@@ -51,6 +58,11 @@
 from persimmonspoke.internal.targets.paths import TargetPaths, always_open
 from persimmonspoke.internal.targets.rate_limits import UNLIMITED, RateLimits
 from persimmonspoke.internal.targets.request_api import TargetRequest
+from persimmonspoke.internal.targets.second_sends import (
+    NotNeeded,
+    SecondAnswered,
+    SecondSend,
+)
 
 log = logging.getLogger(__name__)
 
@@ -60,13 +72,6 @@
 """What the library raises for a lost connection or an unreadable answer."""
 
 
-class _ConnectionSilent(Exception):
-    """No answer started on a reused connection by the time limit for it.
-
-    The request is then sent again on a new connection.
-    """
-
-
 class _PathLost(Exception):
     """The path to the target turned out to be lost while a request waited."""
 
@@ -78,12 +83,15 @@
     ----------
     conn : TargetConnection or None
         The connection on which the request is sent, once there is one.
+    second : SecondSend
+        The second exchange of the request, if there is any.
     """
 
-    __slots__ = ("conn", "target", "task")
+    __slots__ = ("conn", "second", "target", "task")
 
     def __init__(self, target):
         self.conn = None
+        self.second = SecondSend()
         self.target = TargetAddress(target.target_id, target.ip, target.port)
         self.task = getcurrent()
 
@@ -137,16 +145,14 @@
         else:
             self.pool.release(self.conn)
 
-    def fail(self, drop_idle: bool = False) -> None:
-        """Close the connection, and with `drop_idle` all idle ones to the target."""
+    def fail(self) -> None:
+        """Close the connection."""
         if self.finished:
             return
         self.finished = True
         if self.resp is not None:
             self.resp.close()
         self.pool.discard(self.conn)
-        if drop_idle:
-            self.pool.drop_idle()
 
 
 class HttpAnswer:
@@ -217,7 +223,7 @@
         """Send the request to `target` and return once its answer starts.
 
         If a reused connection gives no answer in time, a repeatable request is sent
-        again on a new one.
+        a second time on a new one, and the first whole answer is returned.
         """
         waiting = _Waiting(target)
         if req.repeatable:
@@ -231,6 +237,7 @@
             raise AnswerLost("this host does not reach the target any more") from exc
         finally:
             self._waiting.pop(waiting, None)
+            waiting.second.end()
 
     def _interrupt_waiting(self):
         """End the wait of repeatable requests for targets that are not reached.
@@ -257,19 +264,51 @@
         )
         waiting.conn = conn
         exchange = self._new_exchange(target, pool, conn, req)
+        second = waiting.second
+        if req.repeatable and self._may_be_dead(conn):
+            silence_s = self._cfg.silence_share * (req.deadline - self._clock.now())
+            second.start_after(silence_s, partial(self._send_second, exchange))
         try:
-            return self._run(exchange, self._answer_deadline(conn, req))
-        except _ConnectionSilent:
+            return self._run(exchange, second)
+        except SecondAnswered:
+            pool.drop_idle(conn.answered_at)
             log.warning(
                 "targets: connection went silent",
                 extra={"target": target.target_id, "request_id": req.request_id},
             )
-        try:
-            conn = pool.acquire_new(req.deadline)
-        except (TargetRefusedConnection, TargetUnreachable) as exc:
-            raise AnswerLost(f"no answer, and no second connection: {exc}") from exc
-        exchange = self._new_exchange(target, pool, conn, req)
-        return self._run(exchange, req.deadline)
+            return second.wait(0.0)
+        except TargetError as exc:
+            answer = second.wait(req.deadline - self._clock.now())
+            if answer is not None:
+                return answer
+            if second.error is not None and not isinstance(exc, AnswerLost):
+                raise AnswerLost("the second exchange may have run") from second.error
+            raise
+
+    def _may_be_dead(self, conn):
+        """Return whether a connection has answered, but not recently."""
+        min_answered_at = self._clock.now() - self._cfg.proved_alive_s
+        return conn.answered_at is not None and conn.answered_at < min_answered_at
+
+    def _send_second(self, first):
+        """Send a request over a new connection while its first exchange goes on."""
+        req, target = first.req, first.target
+        if not req.may_repeat():
+            raise RouteLapsed("no second send is left in the budget")
+        conn = first.pool.acquire_new(req.deadline)
+        second_req = replace(req, repeated=True)
+        exchange = self._new_exchange(target, first.pool, conn, second_req)
+        now = self._clock.now()
+        log.info(
+            "targets: sent a second time",
+            extra={
+                "request_id": req.request_id,
+                "target": target.target_id,
+                "quiet_age_ms": round((now - first.conn.answered_at) * MS_PER_S, 1),
+                "target_had_ms": round((now - first.sent_at) * MS_PER_S, 1),
+            },
+        )
+        return self._run(exchange)
 
     def has_ended(self, target: TargetConfig) -> bool:
         """Return whether `target` refuses connections, so that its process has ended.
@@ -334,20 +373,16 @@
         incarnation = self._notices.incarnation_of(target.target_id)
         return _Exchange(target, pool, conn, req, attempt, incarnation)
 
-    def _answer_deadline(self, conn, req) -> Instant:
-        """Return the instant by which an answer must start on this connection."""
-        now = self._clock.now()
-        if conn.answered_at is None or not req.repeatable:
-            return req.deadline
-        if conn.answered_at >= now - self._cfg.proved_alive_s:
-            return req.deadline
-        return Instant(now + self._cfg.silence_share * (req.deadline - now))
-
-    def _run(self, exchange, answer_deadline: Instant) -> HttpAnswer:
+    def _run(self, exchange, second: SecondSend | None = None) -> HttpAnswer:
+        """Send a request and return its answer; `second` may interrupt the wait."""
         try:
-            self._read_answer_head(exchange, answer_deadline)
+            if second is None:
+                self._read_answer_head(exchange)
+            else:
+                with second.listening():
+                    self._read_answer_head(exchange)
             return self._checked_answer(exchange)
-        except (NotRun, TargetError, _ConnectionSilent):
+        except (NotRun, TargetError):
             exchange.fail()
             raise
         except BaseException as exc:
@@ -360,6 +395,12 @@
         now = self._clock.now()
         if isinstance(exc, CallerGone):
             self._record_end(exchange, EarlyEnd.CALLER_GONE, str(exc), now)
+        elif isinstance(exc, SecondAnswered):
+            evidence = "the request's second exchange has an answer"
+            self._record_end(exchange, EarlyEnd.ANSWERED_ELSEWHERE, evidence, now)
+        elif isinstance(exc, NotNeeded):
+            evidence = "the request's first exchange has ended"
+            self._record_end(exchange, EarlyEnd.NOT_NEEDED, evidence, now)
         elif isinstance(exc, _PathLost):
             target_id = exchange.target.target_id
             since = self._paths.lost.get(target_id, now)
@@ -368,8 +409,9 @@
         else:
             self._record_end(exchange, EarlyEnd.INTERRUPTED, repr(exc), now)
 
-    def _read_answer_head(self, exchange, answer_deadline):
-        timer = eventlet.Timeout(max(0.0, answer_deadline - self._clock.now()))
+    def _read_answer_head(self, exchange):
+        left_s = max(0.0, exchange.req.deadline - self._clock.now())
+        timer = eventlet.Timeout(left_s)
         try:
             self._write(exchange)
             exchange.resp = exchange.conn.getresponse()
@@ -380,7 +422,7 @@
         except eventlet.Timeout as exc:
             if exc is not timer:
                 raise
-            raise self._timeout_error(exchange, answer_deadline) from exc
+            raise self._timeout_error(exchange) from exc
         except CONNECTION_ERRORS as exc:
             self._record_unreadable(exchange, exc)
             raise _connection_error(exchange, exc) from exc
@@ -517,7 +559,7 @@
         except eventlet.Timeout as exc:
             if exc is not timer:
                 raise
-            raise self._timeout_error(exchange, exchange.req.deadline) from exc
+            raise self._timeout_error(exchange) from exc
         except CONNECTION_ERRORS as exc:
             self._record_unreadable(exchange, exc)
             exchange.fail()
@@ -535,24 +577,18 @@
             now = self._clock.now()
             self._record_end(exchange, EarlyEnd.BAD_ANSWER, repr(exc), now)
 
-    def _timeout_error(self, exchange, answer_deadline) -> Exception:
-        """Close a timed-out connection and all idle ones; return the resulting error.
+    def _timeout_error(self, exchange) -> Exception:
+        """End an exchange at its deadline; return the resulting error.
 
-        If the request was written and its deadline has passed, also cancel it.
+        The idle connections to the target are closed, too.
         """
         wrote = exchange.conn.wrote
-        if answer_deadline < exchange.req.deadline:
-            evidence = "no answer on a connection that answered before"
-            answered_at = exchange.conn.answered_at
-            self._record_end(exchange, EarlyEnd.SILENCE, evidence, answered_at)
-        else:
-            evidence = "the deadline has passed"
-            self._record_end(exchange, EarlyEnd.DEADLINE, evidence, answer_deadline)
-        exchange.fail(drop_idle=True)
+        evidence = "the deadline has passed"
+        self._record_end(exchange, EarlyEnd.DEADLINE, evidence, exchange.req.deadline)
+        exchange.fail()
+        exchange.pool.drop_idle()
         if not wrote:
             return TargetUnreachable("nothing could be written before the deadline")
-        if answer_deadline < exchange.req.deadline:
-            return _ConnectionSilent()
         self._cancel(exchange)
         return AnswerLost("no whole answer before the deadline")
 
--- a/src/persimmonspoke/internal/targets/request_api.py
+++ b/src/persimmonspoke/internal/targets/request_api.py
@@ -108,6 +108,9 @@
     may_send : callable
         Called once the connection is open, just before the first byte is written;
         if it returns False, the attempt fails with `RouteLapsed`.
+    may_repeat : callable
+        Called before a repeatable request is sent a second time while its first
+        exchange goes on; takes the second send from the retry budget.
     """
 
     method: str
@@ -122,6 +125,7 @@
     repeated: bool = False
     forwarded: ForwardedFields | None = None
     may_send: Callable[[], bool] = always_allowed
+    may_repeat: Callable[[], bool] = always_allowed
 
     @property
     def repeatable(self) -> bool:
--- a/src/persimmonspoke/internal/targets/settings.py
+++ b/src/persimmonspoke/internal/targets/settings.py
@@ -22,7 +22,7 @@
         Interval between checks of idle connections and connection limits.
     silence_share : float
         Share of the remaining time after which an idempotent request that gets no
-        answer on an older connection is sent again on a new one.
+        answer on an older connection is also sent on a new one.
     end_check_s : float
         Maximum time for finding out whether a target that closed a connection without
         an answer has ended.
--- a/tests/cover/test_callers_attempts.py
+++ b/tests/cover/test_callers_attempts.py
@@ -90,6 +90,15 @@
         self.assertEqual(repeated, [False, True])
 
 
+class TestSecondSends(HostCase):
+    # Guards against BUDGET: second sends that no budget counts.
+    def test_are_taken_from_the_retry_budget(self):
+        self.scheduler.retries = 1
+        self.send_idempotent()
+        ((_, req),) = self.targets.attempts
+        self.assertEqual([req.may_repeat(), req.may_repeat()], [True, False])
+
+
 class TestLongBodies(HostCase):
     def test_the_part_that_was_read_before_is_known_while_the_rest_is_streamed(self):
         source = RequestInput(b"x" * 100_000)
--- a/tests/loopback/test_targets_requests.py
+++ b/tests/loopback/test_targets_requests.py
@@ -423,7 +423,178 @@
             mock.patch.object(pool, "acquire_new", side_effect=TargetUnreachable),
             self.assertRaises(AnswerLost),
         ):
-            self.ask(self.silent_target)
+            self.ask(self.silent_target, wait_s=1.0)
+
+
+def answer_after(delay_s, **answer):
+    """Return a step that answers one request after `delay_s` seconds."""
+
+    def step(conn):
+        request = conn.receive()
+        eventlet.sleep(delay_s)
+        conn.answer(request, **answer)
+
+    return step
+
+
+class TestSlowTargets(RequestCase):
+    """A target that has kept a connection works on a request for some time."""
+
+    cfg = TargetSettings(proved_alive_s=0.001, silence_share=0.01)
+
+    def slow_target(self, first_step, *others):
+        """Return a target with one kept connection, whose next step is given."""
+        target = self.target(in_sequence(answer_with(), first_step), *others)
+        self.ask(target, request_id="warm")
+        eventlet.sleep(0.005)
+        return target
+
+    def assert_closed(self, closed):
+        """Assert that the target's connections are closed within half a second."""
+        for event in closed:
+            with eventlet.Timeout(0.5):
+                event.wait()
+
+    def assert_kept(self, target, count):
+        """Assert how many connections are kept once the cancellation has ended."""
+        eventlet.sleep(0.05)
+        self.assertEqual(self.pools.of(target.config()).open_count, count)
+
+    def closing(self, closed):
+        """Return a step that never answers, and sends `closed` at the end."""
+
+        def step(conn):
+            conn.receive()
+            conn.wait_closed()
+            closed.send()
+
+        return step
+
+    # Guards against LOST: a target at work is given up, and its second send is refused.
+    def test_answer_though_a_second_send_is_refused(self):
+        for refusal in (
+            {"status": "503 Full", "x_outcome": "shed"},
+            {"status": "409 Conflict", "x_outcome": "not-owner"},
+            {"x_request_id": "other"},
+        ):
+            first = answer_after(0.4, body=b"slow")
+            target = self.slow_target(first, in_sequence(answer_with(**refusal)))
+            self.assertEqual(self.ask(target, wait_s=5.0), (200, b"slow"))
+            self.assertEqual(target.request_ids(), ["warm", "r1", "r1"])
+
+    # Guards against LOST: the same, where nothing takes a second connection.
+    def test_answer_though_no_second_connection_is_accepted(self):
+        for error in (TargetUnreachable, TargetRefusedConnection):
+            target = self.slow_target(answer_after(0.4, body=b"slow"))
+            pool = self.pools.of(target.config())
+            with mock.patch.object(pool, "acquire_new", side_effect=error) as acquire:
+                self.assertEqual(self.ask(target, wait_s=5.0), (200, b"slow"))
+            acquire.assert_called_once()
+
+    def test_answer_first_and_the_second_exchange_is_ended(self):
+        closed = eventlet.event.Event()
+        slow = answer_after(0.4, body=b"slow")
+        target = self.slow_target(slow, self.closing(closed), answer_all)
+        self.assertEqual(self.ask(target), (200, b"slow"))
+        self.assert_closed([closed])
+        self.assert_kept(target, 1)
+
+    def test_are_left_by_the_first_exchange_once_the_second_is_answered(self):
+        closed = eventlet.event.Event()
+        second = in_sequence(answer_after(0.1), answer_all)
+        target = self.slow_target(self.closing(closed), second, answer_all)
+        with self.assertLogs(EARLY_ENDS, "INFO") as logs:
+            self.assertEqual(self.ask(target), (200, b"ok"))
+        self.assert_closed([closed])
+        self.assertEqual([r.reason for r in logs.records], ["answered_elsewhere"])
+        self.assert_kept(target, 1)
+
+    # Guards against GONE: a second exchange runs on after its caller has left.
+    def test_are_left_by_both_exchanges_of_a_caller_that_leaves(self):
+        closed = [eventlet.event.Event() for _ in range(2)]
+        steps = (self.closing(event) for event in closed)
+        target = self.slow_target(*steps, answer_all)
+        task = eventlet.spawn(self.ask, target)
+        eventlet.sleep(0.5)
+        self.assertEqual(target.request_ids(), ["warm", "r1", "r1"])
+        eventlet.kill(task, CallerGone("left"))
+        self.assert_closed(closed)
+
+    # Guards against BUDGET: second sends that no budget counts.
+    def test_get_no_second_send_beyond_the_budget(self):
+        target = self.slow_target(answer_after(0.4, body=b"slow"), answer_all)
+        got = self.ask(target, may_repeat=lambda: False)
+        self.assertEqual(got, (200, b"slow"))
+        self.assertEqual(target.request_ids(), ["warm", "r1"])
+
+    # Guards against OWNER and DRAIN: a request goes to a target that may get none.
+    def test_get_no_second_send_once_the_right_to_send_has_ended(self):
+        target = self.slow_target(answer_after(0.4, body=b"slow"), answer_all)
+        rights = iter([True, False])
+        got = self.ask(target, may_send=lambda: next(rights))
+        self.assertEqual(got, (200, b"slow"))
+        self.assertEqual(target.request_ids(), ["warm", "r1"])
+
+    # Guards against TWICE, and against a second send of a body that has been read.
+    def test_get_no_second_send_of_what_may_not_be_sent_again(self):
+        cfg = TargetSettings(proved_alive_s=0.5, silence_share=0.01)
+        self.pools.cfg = self.client._cfg = cfg
+        for fields in ({"protected": True}, {"body": StreamedBody(iter([b"a"]), 1)}):
+            slow = answer_after(1.0, body=b"slow")
+            target = self.slow_target(slow, answer_all)
+            self.client._cfg = self.cfg
+            got = self.ask(target, method="POST", **fields)
+            self.assertEqual(got, (200, b"slow"))
+            self.assertEqual(target.request_ids(), ["warm", "r1"])
+
+    def test_get_at_most_one_second_send(self):
+        target = self.slow_target(answer_after(1.0, body=b"slow"), never_answer)
+        self.assertEqual(self.ask(target, wait_s=5.0), (200, b"slow"))
+        self.assertEqual(target.request_ids(), ["warm", "r1", "r1"])
+
+    def test_that_close_the_first_connection_answer_on_the_second(self):
+        def close_later(conn):
+            conn.receive()
+            eventlet.sleep(0.3)
+            raise EOFError
+
+        target = self.slow_target(close_later, answer_after(0.4))
+        self.assertEqual(self.ask(target), (200, b"ok"))
+
+    # Guards against REFUSED: a request that may have run is said not to have run.
+    def test_that_answer_nothing_and_refuse_the_second_send_may_have_run(self):
+        def close_later(conn):
+            conn.receive()
+            eventlet.sleep(0.4)
+            raise EOFError
+
+        shed = answer_after(0.2, status="503 Full", x_outcome="shed")
+        for first, second in (
+            (close_later, shed),
+            (never_answer, shed),
+            (shed, close_later),
+        ):
+            target = self.slow_target(first, second)
+            self.assert_send_raises(AnswerLost, target, wait_s=1.0)
+
+    def test_keep_the_idle_connections_that_answered_later_than_a_dead_one(self):
+        target = self.target(
+            in_sequence(answer_with(), never_answer),
+            in_sequence(answer_with(), answer_with(), answer_all),
+            answer_all,
+        )
+        pool = self.pools.of(target.config())
+        conns = [pool.acquire(f"w{n}", self.clock.now() + 1, False) for n in range(2)]
+        for number, conn in enumerate(conns):
+            conn.request("GET", "/", headers={"X-Request-Id": f"w{number}"})
+            conn.getresponse()
+        pool.release(conns[0])
+        eventlet.sleep(0.005)
+        task = eventlet.spawn(self.ask, target)
+        eventlet.sleep(0.05)
+        pool.release(conns[1])
+        self.assertEqual(task.wait(), (200, b"ok"))
+        self.assert_kept(target, 2)
 
 
 class TestLostPaths(RequestCase):
