Give up no request because the path to its target seems lost

When a check of the paths failed, every repeatable request that waited for an answer of the targets concerned was broken off and sent again, or ended 502. A check fails after 0.2 s without a connection, also on a host whose processor is short, and one that reaches few of its sample counts targets as lost that it did not try.

A request that was written is now listened to until its deadline. When its path seems lost, another host is asked to serve it as well, in the second exchange of the request: within the retry budget and the route's attempts, with "may have run" and the attempt told. An answer that may be the other host's own (400 and above) does not count, nor does it for the second send of a forwarded request. Where no host takes it, the first exchange goes on. A request of which nothing was written is still freed at once. A second send whose new connection fails goes elsewhere, too, if the path is lost by then.

Ruled out: measuring the lag of the hub before an interrupt, which makes false proofs rarer and leaves them possible; evidence of TCP on the connection, which shows that bytes arrived, not that an answer can come back.

The price: a request over a path that is really lost, for which no other host can be asked, ends at its deadline instead of after 0.5 s, and holds its slot.

--- a/src/persimmonspoke/cli/explain.py
+++ b/src/persimmonspoke/cli/explain.py
@@ -18,6 +18,7 @@
 REQUEST_ENDED = "callers: request ended"
 OWN_MESSAGES = (
     REQUEST_ENDED,
+    "callers: sent elsewhere as well",
     "targets: exchange ended early",
     "targets: sent a second time",
 )
--- a/src/persimmonspoke/internal/callers/attempts.py
+++ b/src/persimmonspoke/internal/callers/attempts.py
@@ -394,8 +394,9 @@
             if not is_trial:
                 may_send = partial(self._suspects.allows, trail.fingerprint)
             target_req = self._target_request(req, body, route, target_id, may_send)
-            may_repeat = partial(self._take_second_send, ticket)
-            target_req = replace(target_req, may_repeat=may_repeat)
+            target_req = self._with_second_sends(
+                target_req, req, ticket, retry_state, owner
+            )
             if trail.was_tried(target_id):
                 target_req = replace(target_req, repeated=True)
             trail.send(target_id)
@@ -552,6 +553,48 @@
             may_send=may_send,
         )
 
+    def _with_second_sends(self, target_req, req, ticket, retry_state, owner):
+        """Return the request with the ways in which it may be sent a second time."""
+        elsewhere = None
+        if self._forwarder is not None and req.forwarded is None:
+            elsewhere = partial(
+                self._send_elsewhere, target_req, req, ticket, retry_state, owner
+            )
+        may_repeat = partial(self._take_second_send, ticket)
+        return replace(target_req, may_repeat=may_repeat, elsewhere=elsewhere)
+
+    def _send_elsewhere(self, target_req, req, ticket, retry_state, owner):
+        """Let another host serve a request while this one still waits for its answer.
+
+        Parameters
+        ----------
+        owner : TargetId or None
+            The target that has to serve the request; None if any target may.
+        """
+        has_attempts = (
+            req.route is None or retry_state.counted_attempts < req.route.max_attempts
+        )
+        if not has_attempts or not self._forwarder.is_possible(owner):
+            raise errors.PathsCut("no other host may take it")
+        if not self._take_second_send(ticket):
+            raise errors.PathsCut("no second send is left in the budget")
+        log.info(
+            "callers: sent elsewhere as well",
+            extra={"request_id": req.request_id, "target": target_req.target_id},
+        )
+        may_repeat = partial(self._take_second_send, ticket)
+        attempts = retry_state.counted_attempts
+        retry_state.counted_attempts += 1
+        try:
+            retry_state.trail.forwarded_to, answer = self._forwarder.send(
+                req, target_req.body, owner, attempts, True, may_repeat
+            )
+        except errors.PathsCut:
+            retry_state.counted_attempts -= 1
+            raise
+        self._metrics.incr("callers.forwarded")
+        return answer
+
     def _take_second_send(self, ticket) -> bool:
         """Take a second send during one attempt from the retry budget."""
         is_allowed = self._scheduler.take_retry(ticket)
--- a/src/persimmonspoke/internal/targets/early_ends.py
+++ b/src/persimmonspoke/internal/targets/early_ends.py
@@ -22,7 +22,6 @@
     BODY_BROKE_OFF = "body_broke_off"
     INTERRUPTED = "interrupted"
     NOT_NEEDED = "not_needed"
-    PATH_LOST = "path_lost"
     UNREAD = "unread"
 
 
--- a/src/persimmonspoke/internal/targets/http_requests.py
+++ b/src/persimmonspoke/internal/targets/http_requests.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterator
 from dataclasses import replace
 from functools import partial
+from http import HTTPStatus
 from http.client import HTTPException, IncompleteRead
 
 import eventlet
@@ -73,7 +74,7 @@
 
 
 class _PathLost(Exception):
-    """The path to the target turned out to be lost while a request waited."""
+    """The path to the target turned out to be lost before a request was written."""
 
 
 class _Waiting:
@@ -81,16 +82,16 @@
 
     Attributes
     ----------
-    conn : TargetConnection or None
-        The connection on which the request is sent, once there is one.
+    first : _Exchange or None
+        The first exchange of the request, once there is a connection.
     second : SecondSend
         The second exchange of the request, if there is any.
     """
 
-    __slots__ = ("conn", "second", "target", "task")
+    __slots__ = ("first", "second", "target", "task")
 
     def __init__(self, target):
-        self.conn = None
+        self.first = None
         self.second = SecondSend()
         self.target = TargetAddress(target.target_id, target.ip, target.port)
         self.task = getcurrent()
@@ -188,7 +189,8 @@
         Learns the rate limits that answers name.
     paths : TargetPaths
         Learns when targets answer.  When the path to a target turns out to be lost,
-        repeatable requests that wait for its answer fail at once.
+        requests that were not written to it fail at once, and repeatable ones that
+        were written are sent another way as well.
     notices : TargetNotices
         Receives what answers say of their targets.
     metrics : Metrics
@@ -208,7 +210,7 @@
         self._notices = no_notices() if notices is None else notices
         self.protocol = protocol
         self._paths = always_open(clock) if paths is None else paths
-        self._paths.on_change.append(self._interrupt_waiting)
+        self._paths.on_change.append(self._leave_lost_paths)
         self._waiting: dict[_Waiting, None] = {}
         self._limits = RateLimits(clock) if limits is None else limits
         self._pools = pools
@@ -232,26 +234,30 @@
             with self._paths.in_flight(waiting.target):
                 return self._send(target, req, waiting)
         except _PathLost as exc:
-            if waiting.conn is None or not waiting.conn.wrote:
-                raise TargetUnreachable("this host does not reach it") from exc
-            raise AnswerLost("this host does not reach the target any more") from exc
+            raise TargetUnreachable("this host does not reach it") from exc
         finally:
             self._waiting.pop(waiting, None)
             waiting.second.end()
 
-    def _interrupt_waiting(self):
-        """End the wait of repeatable requests for targets that are not reached.
+    def _leave_lost_paths(self):
+        """Let repeatable requests to targets that are not reached go another way.
 
-        They wait on if a target still answers over connections that were kept.
+        They stay if a target still answers over connections that were kept.
         """
         for waiting in list(self._waiting):
             target_id = waiting.target.target_id
             is_reached = self._paths.reaches(target_id)
             if not is_reached and self._paths.target_quiet_s(target_id) >= MIN_QUIET_S:
-                self._interrupt(waiting)
+                self._leave_lost_path(waiting)
 
-    def _interrupt(self, waiting):
-        if waiting in self._waiting and waiting.task is not getcurrent():
+    def _leave_lost_path(self, waiting):
+        if waiting not in self._waiting or waiting.task is getcurrent():
+            return
+        first = waiting.first
+        if first is not None and first.conn.wrote:
+            if first.req.elsewhere is not None:
+                waiting.second.start(partial(self._send_second, first))
+        elif not waiting.second.has_begun:
             eventlet.kill(waiting.task, _PathLost())
 
     def _send(self, target, req, waiting):
@@ -262,8 +268,8 @@
             require_recent=not req.repeatable,
             repeated=req.repeated,
         )
-        waiting.conn = conn
         exchange = self._new_exchange(target, pool, conn, req)
+        waiting.first = exchange
         second = waiting.second
         if req.repeatable and self._may_be_dead(conn):
             silence_s = self._cfg.silence_share * (req.deadline - self._clock.now())
@@ -271,11 +277,6 @@
         try:
             return self._run(exchange, second)
         except SecondAnswered:
-            pool.drop_idle(conn.answered_at)
-            log.warning(
-                "targets: connection went silent",
-                extra={"target": target.target_id, "request_id": req.request_id},
-            )
             return second.wait(0.0)
         except TargetError as exc:
             answer = second.wait(req.deadline - self._clock.now())
@@ -291,24 +292,58 @@
         return conn.answered_at is not None and conn.answered_at < min_answered_at
 
     def _send_second(self, first):
-        """Send a request over a new connection while its first exchange goes on."""
-        req, target = first.req, first.target
+        """Send a request once more while its first exchange goes on.
+
+        It is sent over a new connection, or by another host if this one does not
+        reach the target.
+        """
+        req = first.req
+        if self._must_go_elsewhere(first):
+            return _answer_of_target(req.elsewhere())
         if not req.may_repeat():
             raise RouteLapsed("no second send is left in the budget")
-        conn = first.pool.acquire_new(req.deadline)
+        try:
+            conn = first.pool.acquire_new(req.deadline)
+        except (TargetRefusedConnection, TargetUnreachable):
+            if self._must_go_elsewhere(first):
+                return _answer_of_target(req.elsewhere())
+            raise
         second_req = replace(req, repeated=True)
-        exchange = self._new_exchange(target, first.pool, conn, second_req)
+        exchange = self._new_exchange(first.target, first.pool, conn, second_req)
+        self._log_second(first)
+        answer = self._run(exchange)
+        if req.forwarded is not None:
+            answer = _answer_of_target(answer)
+        self._drop_silent(first)
+        return answer
+
+    def _drop_silent(self, first):
+        """Drop what may be as dead as a connection on which a request got no answer."""
+        if first.conn.answered_at is None:
+            return
+        first.pool.drop_idle(first.conn.answered_at)
+        log.warning(
+            "targets: connection went silent",
+            extra={
+                "target": first.target.target_id,
+                "request_id": first.req.request_id,
+            },
+        )
+
+    def _must_go_elsewhere(self, first):
+        is_reached = self._paths.reaches(first.target.target_id)
+        return first.req.elsewhere is not None and not is_reached
+
+    def _log_second(self, first):
         now = self._clock.now()
         log.info(
             "targets: sent a second time",
             extra={
-                "request_id": req.request_id,
-                "target": target.target_id,
-                "quiet_age_ms": round((now - first.conn.answered_at) * MS_PER_S, 1),
+                "request_id": first.req.request_id,
+                "target": first.target.target_id,
                 "target_had_ms": round((now - first.sent_at) * MS_PER_S, 1),
             },
         )
-        return self._run(exchange)
 
     def has_ended(self, target: TargetConfig) -> bool:
         """Return whether `target` refuses connections, so that its process has ended.
@@ -401,11 +436,6 @@
         elif isinstance(exc, NotNeeded):
             evidence = "the request's first exchange has ended"
             self._record_end(exchange, EarlyEnd.NOT_NEEDED, evidence, now)
-        elif isinstance(exc, _PathLost):
-            target_id = exchange.target.target_id
-            since = self._paths.lost.get(target_id, now)
-            evidence = "the target is not reached and answers nothing"
-            self._record_end(exchange, EarlyEnd.PATH_LOST, evidence, since)
         else:
             self._record_end(exchange, EarlyEnd.INTERRUPTED, repr(exc), now)
 
@@ -615,6 +645,17 @@
             exchange.pool.discard(conn)
 
 
+def _answer_of_target(answer):
+    """Return an answer that came through another host, unless it may be that host's.
+
+    A host's own refusal must not replace the answer for which the first exchange waits.
+    """
+    if answer.status < HTTPStatus.BAD_REQUEST:
+        return answer
+    answer.close()
+    raise AnswerLost(f"another host answered {answer.status}")
+
+
 def _connection_error(exchange, exc) -> Exception:
     """Return the error for a failure that the library raised.
 
--- a/src/persimmonspoke/internal/targets/request_api.py
+++ b/src/persimmonspoke/internal/targets/request_api.py
@@ -111,6 +111,9 @@
     may_repeat : callable
         Called before a repeatable request is sent a second time while its first
         exchange goes on; takes the second send from the retry budget.
+    elsewhere : callable or None
+        Lets another host send a repeatable request, within the retry budget, while its
+        first exchange goes on; raises `PathsCut` if none takes it.
     """
 
     method: str
@@ -126,6 +129,7 @@
     forwarded: ForwardedFields | None = None
     may_send: Callable[[], bool] = always_allowed
     may_repeat: Callable[[], bool] = always_allowed
+    elsewhere: "Callable[[], TargetAnswer] | None" = None
 
     @property
     def repeatable(self) -> bool:
--- a/src/persimmonspoke/internal/targets/second_sends.py
+++ b/src/persimmonspoke/internal/targets/second_sends.py
@@ -78,6 +78,11 @@
         self._answer = None
         self._state = _State.IDLE
 
+    @property
+    def has_begun(self) -> bool:
+        """Return whether a second exchange may have been sent."""
+        return self._state is not _State.IDLE
+
     def start_after(self, delay_s: float, send: Callable[[], TargetAnswer]) -> None:
         """Call `start` after `delay_s` seconds, unless the request ends before."""
         hub = hubs.get_hub()
--- a/tests/cover/test_forwarding.py
+++ b/tests/cover/test_forwarding.py
@@ -3,17 +3,25 @@
 import random
 import unittest
 from collections import Counter
+from unittest import mock
 
 import eventlet
 
-from persimmonspoke.errors import CallerGone, OutcomeUnknown, PathsCut, TargetFenced
+from persimmonspoke.errors import (
+    AnswerLost,
+    CallerGone,
+    OutcomeUnknown,
+    PathsCut,
+    TargetFenced,
+)
 from persimmonspoke.internal.forwarding.forwarder import others_are_better_placed
 from persimmonspoke.internal.scheduling.api import SlotOutcome
 from persimmonspoke.internal.targets.request_api import ForwardedFields, TargetRequest
 from persimmonspoke.platform import forwarded, headers
 from tests.fakes import virtual_hub
-from tests.fakes.crashing_pool import streamed
+from tests.fakes.crashing_pool import MAX_ATTEMPTS, streamed
 from tests.fakes.forwarding import ForwardingFleet
+from tests.fakes.target_requests import FakeAnswer
 
 SEED = 31
 PATH = "/things"
@@ -240,6 +248,89 @@
         self.assertGreater(mean_far, 0)
 
 
+class TestSendsElsewhere(ForwardingCase):
+    """A host on a path that seems lost lets another host serve the request as well."""
+
+    def setUp(self):
+        super().setUp()
+        self.host = self.fleet.hosts[0]
+        self.forwards = []
+        self.errors = []
+        self.retries = mock.Mock(return_value=True)
+        for target, name, replacement in (
+            (self.host.caller.requests, "send", self.send),
+            (self.host.caller.scheduler, "take_retry", self.retries),
+        ):
+            patch = mock.patch.object(target, name, replacement)
+            patch.start()
+            self.addCleanup(patch.stop)
+        to_other_host = self.host.send
+
+        def record(to, req):
+            self.forwards.append(req.forwarded)
+            return to_other_host(to, req)
+
+        self.host.send = record
+
+    def send(self, to, req):
+        """Play an exchange that is lost, with a second one elsewhere before."""
+        try:
+            return req.elsewhere()
+        except (PathsCut, AnswerLost) as exc:
+            self.errors.append(exc)
+            raise AnswerLost("the first connection broke") from exc
+
+    # Guards against REFUSED and BUDGET at the other host.
+    def test_say_that_the_request_may_have_run_and_count_the_attempt(self):
+        self.assertEqual(self.host.caller.send(PATH), 200)
+        self.assertEqual(self.forwards, [ForwardedFields("h0", 1, True)])
+        self.retries.assert_called_once()
+
+    # Guards against BUDGET.
+    def test_need_a_retry_from_the_budget(self):
+        self.retries.return_value = False
+        self.assertIsInstance(self.host.caller.send(PATH), OutcomeUnknown)
+        self.assertEqual(self.forwards, [])
+        self.assertEqual(len(self.errors), 1)
+
+    # Guards against BUDGET: more targets than the route allows.
+    def test_count_as_attempts(self):
+        for other in self.fleet.hosts[1:]:
+            other.loses.add(PATH)
+        self.assertIsInstance(self.host.caller.send(PATH), OutcomeUnknown)
+        self.assertEqual(len(self.forwards), 1)
+        self.assertLessEqual(len(self.errors), MAX_ATTEMPTS - 1)
+
+    def test_that_no_host_takes_cost_no_attempt(self):
+        for other in self.fleet.hosts[1:]:
+            other.alive = False
+        self.host.caller.send(PATH)
+        self.assertEqual(len(self.errors), MAX_ATTEMPTS)
+
+    # Guards against a request that goes from host to host.
+    def test_are_not_made_by_a_host_that_took_the_request_from_another(self):
+        seen = []
+
+        def send(to, req):
+            seen.append(req.elsewhere)
+            return FakeAnswer()
+
+        other = self.fleet.hosts[1]
+        req = TargetRequest(
+            "GET",
+            PATH,
+            (),
+            b"",
+            virtual_hub.now() + 2.0,
+            "r1",
+            False,
+            forwarded=ForwardedFields("h0"),
+        )
+        with mock.patch.object(other.caller.requests, "send", send):
+            other.caller.run_forwarded(req)
+        self.assertEqual(seen, [None])
+
+
 class TestWhoGetsNewCallers(ForwardingCase):
     """Guards against an innocent host that is taken out, or a cut one that is not."""
 
--- a/tests/loopback/test_targets_requests.py
+++ b/tests/loopback/test_targets_requests.py
@@ -11,6 +11,7 @@
     AnswerLost,
     CallerGone,
     ConnectionLost,
+    PathsCut,
     RequestFailure,
     RouteLapsed,
     TargetDraining,
@@ -26,7 +27,11 @@
 from persimmonspoke.internal.targets.connections import TargetPools
 from persimmonspoke.internal.targets.http_requests import HttpTargetRequests
 from persimmonspoke.internal.targets.paths import PathSettings, TargetPaths
-from persimmonspoke.internal.targets.request_api import StreamedBody, TargetRequest
+from persimmonspoke.internal.targets.request_api import (
+    ForwardedFields,
+    StreamedBody,
+    TargetRequest,
+)
 from persimmonspoke.internal.targets.settings import TargetSettings
 from tests.fakes.raw_target import (
     RawTarget,
@@ -35,6 +40,7 @@
     in_sequence,
     never_answer,
 )
+from tests.fakes.target_requests import FakeAnswer
 
 EARLY_ENDS = "persimmonspoke.internal.targets.early_ends"
 
@@ -598,41 +604,137 @@
 
 
 class TestLostPaths(RequestCase):
-    """Guards against requests that wait for answers over a path that is lost."""
+    """Requests that wait for answers over a path that is, or seems to be, lost."""
 
     def setUp(self):
         super().setUp()
         self.reached = True
         self.silent_target = self.target(never_answer)
-        cfg = self.silent_target.config()
-        address = TargetAddress(cfg.target_id, cfg.ip, cfg.port)
+        self.slow_target = self.target(answer_after(0.6, body=b"slow"))
+        targets = (self.silent_target, self.slow_target)
+        self.addresses = [
+            TargetAddress(cfg.target_id, cfg.ip, cfg.port)
+            for cfg in (target.config() for target in targets)
+        ]
         self.paths = TargetPaths(
             PathSettings(),
             self.clock,
-            lambda: [[address]],
+            lambda: [self.addresses],
             lambda target, timeout_s: self.reached,
         )
         self.client = HttpTargetRequests(self.pools, self.clock, paths=self.paths)
+        self.elsewhere = mock.Mock(return_value=FakeAnswer(body=(b"elsewhere",)))
 
     def lose_path_later(self):
-        """Lose the path to the target while a request waits for its answer."""
+        """Lose the paths to the targets while a request waits for its answer."""
         self.reached = False
-        address = TargetAddress(self.silent_target.config().target_id, "", 1)
-        eventlet.spawn_after(0.2, self.paths.check_target, address, True)
+        for address in self.addresses:
+            eventlet.spawn_after(0.2, self.paths.check_target, address, True)
 
-    def test_a_repeatable_request_waits_no_longer(self):
+    def ask_elsewhere(self, target, **fields):
+        """Lose the paths under a request that another host may take."""
         self.lose_path_later()
+        return self.ask(target, elsewhere=self.elsewhere, **fields)
+
+    # Guards against requests that wait for answers over a path that is lost.
+    def test_a_repeatable_request_is_answered_elsewhere(self):
         began = self.clock.now()
-        with self.assertRaises(AnswerLost):
-            self.ask(self.silent_target, wait_s=5.0)
+        got = self.ask_elsewhere(self.silent_target, wait_s=5.0)
+        self.assertEqual(got, (200, b"elsewhere"))
         self.assertLess(self.clock.now() - began, 1.0)
+        self.elsewhere.assert_called_once()
+
+    # Guards against LOST: the path was not lost, and the target was at work.
+    def test_a_slow_answer_is_passed_on_unless_there_is_another_one(self):
+        for outcome in (
+            AnswerLost("lost"),
+            PathsCut("no host takes it"),
+            FakeAnswer(status=503),
+            FakeAnswer(status=404),
+        ):
+            with self.subTest(outcome=outcome):
+                self.paths.lost = {}
+                self.elsewhere = mock.Mock(side_effect=[outcome])
+                got = self.ask_elsewhere(self.slow_target, wait_s=5.0)
+                self.assertEqual(got, (200, b"slow"))
+                self.elsewhere.assert_called_once()
+        self.paths.lost = {}
+        self.lose_path_later()
+        self.assertEqual(self.ask(self.slow_target, wait_s=5.0), (200, b"slow"))
+
+    # Guards against LOST by a host that forwarded the request: its own refusal of a
+    # second send replaces the answer of a target.
+    def test_a_refusal_by_another_host_replaces_no_answer(self):
+        self.client._cfg = TargetSettings(proved_alive_s=0.001, silence_share=0.01)
+        slow = in_sequence(answer_with(), answer_after(0.4, body=b"slow"))
+        host = self.target(slow, answer_with(status="503 Overloaded"))
+        self.ask(host, request_id="warm")
+        eventlet.sleep(0.005)
+        got = self.ask(host, forwarded=ForwardedFields("h1"), wait_s=5.0)
+        self.assertEqual(got, (200, b"slow"))
+        self.assertEqual(host.request_ids(), ["warm", "r1", "r1"])
+
+    # Guards against BUDGET: each change of a path sends all waiting requests again.
+    def test_a_request_waits_on_while_its_target_answers_others(self):
+        def answer_others():
+            while True:
+                eventlet.sleep(0.02)
+                self.paths.record_answer(self.addresses[1].target_id)
+
+        task = eventlet.spawn(answer_others)
+        self.addCleanup(task.kill)
+        got = self.ask_elsewhere(self.slow_target, wait_s=5.0)
+        self.assertEqual(got, (200, b"slow"))
+        self.elsewhere.assert_not_called()
 
+    # Guards against TWICE.
     def test_a_protected_request_waits_on_since_it_may_run(self):
-        self.lose_path_later()
         began = self.clock.now()
         with self.assertRaises(AnswerLost):
-            self.ask(self.silent_target, wait_s=1.0, protected=True)
+            self.ask_elsewhere(self.silent_target, wait_s=1.0, protected=True)
         self.assertGreaterEqual(self.clock.now() - began, 0.9)
+        self.elsewhere.assert_not_called()
+
+    def test_a_request_that_was_not_written_waits_no_longer(self):
+        pool = self.pools.of(self.silent_target.config())
+        pool.resize(0)
+        began = self.clock.now()
+        with self.assertRaises(TargetUnreachable):
+            self.ask_elsewhere(self.silent_target, wait_s=5.0)
+        self.assertLess(self.clock.now() - began, 1.0)
+        self.elsewhere.assert_not_called()
+
+    def test_a_silent_connection_without_another_one_leads_elsewhere(self):
+        self.client._cfg = TargetSettings(proved_alive_s=0.001, silence_share=0.1)
+        target = self.target(in_sequence(answer_with(), never_answer))
+        self.ask(target, request_id="warm")
+        eventlet.sleep(0.005)
+        pool = self.pools.of(target.config())
+
+        def lose_path(deadline):
+            self.paths.lost[target.config().target_id] = self.clock.now()
+            raise TargetUnreachable("no connection")
+
+        with mock.patch.object(pool, "acquire_new", side_effect=lose_path):
+            got = self.ask(target, elsewhere=self.elsewhere, wait_s=5.0)
+        self.assertEqual(got, (200, b"elsewhere"))
+
+    # Guards against GONE: another host goes on for a caller that has left.
+    def test_a_caller_that_leaves_ends_the_exchange_elsewhere(self):
+        ended = eventlet.event.Event()
+
+        def wait_elsewhere():
+            try:
+                eventlet.sleep(5.0)
+            finally:
+                ended.send()
+
+        self.elsewhere = wait_elsewhere
+        task = eventlet.spawn(self.ask_elsewhere, self.silent_target)
+        eventlet.sleep(0.4)
+        eventlet.kill(task, CallerGone("left"))
+        with eventlet.Timeout(0.5):
+            ended.wait()
 
 
 class CountedMetrics(NoMetrics):
