Take no late timer of a busy host for a connection that was not accepted

Callers got 502 of our own for requests at which targets worked, and 503 for others: the host had counted all its targets as lost (LOST, third shape).

Cause: the hub fires timers before it looks at the sockets. After a turn longer than the timeout of a connection, 0.2 s for a check of the paths, each connection that was being opened has timed out, though the kernel has completed it.

Change: when the timer of a connection fires, its socket is asked before the connection counts as not accepted. Checks, requests and the look whether a target has ended use it.

--- a/src/persimmonspoke/internal/targets/connections.py
+++ b/src/persimmonspoke/internal/targets/connections.py
@@ -7,6 +7,7 @@
 """
 
 import io
+import os
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -15,9 +16,10 @@
 
 import eventlet
 from eventlet import greenio, hubs
+from eventlet.green import socket as green_socket
 from eventlet.semaphore import Semaphore
 from urllib3.connection import HTTPConnection
-from urllib3.exceptions import HTTPError, NewConnectionError
+from urllib3.exceptions import HTTPError
 
 from persimmonspoke.errors import TargetRefusedConnection, TargetUnreachable
 from persimmonspoke.ids import Instant, RequestId
@@ -168,6 +170,10 @@
         self._closing_sock: socket.socket | None = None
         self.response_class = self._make_response
 
+    def _new_conn(self):
+        """Return a connected socket; the library calls this."""
+        return _open_socket(self.host, self.port, self.timeout)
+
     def connect(self):
         """Open the connection and create the receive buffer for all its answers."""
         super().connect()
@@ -258,6 +264,37 @@
         return False
 
 
+def _open_socket(ip, port, timeout_s):
+    """Return a socket that is connected within a timeout, or raise `OSError`.
+
+    A timeout that fires late says nothing: the event hub fires timers before it looks
+    at the sockets, so the connection may have been accepted in time.
+    """
+    sock = green_socket.socket()
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.settimeout(timeout_s)
+        try:
+            sock.connect((ip, port))
+        except TimeoutError:
+            _check_connected(sock.fd)
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
+def _check_connected(raw_sock):
+    """Raise `OSError` unless a socket is connected."""
+    error = raw_sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if error:
+        raise OSError(error, os.strerror(error))
+    try:
+        raw_sock.getpeername()
+    except OSError as exc:
+        raise TimeoutError("the connection was not accepted in time") from exc
+
+
 def connect(ip: str, port: int, timeout_s: float) -> TargetConnection:
     """Open a connection to a target.
 
@@ -274,10 +311,8 @@
     conn.timeout = timeout_s
     try:
         conn.connect()
-    except NewConnectionError as exc:
-        if isinstance(exc.__cause__, ConnectionRefusedError):
-            raise TargetRefusedConnection(str(exc)) from exc
-        raise TargetUnreachable(str(exc)) from exc
+    except ConnectionRefusedError as exc:
+        raise TargetRefusedConnection(str(exc)) from exc
     except (HTTPError, OSError) as exc:
         raise TargetUnreachable(str(exc)) from exc
     conn.timeout = None
