Hold no target for lost that answers while it is being checked

Callers got 502 and 503 of our own while their targets worked (LOST, third shape): a host whose link is full counted all its targets as lost.

Cause: a check gives a connection 0.2 s, and one that reaches few of its sample extends the verdict to all. On a full link the answers of kept connections arrive, late, and the connections of the check do not open in time. The verdict did not ask for these answers.

Change: a target that answers a request or an order between the beginning of its check and its end is reached, and is not lost with those that were not tried. What was answered before the check is no evidence. A cut that refuses connections is noticed within one round trip, as before.

--- a/src/persimmonspoke/internal/targets/paths.py
+++ b/src/persimmonspoke/internal/targets/paths.py
@@ -135,6 +135,7 @@
         self._rng = rng or random.Random()
         self._flights: dict[TargetId, _Flight] = {}
         self._answered_at = clock.now()
+        self._heard_at: dict[TargetId, Instant] = {}  # last answer of each target
         self._begun_at = LONG_AGO
         self._evidence_at = LONG_AGO  # beginning of the last check that has ended
         self._checked_at = LONG_AGO
@@ -166,7 +167,7 @@
 
     def record_answer(self, target_id: TargetId) -> None:
         """Record that a target has just answered a request or an order."""
-        self._answered_at = self._clock.now()
+        self._answered_at = self._heard_at[target_id] = self._clock.now()
         flight = self._flights.get(target_id)
         if flight is not None:
             flight.quiet_since = self._answered_at
@@ -196,7 +197,7 @@
         """
         if not self.reaches(target.target_id):
             return False
-        if not refused and self._connects(target, self._cfg.connect_s):
+        if not refused and self._reached([target]):
             return True
         self.check()
         self._update([], [target])
@@ -281,7 +282,12 @@
             tried, reached = tried + more, reached + self._reached(more)
         failed = [target for target in tried if target not in reached]
         if len(reached) <= MAX_REACHED_SHARE * len(tried):
-            failed = [t for t in self._known().values() if t not in reached]
+            failed = [
+                target
+                for target in self._known().values()
+                if target not in reached
+                and not self._has_answered(target, self._begun_at)
+            ]
         self._update(reached, failed)
         self._evidence_at = self._begun_at
 
@@ -296,10 +302,23 @@
         return in_turn[: max(self._cfg.sampled, len(services))]
 
     def _reached(self, targets) -> list[TargetAddress]:
-        """Connect to all of `targets` at once; return those that were reached."""
+        """Connect to all of `targets` at once; return those that were reached.
+
+        So were those that have answered meanwhile, over connections that were kept: a
+        connection may also fail to open in time because this host's link is full.
+        """
+        begun_at = self._clock.now()
         pool = GreenPool(max(1, len(targets)))
         results = pool.imap(lambda t: self._connects(t, self._cfg.connect_s), targets)
-        return [t for t, found in zip(targets, list(results), strict=True) if found]
+        return [
+            target
+            for target, found in zip(targets, list(results), strict=True)
+            if found or self._has_answered(target, begun_at)
+        ]
+
+    def _has_answered(self, target, since) -> bool:
+        """Return whether a target has answered a request or an order since then."""
+        return self._heard_at.get(target.target_id, LONG_AGO) > since
 
     def _known(self) -> dict[TargetId, TargetAddress]:
         return {t.target_id: t for service in self._targets() for t in service}
@@ -308,6 +327,7 @@
         """Apply what was found out about some targets; log what has changed."""
         now = self._clock.now()
         known = self._known()
+        self._heard_at = {t: at for t, at in self._heard_at.items() if t in known}
         before = self.lost
         lost = {name: at for name, at in before.items() if name in known}
         for target in reached:
--- a/tests/cover/test_target_paths.py
+++ b/tests/cover/test_target_paths.py
@@ -177,6 +177,46 @@
         self.assertTrue(self.paths.reaches("t4"))
 
 
+class TestAFullLink(PathCase):
+    """Guards against LOST: answers that come late are taken for a cut."""
+
+    def setUp(self):
+        super().setUp()
+        self.net.cut(self.net.silent)
+
+    def keep_answering(self, *target_ids):
+        def answer():
+            while True:
+                eventlet.sleep(self.cfg.connect_s / 2)
+                for target_id in target_ids:
+                    self.paths.record_answer(target_id)
+
+        task = eventlet.spawn(answer)
+        self.addCleanup(task.kill)
+
+    def test_is_no_cut_while_targets_answer_over_kept_connections(self):
+        self.keep_answering(*(target.target_id for target in self.net.addresses))
+        self.assertFalse(self.paths.check())
+        self.assertEqual(self.paths.lost, {})
+
+    def test_the_target_that_answers_is_reached(self):
+        self.keep_answering("t3")
+        self.assertTrue(self.paths.check_target(self.net.addresses[3], refused=False))
+        self.assertTrue(self.paths.reaches("t3"))
+
+    def test_those_that_answer_are_not_lost_with_the_others(self):
+        self.keep_answering("t3", "t4")
+        self.assertTrue(self.paths.check())
+        self.assertEqual(len(self.paths.lost), 8)
+        self.assertTrue(self.paths.reaches("t3") and self.paths.reaches("t4"))
+
+    def test_what_was_answered_before_the_check_is_no_evidence(self):
+        for target in self.net.addresses:
+            self.paths.record_answer(target.target_id)
+        self.assertTrue(self.paths.check())
+        self.assertEqual(len(self.paths.lost), 10)
+
+
 class TestManyTargets(PathCase):
     """Guards against a sample that is taken for more, or for less, than it shows."""
 
