Stop in stages whose deadlines are stored

Cause: the stop was a sequence of sleeps and flags. Requests that came late were held against the end of the process only once the task of the stop had run: a host that was stalled past the balancer's second check, or short of processor, admitted requests which its end then cut. A log of a stop told neither where it was nor how late.

Ruled out: a second SIGTERM, a SIGHUP with another grace period, a configuration and a lost store meanwhile change nothing, in all orders tried; the readiness of the gate stays true once the host has caught up.

Change: a state machine with an Enum of stages, their deadlines stored at the signal, all transitions in one place and one line each. The gate compares late requests with the clock. A stalled process goes through each stage, with time for other tasks. The record of the host is removed in a task beside the last answers.

Before, with the gate's comparison left to the stop's task, the random orders failed (a request read after the stall, cut at the end); the test of one such stall too.

--- a/src/persimmonspoke/daemon/gate.py
+++ b/src/persimmonspoke/daemon/gate.py
@@ -25,8 +25,9 @@
         Whether requests are still accepted, but each response closes its connection.
     stopping : bool
         Whether the process is about to end.
-    ends_at : Instant or None
-        When the process ends at the latest; None if that is not near.
+    late_from, ends_at : Instant or None
+        Requests that come from `late_from` on are admitted only if they end before
+        `ends_at`; None while the host does not stop.
     in_flight : int
         Number of requests in flight, that is, not yet answered.
     """
@@ -37,6 +38,7 @@
         self.draining = False
         self.leaving = False
         self.stopping = False
+        self.late_from: Instant | None = None
         self.ends_at: Instant | None = None
         self.in_flight = 0
 
@@ -45,8 +47,10 @@
         return not self.draining and not self.stopping and self._is_ready()
 
     def may_last_until(self, deadline: Instant) -> bool:
-        """Return whether a request with a deadline ends before the process does."""
-        return self.ends_at is None or deadline <= self.ends_at
+        """Return whether a request that comes now may last until `deadline`."""
+        if self.late_from is None or self._clock.now() < self.late_from:
+            return True
+        return deadline <= self.ends_at
 
     @contextmanager
     def admitted(self) -> Iterator[None]:
--- a/src/persimmonspoke/daemon/routed.py
+++ b/src/persimmonspoke/daemon/routed.py
@@ -9,7 +9,11 @@
 import eventlet.wsgi
 
 from persimmonspoke.daemon.gate import HostGate
-from persimmonspoke.daemon.planned_stop import serve_until_stop
+from persimmonspoke.daemon.planned_stop import (
+    PlannedStop,
+    StopDeadlines,
+    StopStage,
+)
 from persimmonspoke.daemon.routed_settings import RoutedSettings
 from persimmonspoke.daemon.supervision import spawn_supervised
 from persimmonspoke.errors import HostClosed, InvalidSettings, PathsCut
@@ -64,9 +68,7 @@
 
 LISTEN_BACKLOG = 1024
 MAX_UPDATE_WAIT_S = 0.5
-EXIT_MARGIN_S = 1.0  # part of the platform's grace period kept for the exit itself
 REMOVE_RECORD_TIMEOUT_S = 0.3
-CLOSE_INTERVAL_S = 0.02  # between two looks at the connections that are left
 
 log = logging.getLogger(__name__)
 
@@ -217,8 +219,11 @@
             HttpTargetRequests(forwards, self.clock, forwarded, metrics=self.metrics),
         )
         self.gate = HostGate(self._knows_targets, self.clock)
-        self._servers: tuple[CallerServer, ...] = ()
+        self._servers: list[CallerServer] = []
         self._apps: list[CallerApp] = []
+        self._planned_stop = PlannedStop(
+            self.gate, self.clock, self._apps, self._servers, self._remove_record
+        )
         self._ended = eventlet.event.Event()
 
     def _register_gauges(self):
@@ -266,7 +271,7 @@
         self._serve(self._readiness_listener, self._ready_app)
         self._serve(self._metrics_listener, self.metrics.app)
         runner = self._make_runner()
-        self._servers = (self._caller_server(runner), self._forward_server(runner))
+        self._servers += (self._caller_server(runner), self._forward_server(runner))
         for server in self._servers:
             eventlet.spawn(server.run)
         log.info(
@@ -276,34 +281,15 @@
         return self._ended.wait()
 
     def stop(self) -> None:
-        """Report unready, serve until the balancer has noticed, drain, and end."""
-        if self.gate.leaving:
+        """Stop in an orderly way; see `PlannedStop`.  Further calls do nothing."""
+        if self._planned_stop.stage is not StopStage.SERVING:
             return
-        started_at = self.clock.now()
-        log.info("daemon: stopping", extra={"in_hand": self.gate.in_flight})
-        self.gate.leaving = self.hosts.leaving = True
-        eventlet.spawn(self.leadership.resign)
-        grace_s = self.platform.bounds.grace_s - EXIT_MARGIN_S
-        all_answered = serve_until_stop(
-            self.gate,
-            self.clock,
-            Instant(started_at + self.cfg.linger_s),
-            Instant(started_at + grace_s),
-            self._end_connections,
-        )
-        self.hosts.remove(
-            self.platform.host, Instant(self.clock.now() + REMOVE_RECORD_TIMEOUT_S)
-        )
-        reason = "this process ended"
-        cut_count = sum(app.log_cut_requests(reason) for app in self._apps)
-        log.info(
-            "daemon: stopped",
-            extra={
-                "empty": all_answered,
-                "in_hand": self.gate.in_flight,
-                "cut": cut_count,
-            },
+        deadlines = StopDeadlines.after(
+            self.clock.now(), self.cfg.linger_s, self.platform.bounds.grace_s
         )
+        self.hosts.leaving = True
+        eventlet.spawn(self.leadership.resign)
+        self._planned_stop.run(deadlines)
         self._ended.send(0)
 
     def store_age_s(self) -> float:
@@ -314,16 +300,9 @@
             answered_at = max(answered_at, read_at)
         return self.clock.now() - answered_at
 
-    def _end_connections(self, deadline):
-        """Close the listeners, and wait until no caller's connection is open."""
-        for server in self._servers:
-            server.close_listener()
-        while self.clock.now() < deadline and any(
-            server.open_connections() for server in self._servers
-        ):
-            for server in self._servers:
-                server.close_unused()
-            self.clock.sleep_until(Instant(self.clock.now() + CLOSE_INTERVAL_S))
+    def _remove_record(self, deadline):
+        timeout_at = self.clock.now() + REMOVE_RECORD_TIMEOUT_S
+        self.hosts.remove(self.platform.host, Instant(min(timeout_at, deadline)))
 
     def _make_runner(self):
         requests = HttpTargetRequests(
--- a/src/persimmonspoke/internal/callers/api.py
+++ b/src/persimmonspoke/internal/callers/api.py
@@ -23,7 +23,7 @@
         """Return whether the host holds its lease and is not shutting down."""
 
     def may_last_until(self, deadline: Instant) -> bool:
-        """Return whether a request with a deadline ends before the process does."""
+        """Return whether a request that comes now may last until `deadline`."""
 
     def admitted(self) -> AbstractContextManager[None]:
         """Return a context during which one request counts as in flight."""
--- a/tests/cover/test_planned_stop.py
+++ b/tests/cover/test_planned_stop.py
@@ -5,7 +5,7 @@
 import eventlet
 
 from persimmonspoke.daemon.gate import HostGate
-from persimmonspoke.daemon.planned_stop import serve_until_stop
+from persimmonspoke.daemon.planned_stop import PlannedStop, StopDeadlines
 from persimmonspoke.internal.callers.app import make_caller_app
 from persimmonspoke.internal.callers.settings import CallerSettings
 from tests.fakes.caller_parts import (
@@ -21,7 +21,7 @@
 
 A = target("a")
 UNREADY_S = 2.6
-GRACE_S = 5.0
+GRACE_S = 6.0
 LONG_MS = 2000
 
 
@@ -39,15 +39,16 @@
             self.clock,
             self.gate,
         )
-        now = self.clock.now()
-        self.stopped = eventlet.spawn(
-            serve_until_stop,
-            self.gate,
-            self.clock,
-            now + UNREADY_S,
-            now + GRACE_S,
-            lambda deadline: None,
+        deadlines = StopDeadlines.after(self.clock.now(), UNREADY_S, GRACE_S)
+        stop = PlannedStop(
+            self.gate, self.clock, [self.app], [], finish=lambda deadline: None
         )
+        self.stopped = eventlet.spawn(self.run_stop, stop, deadlines)
+
+    def run_stop(self, stop, deadlines):
+        """Go through the stop; return whether all requests have been answered."""
+        stop.run(deadlines)
+        return stop.cut_count == 0
 
     def send_at(self, at_s, took_s, **fields):
         """Send a request that takes a time at its target; return the reply."""
@@ -90,12 +91,14 @@
     # Guards against requests that a stop cuts without a line that names them.
     def test_each_request_that_the_end_cuts_is_logged_with_its_target(self):
         self.send_later(1.0, took_s=9.0, X_Request_Id="r1", x_deadline_ms="9000")
-        self.assertFalse(self.stopped.wait())
         with self.assertLogs("persimmonspoke", "INFO") as logs:
-            self.assertEqual(self.app.log_cut_requests("this process ended"), 1)
+            self.assertFalse(self.stopped.wait())
             eventlet.sleep(9.0)
-        (line,) = logs.records
-        self.assertEqual(line.getMessage(), "callers: request ended")
+        (line,) = [
+            record
+            for record in logs.records
+            if record.getMessage() == "callers: request ended"
+        ]
         self.assertEqual((line.request_id, line.target), ("r1", "a"))
         self.assertEqual((line.outcome, line.stage), ("cut", "at_target"))
         self.assertAlmostEqual(line.target_had_ms, 4000, delta=100)
--- a/tests/fakes/wsgi_caller.py
+++ b/tests/fakes/wsgi_caller.py
@@ -3,6 +3,8 @@
 import io
 import json
 
+from persimmonspoke.internal.callers.app import CONNECTION_KEY
+
 
 class RequestInput(io.BytesIO):
     """A request's body in the form in which the server passes it on."""
@@ -35,10 +37,19 @@
         return self.status, error["type"], error["run"]
 
 
-def call(app, path="/desk/lookup/k", method="GET", source=None, query="", **headers):
+def call(
+    app,
+    path="/desk/lookup/k",
+    method="GET",
+    source=None,
+    query="",
+    connection=None,
+    **headers,
+):
     """Send one request to `app` and return its answer.
 
-    Names in `headers` have underscores for hyphens.
+    Names in `headers` have underscores for hyphens.  `connection` stands for the
+    server's handler of the caller's connection.
     """
     source = source or RequestInput()
     pairs = tuple((name.replace("_", "-"), value) for name, value in headers.items())
@@ -50,6 +61,8 @@
         "wsgi.input": source,
         "CONTENT_LENGTH": str(source.content_length or 0),
     }
+    if connection is not None:
+        environ[CONNECTION_KEY] = connection
     environ |= {f"HTTP_{name.upper()}": value for name, value in headers.items()}
     reply = Reply()
 
