Refuse what waits on a host at its end

Cause: a request that was admitted before the balancer had noticed, and still waited for an owner, a slot or its body at the end of the process, was cut with it, although nobody had run it.

Ruled out: requests that came later, which the gate holds against the end.

Before, the three tests of waiting requests failed (cut; the last came to its own deadline after the process had ended), and so did 237 of the 300 random orders (requests cut in stage waiting).

--- a/src/persimmonspoke/daemon/planned_stop.py
+++ b/src/persimmonspoke/daemon/planned_stop.py
@@ -28,7 +28,8 @@
     CLOSING = "closing"
     """Connections are accepted; requests that end in time are admitted."""
     FINISHING = "finishing"
-    """Nothing is admitted; connections are closed, the last answers are delivered."""
+    """Nothing is admitted, and what waits here is refused; connections are closed, the
+    last answers are delivered."""
     ENDED = "ended"
 
 
@@ -75,6 +76,9 @@
 class Requests(Protocol):
     """Callers' requests in flight; see `callers.app.CallerApp`."""
 
+    def refuse_waiting(self) -> None:
+        """Refuse those that neither a target nor another host has."""
+
     def log_cut_requests(self, reason: str) -> int:
         """Log each request in flight as broken off; return their number."""
 
@@ -142,6 +146,8 @@
             if self._is_next_due():
                 self._enter(_NEXT[self.stage])
             if self.stage is StopStage.FINISHING:
+                for requests in self._requests:
+                    requests.refuse_waiting()
                 for connections in self._connections:
                     connections.close_unused()
             if self.stage is not StopStage.ENDED:
