Write messages as earlier builds read them, and ignore fields added by later ones

Cause: the codec refuses a message with a field that its build does not know.

Change: a field names the revision that has added it. A call that a peer refuses as unreadable is sent again in the next earlier layout, which is then kept for that run; whoever answers writes the layout that the call shows. Fields that are not known are ignored from now on, and the number of a call says that its sender does so; earlier builds echo it unread.

--- a/src/persimmonspoke/internal/fleet/messages.py
+++ b/src/persimmonspoke/internal/fleet/messages.py
@@ -5,6 +5,7 @@
 from persimmonspoke.ids import DataCentreId, HostId, ServiceId, TargetId
 from persimmonspoke.internal.peers.api import PeerAddress
 from persimmonspoke.internal.peers.codec import flat_message, message
+from persimmonspoke.internal.peers.revisions import Revision, since
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,10 +131,10 @@
     store_age_s: float
     leaving: bool
     next_s: float = 0.0
-    suspects: list = field(default_factory=list)
-    suspects_digest: int = 0
-    paths_cut: bool = False
-    leaving_targets: list = field(default_factory=list)
+    suspects: list = field(default_factory=list, metadata=since(Revision.QUARANTINE))
+    suspects_digest: int = field(default=0, metadata=since(Revision.QUARANTINE))
+    paths_cut: bool = field(default=False, metadata=since(Revision.PATHS))
+    leaving_targets: list = field(default_factory=list, metadata=since(Revision.PATHS))
 
 
 @flat_message
@@ -169,9 +170,9 @@
     hosts: list | None
     table: dict | None
     store_age_s: float
-    suspects: list | None = None
-    cut_hosts: list = field(default_factory=list)
-    leaving_targets: list = field(default_factory=list)
+    suspects: list | None = field(default=None, metadata=since(Revision.QUARANTINE))
+    cut_hosts: list = field(default_factory=list, metadata=since(Revision.PATHS))
+    leaving_targets: list = field(default_factory=list, metadata=since(Revision.PATHS))
 
 
 @message
--- a/src/persimmonspoke/internal/peers/codec.py
+++ b/src/persimmonspoke/internal/peers/codec.py
@@ -3,9 +3,13 @@
 A message is a frozen dataclass registered with `message`.  On the wire it is an
 array of the name of its type and its fields in order; pydantic rebuilds nested
 dataclasses, enums and tuples from the field annotations.
+
+Builds of several revisions may exchange messages, see `peers.revisions`.  New fields
+stand at the end, with a default and with `since` in their metadata; a field that the
+reader does not know is ignored.
 """
 
-from dataclasses import fields, is_dataclass
+from dataclasses import Field, dataclass, fields, is_dataclass
 from enum import Enum
 from typing import Any
 
@@ -13,23 +17,43 @@
 from pydantic import TypeAdapter, ValidationError
 
 from persimmonspoke.errors import MalformedMessage
+from persimmonspoke.internal.peers.revisions import (
+    NEWEST,
+    SINCE,
+    UNREADABLE,
+    Revision,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class _Layout:
+    """How messages of one type are encoded.
+
+    Attributes
+    ----------
+    adapter : TypeAdapter or None
+        Validates the fields; None if they are not validated.
+    counts : tuple of int
+        Number of fields in each revision.
+    """
+
+    message_type: type
+    names: tuple[str, ...]
+    adapter: TypeAdapter | None
+    counts: tuple[int, ...]
+
+    def revision_of(self, count: int) -> Revision:
+        """Return the newest revision in which a message has at most `count` fields."""
+        fitting = [r for r in Revision if self.counts[r] <= count]
+        return max(fitting, default=min(Revision))
+
 
-_MESSAGE_TYPES: dict[str, tuple[type, tuple[str, ...], TypeAdapter | None]] = {}
+_MESSAGE_TYPES: dict[str, _Layout] = {}
 
 
 def message(message_type: type) -> type:
     """Register a frozen dataclass as a message; a class decorator."""
-    if message_type.__name__ in _MESSAGE_TYPES:
-        raise ValueError(
-            f"a message named {message_type.__name__} exists; rename this one"
-        )
-    names = tuple(field.name for field in fields(message_type))
-    _MESSAGE_TYPES[message_type.__name__] = (
-        message_type,
-        names,
-        TypeAdapter(message_type),
-    )
-    return message_type
+    return _register(message_type, TypeAdapter(message_type))
 
 
 def flat_message(message_type: type) -> type:
@@ -38,33 +62,69 @@
     It is for messages that are sent several times per request.  Their fields are not
     validated when they are decoded, and sequences arrive as lists.
     """
-    if message_type.__name__ in _MESSAGE_TYPES:
-        raise ValueError(
-            f"a message named {message_type.__name__} exists; rename this one"
-        )
-    names = tuple(field.name for field in fields(message_type))
-    _MESSAGE_TYPES[message_type.__name__] = (message_type, names, None)
-    return message_type
+    return _register(message_type, None)
 
 
-def encode(msg: Any) -> bytes:
-    """Return `msg` encoded as msgpack."""
-    message_type = type(msg)
-    names = _MESSAGE_TYPES[message_type.__name__][1]
-    body = [getattr(msg, name) for name in names]
-    return msgpack.packb([message_type.__name__, body], default=_to_plain_value)
+def encode(msg: Any, revision: Revision = NEWEST) -> bytes:
+    """Return `msg` encoded as msgpack, in the layout of a revision."""
+    name = type(msg).__name__
+    layout = _MESSAGE_TYPES[name]
+    names = layout.names[: layout.counts[revision]]
+    body = [getattr(msg, field_name) for field_name in names]
+    return msgpack.packb([name, body], default=_to_plain_value)
 
 
 def decode(data: bytes) -> Any:
     """Return the message in `data`, or raise `MalformedMessage`."""
+    return decode_with_revision(data)[0]
+
+
+def decode_with_revision(data: bytes) -> tuple[Any, Revision]:
+    """Return the message in `data` and the revision of its layout.
+
+    Raises
+    ------
+    MalformedMessage
+        It can't be decoded.
+    """
     try:
         name, body = msgpack.unpackb(data)
-        message_type, names, adapter = _MESSAGE_TYPES[name]
-        if adapter is None:
-            return message_type(*body)
-        return adapter.validate_python(dict(zip(names, body, strict=True)))
+        layout = _MESSAGE_TYPES[name]
+        known = body[: len(layout.names)]
+        if layout.adapter is None:
+            msg = layout.message_type(*known)
+        else:
+            by_name = dict(zip(layout.names, known, strict=False))
+            msg = layout.adapter.validate_python(by_name)
+        return msg, layout.revision_of(len(body))
     except (ValueError, TypeError, KeyError, ValidationError) as exc:
-        raise MalformedMessage(f"the message can't be decoded: {exc}") from exc
+        raise MalformedMessage(f"{UNREADABLE}: {exc}") from exc
+
+
+def earlier_revision(message_type: type, revision: Revision) -> Revision | None:
+    """Return the newest revision before one in which a message has fewer fields.
+
+    Return None if there is none.
+    """
+    counts = _MESSAGE_TYPES[message_type.__name__].counts
+    fewer = [r for r in Revision if counts[r] < counts[revision]]
+    return max(fewer, default=None)
+
+
+def _register(message_type, adapter):
+    name = message_type.__name__
+    if name in _MESSAGE_TYPES:
+        raise ValueError(f"a message named {name} exists; rename this one")
+    found = fields(message_type)
+    counts = tuple(sum(_since(f) <= revision for f in found) for revision in Revision)
+    names = tuple(field.name for field in found)
+    _MESSAGE_TYPES[name] = _Layout(message_type, names, adapter, counts)
+    return message_type
+
+
+def _since(field: Field) -> Revision:
+    """Return the revision that has added a field."""
+    return field.metadata.get(SINCE, min(Revision))
 
 
 def _to_plain_value(value):
--- a/src/persimmonspoke/internal/peers/zmq_link.py
+++ b/src/persimmonspoke/internal/peers/zmq_link.py
@@ -3,7 +3,8 @@
 Each daemon binds one ROUTER socket and opens one DEALER socket to each peer that it
 calls.  A message has four frames: the number of the call, the host id of the
 receiving run, a kind, and the body.  The host id prevents a message that was queued
-in a socket from being processed by a later run at the same address.
+in a socket from being processed by a later run at the same address.  The number is the
+caller's alone, and ends with `TOLERANT_MARK` since `Revision.TOLERANT`.
 """
 
 import itertools
@@ -27,9 +28,16 @@
 from persimmonspoke.ids import HostId, Instant
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.peers.api import Liveness, PeerAddress
-from persimmonspoke.internal.peers.codec import decode, encode
+from persimmonspoke.internal.peers.codec import (
+    decode,
+    decode_with_revision,
+    earlier_revision,
+    encode,
+)
+from persimmonspoke.internal.peers.revisions import LAST_STRICT, NEWEST, PeerRevisions
 
 FRAMES_PER_MESSAGE = 4
+TOLERANT_MARK = b"+"
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 
 log = logging.getLogger(__name__)
@@ -75,6 +83,7 @@
         self.address = PeerAddress(me.host_id, me.ip, port)
         self._handlers: dict[type, Callable[[Any], Any]] = {}
         self._connections: dict[tuple[str, int], _Connection] = {}
+        self._revisions = PeerRevisions(encode, earlier_revision)
         self.bytes_sent = 0
         self.bytes_received = 0
         self._message_socket = _MessageSocket(self._listener, self._receive)
@@ -85,17 +94,20 @@
 
     def call(self, peer: PeerAddress, message: Any, deadline: Instant) -> Any:
         """Send `message` and return the answer, or raise `PeerError`."""
-        body = encode(message)
-        kind, answer = self._exchange(peer, _Kind.CALL, body, deadline)
-        if kind is _Kind.REFUSAL:
-            raise PeerRefused(
-                f"{peer.host_id} refused: {answer.decode(errors='replace')}"
-            )
-        return decode(answer)
+
+        def send(body):
+            kind, answer = self._exchange(peer, _Kind.CALL, body, deadline)
+            if kind is _Kind.REFUSAL:
+                raise PeerRefused(
+                    f"{peer.host_id} refused: {answer.decode(errors='replace')}"
+                )
+            return answer
+
+        return decode(self._revisions.call(peer.host_id, message, send))
 
     def post(self, peer: PeerAddress, message: Any) -> None:
         """Send `message` without an answer; it may be lost."""
-        body = encode(message)
+        body = self._revisions.encode_for(peer.host_id, message)
         self.bytes_sent += len(body)
         receiver = peer.host_id.encode()
         self._connection(peer).message_socket.send(
@@ -194,19 +206,25 @@
         elif receiver != me or kind != _Kind.CALL.value:
             return
         else:
-            frames = [sender, number, me, *self._handle(body)]
+            is_tolerant = number.endswith(TOLERANT_MARK)
+            frames = [sender, number, me, *self._handle(body, is_tolerant)]
         self.bytes_sent += len(frames[-1])
         self._message_socket.send(frames)
 
-    def _handle(self, body):
-        """Run the message's handler; return the kind and body of the answer."""
+    def _handle(self, body, is_tolerant=True):
+        """Run the message's handler; return the kind and body of the answer.
+
+        With `is_tolerant` the caller reads the newest layout of the answer.
+        """
         try:
-            msg = decode(body)
+            msg, revision = decode_with_revision(body)
             handler = self._handlers.get(type(msg))
             if handler is None:
                 raise MalformedMessage(f"no handler for {type(msg).__name__}")
             answer = handler(msg)
-            return _Kind.ANSWER.value, b"" if answer is None else encode(answer)
+            revision = NEWEST if is_tolerant else min(revision, LAST_STRICT)
+            data = b"" if answer is None else encode(answer, revision)
+            return _Kind.ANSWER.value, data
         except PersimmonspokeError as exc:
             return _Kind.REFUSAL.value, f"{type(exc).__name__}: {exc}".encode()
         except Exception:
@@ -273,7 +291,7 @@
 
     def exchange(self, host_id: HostId, kind: _Kind, body: bytes, left_s: float):
         """Send one message; return the kind and body of its answer."""
-        number = str(next(self._numbers)).encode()
+        number = str(next(self._numbers)).encode() + TOLERANT_MARK
         self._pending_calls[number] = answer_event = eventlet.event.Event()
         try:
             with eventlet.Timeout(max(0.0, left_s), PeerTimeout(host_id)):
--- a/tests/fakes/network.py
+++ b/tests/fakes/network.py
@@ -6,9 +6,21 @@
 import eventlet
 import eventlet.event
 
-from persimmonspoke.errors import PeerRefused, PeerTimeout, PersimmonspokeError
+from persimmonspoke.errors import (
+    MalformedMessage,
+    PeerRefused,
+    PeerTimeout,
+    PersimmonspokeError,
+)
 from persimmonspoke.internal.peers import codec
 from persimmonspoke.internal.peers.api import Liveness, PeerAddress
+from persimmonspoke.internal.peers.revisions import (
+    LAST_STRICT,
+    NEWEST,
+    UNREADABLE,
+    PeerRevisions,
+    Revision,
+)
 from tests.fakes import virtual_hub
 from tests.fakes.process import GateKind
 
@@ -133,6 +145,8 @@
     ----------
     bytes_sent : int
         Size of all messages and answers that this process sent.
+    revision : Revision
+        Layout of messages that the process's build reads and writes.
     """
 
     def __init__(self, network, process, address: PeerAddress):
@@ -141,19 +155,25 @@
         self.address = address
         self.bytes_sent = 0
         self._handlers = {}
+        self.revision = NEWEST
+        self._revisions = PeerRevisions(self._encode, codec.earlier_revision)
         network.links[address.ip, address.port] = self
 
     def call(self, peer, message, deadline):
         """Send `message` and return the answer, or raise `PeerError`."""
-        data = codec.encode(message)
+        send = partial(self._send, peer, deadline)
+        answer = self._revisions.call(peer.host_id, message, send)
+        return self._decode(answer)[0] if answer else None
+
+    def _send(self, peer, deadline, data):
+        """Send an encoded message and return the encoded answer."""
         self.bytes_sent += len(data)
         destination_link = self.network.links[peer.ip, peer.port]
-
         try:
-            answer = self.network.exchange(
+            return self.network.exchange(
                 self.process,
                 destination_link.process,
-                partial(destination_link.answer, peer, data),
+                partial(destination_link.answer, peer, data, self.revision),
                 deadline,
                 GateKind.PEER,
             )
@@ -166,20 +186,34 @@
             raise PeerTimeout(f"{peer.host_id} did not answer") from None
         except PersimmonspokeError as exc:
             raise PeerRefused(f"{type(exc).__name__}: {exc}") from exc
-        return codec.decode(answer) if answer else None
 
-    def answer(self, peer, data):
+    def answer(self, peer, data, caller_revision):
         """Return the encoded answer to one message that was sent to the run `peer`."""
         if peer.host_id != self.address.host_id:
             raise PeerRefused("another run listens at this address")
-        message = codec.decode(data)
+        message, revision = self._decode(data)
+        if caller_revision >= Revision.TOLERANT:
+            revision = NEWEST
+        else:
+            revision = min(revision, LAST_STRICT)
         if type(message) not in self._handlers:
             raise PeerRefused("this type of message is not served yet")
         returned = self._handlers[type(message)](message)
-        answer = b"" if returned is None else codec.encode(returned)
+        answer = b"" if returned is None else self._encode(returned, revision)
         self.bytes_sent += len(answer)
         return answer
 
+    def _encode(self, message, revision):
+        return codec.encode(message, min(revision, self.revision))
+
+    def _decode(self, data):
+        """Return a message and its revision; refuse fields that an old build lacks."""
+        message, revision = codec.decode_with_revision(data)
+        is_longer = len(data) > len(codec.encode(message, self.revision))
+        if self.revision < Revision.TOLERANT and is_longer:
+            raise MalformedMessage(f"{UNREADABLE}: it has more fields")
+        return message, revision
+
     def post(self, peer, message):
         """Send `message` without waiting for an answer."""
         deadline = self._post_deadline()
--- a/tests/fakes/range_fleet.py
+++ b/tests/fakes/range_fleet.py
@@ -13,6 +13,7 @@
 from persimmonspoke.internal.forwarding.forwarder import others_are_better_placed
 from persimmonspoke.internal.news.board import StoreCache
 from persimmonspoke.internal.peers.api import PeerAddress
+from persimmonspoke.internal.peers.revisions import NEWEST
 from persimmonspoke.internal.quarantine.keeping import QuarantineKeeper
 from persimmonspoke.internal.quarantine.settings import QuarantineSettings
 from persimmonspoke.internal.quarantine.suspects import Suspects
@@ -68,6 +69,7 @@
         address = PeerAddress(HostId(self.process.name), self.process.machine, 7000)
         self.store = FakeStore(fleet.platform, self.process)
         self.link = FakeLink(fleet.network, self.process, address)
+        self.link.revision = fleet.revision
         self.cache = StoreCache(self.clock)
         cfg = fleet.cfg
         cores = fleet.cores.get(number, 1.0)
@@ -196,10 +198,21 @@
     ----------
     other_targets : list of str
         Targets of other services.
+    revision : Revision
+        Layout of messages that hosts read and write that are started from now on.
     """
 
-    def __init__(self, hosts=3, targets=4, registered=None, cfg=None, cores=None):
+    def __init__(
+        self,
+        hosts=3,
+        targets=4,
+        registered=None,
+        cfg=None,
+        cores=None,
+        revision=NEWEST,
+    ):
         self.cfg = cfg or FleetSettings()
+        self.revision = revision
         self.cores = cores or {}
         self.network = FakeNetwork()
         self.platform = FakePlatformStore()
--- a/tests/loopback/test_zmq_link.py
+++ b/tests/loopback/test_zmq_link.py
@@ -1,16 +1,19 @@
 """Tests of the link between daemons over real sockets."""
 
 import unittest
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import eventlet
+import eventlet.event
+import msgpack
 
 from persimmonspoke.errors import OutcomeUnknown, PeerRefused, PeerTimeout
 from persimmonspoke.ids import HostId, Instant
 from persimmonspoke.internal.clock import SystemClock
 from persimmonspoke.internal.peers.api import Liveness, PeerAddress
-from persimmonspoke.internal.peers.codec import message
-from persimmonspoke.internal.peers.zmq_link import ZmqLink
+from persimmonspoke.internal.peers.codec import flat_message, message
+from persimmonspoke.internal.peers.revisions import LAST_STRICT, UNREADABLE, since
+from persimmonspoke.internal.peers.zmq_link import ZmqLink, _Kind
 
 LONG_TIMEOUT_S = 30
 
@@ -21,7 +24,26 @@
     text: str
 
 
-class TestZmqLink(unittest.TestCase):
+@flat_message
+@dataclass(frozen=True, slots=True)
+class Grown:
+    text: str
+    added: int = field(default=0, metadata=since(LAST_STRICT))
+
+
+def answer_as_an_earlier_build(link):
+    """Let a link refuse messages of type `Grown` that have the added field."""
+    handle = link._handle
+
+    def refuse_more(body, is_tolerant=False):
+        if len(msgpack.unpackb(body)[1]) > 1:
+            return _Kind.REFUSAL.value, f"MalformedMessage: {UNREADABLE}: x".encode()
+        return handle(body, is_tolerant=False)
+
+    link._handle = refuse_more
+
+
+class LinkCase(unittest.TestCase):
     def setUp(self):
         self.clock = SystemClock()
         self.a = ZmqLink(PeerAddress(HostId("a"), "127.0.0.1", 0), self.clock)
@@ -35,6 +57,8 @@
     def deadline(self, left_s=LONG_TIMEOUT_S):
         return Instant(self.clock.now() + left_s)
 
+
+class TestZmqLink(LinkCase):
     def test_a_call_returns_the_handlers_answer(self):
         self.b.serve(Echo, lambda msg: Echo(msg.text.upper()))
         answer = self.a.call(self.b.address, Echo("x"), self.deadline())
@@ -92,3 +116,38 @@
         self.b.close()
         self.open.remove(self.b)
         self.assertIs(self.a.probe(address, self.deadline()), Liveness.DEAD)
+
+
+class TestLinksOfTwoBuilds(LinkCase):
+    # Guards against a host whose reports an earlier build refuses for good.
+    def test_an_earlier_build_gets_the_fields_that_it_knows(self):
+        seen = []
+        answer_as_an_earlier_build(self.b)
+        self.b.serve(Grown, lambda msg: seen.append(msg) or Grown("y", 8))
+        for _ in range(2):
+            answer = self.a.call(self.b.address, Grown("x", 7), self.deadline())
+            self.assertEqual(answer, Grown("y"))
+        self.a.post(self.b.address, Grown("x", 7))
+        eventlet.sleep(0.1)
+        self.assertEqual(seen, [Grown("x")] * 3)
+
+    # Guards against an answer that the caller's build refuses.
+    def test_a_call_of_an_earlier_build_is_answered_in_its_layout(self):
+        self.b.serve(Grown, lambda msg: Grown("y", 8))
+        body = msgpack.packb(["Grown", ["x"]])
+        conn = self.a._connection(self.b.address)
+        conn._pending_calls[b"1"] = event = eventlet.event.Event()
+        receiver = self.b.address.host_id.encode()
+        conn.message_socket.send([b"1", receiver, _Kind.CALL.value, body])
+        _, answer = event.wait(timeout=LONG_TIMEOUT_S)
+        self.assertEqual(msgpack.unpackb(answer), ["Grown", ["y"]])
+
+    # Guards against a later build whose requests have no more fields than before.
+    def test_a_call_of_this_build_is_answered_with_all_fields(self):
+        self.b.serve(Echo, lambda msg: Grown("y", 8))
+        answer = self.a.call(self.b.address, Echo("x"), self.deadline())
+        self.assertEqual(answer, Grown("y", 8))
+
+
+if __name__ == "__main__":
+    unittest.main()
