Count no host that refuses the connection against the hosts tried for a request

Cause: builds before have no port for forwarded requests, and nothing tells a host which others have one. A host that reaches no target offered each request to three random hosts; while most are of an earlier build, these could be the three, and the request was refused although another host would have served it.

Ruled out: a field in the host's record (earlier leaders pass on the hosts without it, and a restored store lacks it); a long rest after a refused connection, which a cut between two hosts shows as well.

Change: a refused connection costs about a millisecond and proves that nothing was sent, so it does not count; the host is avoided for avoid_s as before.

Test: with four of five other hosts that do not listen, some of 20 requests were refused (PathsCut); now all are served.

--- a/src/persimmonspoke/internal/forwarding/forwarder.py
+++ b/src/persimmonspoke/internal/forwarding/forwarder.py
@@ -170,16 +170,22 @@
             forwarded=fields,
             may_repeat=may_repeat,
         )
-        for _ in range(self._cfg.max_hosts):
+        offered = 0
+        while offered < self._cfg.max_hosts:
             entry = self._choose(target_id)
             if entry is None:
                 break
             host_id = entry.address.host_id
             try:
                 answer = self._requests.send(_as_target(entry, self._cfg), target_req)
+            except TargetRefusedConnection as exc:
+                # Hosts of earlier builds have no port for forwarded requests.
+                self._avoid(host_id, None, req.request_id, exc)
             except TargetFenced as exc:
+                offered += 1
                 self._avoid(host_id, target_id, req.request_id, exc)
-            except (TargetRefusedConnection, TargetUnreachable) as exc:
+            except TargetUnreachable as exc:
+                offered += 1
                 self._avoid(host_id, None, req.request_id, exc)
             except AnswerLost as exc:
                 self._avoid(host_id, None, req.request_id, exc)
--- a/src/persimmonspoke/internal/forwarding/settings.py
+++ b/src/persimmonspoke/internal/forwarding/settings.py
@@ -13,7 +13,8 @@
     Attributes
     ----------
     max_hosts : int
-        Number of hosts to which one request is offered at most.
+        Number of hosts to which one request is offered at most, without those that
+        refuse the connection.
     avoid_s : float
         How long a host is not used after it did not take a request.
     near_weight : float
--- a/tests/cover/test_forwarding.py
+++ b/tests/cover/test_forwarding.py
@@ -157,6 +157,18 @@
         outcomes = [host.caller.send(PATH) for _ in range(30)]
         self.assertEqual(set(outcomes), {200})
 
+    # Guards against hosts of an earlier build, which have no port for such requests.
+    def test_that_does_not_listen_keeps_no_request_from_one_that_does(self):
+        host, *others = self.fleet.hosts
+        self.cut([host])
+        for other in others[:4]:
+            other.alive = False
+        outcomes = []
+        for _ in range(20):
+            outcomes.append(host.caller.send(PATH))
+            eventlet.sleep(1.1)
+        self.assertEqual(set(outcomes), {200})
+
     def test_that_ends_leaves_the_outcome_of_a_protected_one_unknown(self):
         host, *others = self.fleet.hosts
         self.cut([host])
