Read what a forwarded request says if a later build says more

Cause: the third text of the field was everything behind the second space, and "1" alone meant that an attempt may have run. With one more text behind it, the host would take the request for one that can't have run, and could say so to the caller. No build has written more yet; the present one will be the earlier one.

Change: the first three texts count, the rest is ignored. The test failed with may_have_run False.

--- a/src/persimmonspoke/platform/forwarded.py
+++ b/src/persimmonspoke/platform/forwarded.py
@@ -41,9 +41,12 @@
 
 
 def forwarded_fields(environ: dict) -> ForwardedFields:
-    """Return what the host that forwards a request says in a WSGI environment."""
-    host, _, rest = environ.get(_FORWARDED_KEY, "").partition(" ")
-    attempts, _, may_have_run = rest.partition(" ")
+    """Return what the host that forwards a request says in a WSGI environment.
+
+    A later build may say more behind it, which is ignored.
+    """
+    texts = environ.get(_FORWARDED_KEY, "").split(" ")
+    host, attempts, may_have_run = (*texts, "", "")[:3]
     count = int(attempts) if _COUNT.fullmatch(attempts) else 0
     return ForwardedFields(HostId(host), count, may_have_run == "1")
 
--- a/tests/cover/test_forwarding.py
+++ b/tests/cover/test_forwarding.py
@@ -383,6 +383,13 @@
             environ = {"HTTP_PERSIMMONSPOKE_FORWARDED": text}
             self.assertEqual(forwarded.forwarded_fields(environ), fields)
 
+    # Guards against a later build that says more: what may have run would be refused
+    # as not run.
+    def test_are_read_if_more_of_them_follow(self):
+        environ = {"HTTP_PERSIMMONSPOKE_FORWARDED": "h1.ab 2 1 later x=3"}
+        fields = ForwardedFields("h1.ab", 2, True)
+        self.assertEqual(forwarded.forwarded_fields(environ), fields)
+
     def test_that_a_caller_sends_are_not_passed_on(self):
         given = ((headers.FORWARDED, "h9 5 1"),)
         fields = ForwardedFields("h1")
