Log a one-way message that is refused, once for each reason

Cause: a call that a build does not know is refused, and its sender logs that.

Change: the reader writes one line for each reason, 100 reasons at most. The test failed with no line at all.

--- a/src/persimmonspoke/internal/peers/zmq_link.py
+++ b/src/persimmonspoke/internal/peers/zmq_link.py
@@ -38,6 +38,7 @@
 
 FRAMES_PER_MESSAGE = 4
 TOLERANT_MARK = b"+"
+MAX_LOGGED = 100  # reasons for which one-way messages were refused
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 
 log = logging.getLogger(__name__)
@@ -84,6 +85,7 @@
         self._handlers: dict[type, Callable[[Any], Any]] = {}
         self._connections: dict[tuple[str, int], _Connection] = {}
         self._revisions = PeerRevisions(encode, earlier_revision)
+        self._logged: set[str] = set()
         self.bytes_sent = 0
         self.bytes_received = 0
         self._message_socket = _MessageSocket(self._listener, self._receive)
@@ -190,8 +192,17 @@
     def _deliver(self, receiver, kind, body):
         """Pass a one-way message to its handler, which must not block."""
         self.bytes_received += len(body)
-        if receiver == self.address.host_id.encode():
-            self._handle(body)
+        if receiver != self.address.host_id.encode():
+            return
+        kind, reason = self._handle(body)
+        if kind == _Kind.REFUSAL.value:
+            self._log_refused(reason.decode())
+
+    def _log_refused(self, reason):
+        """Log why a one-way message was refused, once for each reason."""
+        if reason not in self._logged and len(self._logged) < MAX_LOGGED:
+            self._logged.add(reason)
+            log.info("link: one-way message refused", extra={"reason": reason})
 
     def _answer(self, sender, number, receiver, kind, body):
         """Answer a hello or a call.
--- a/tests/loopback/test_zmq_link.py
+++ b/tests/loopback/test_zmq_link.py
@@ -148,6 +148,15 @@
         answer = self.a.call(self.b.address, Echo("x"), self.deadline())
         self.assertEqual(answer, Grown("y", 8))
 
+    # Guards against a mix of builds of which no log tells.
+    def test_a_message_that_is_not_known_here_is_logged_once(self):
+        with self.assertLogs("persimmonspoke.internal.peers.zmq_link") as logs:
+            for _ in range(3):
+                self.a.post(self.b.address, Echo("x"))
+            eventlet.sleep(0.1)
+        self.assertEqual(len(logs.records), 1)
+        self.assertIn("Echo", logs.records[0].reason)
+
 
 if __name__ == "__main__":
     unittest.main()
