--- a/tools/builds/__init__.py
+++ b/tools/builds/__init__.py
@@ -7,4 +7,7 @@
 
 ``PYTHONPATH=BUILD/src:. python -m tools.builds record COMMIT FILE`` writes the examples
 as the code in BUILD does; ``tests/recorded`` holds those of earlier landings.
+
+``python -m tools.builds scratch COMMIT DIRECTORY`` makes a clone for trials on the
+bench, in which all processes of the first start run the code of COMMIT.
 """
--- a/tools/builds/__main__.py
+++ b/tools/builds/__main__.py
@@ -9,6 +9,7 @@
 import tempfile
 import warnings
 
+from tools.builds import scratch
 from tools.builds.examples import REFUSED
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -23,12 +24,18 @@
     record_parser = commands.add_parser("record")
     record_parser.add_argument("commit")
     record_parser.add_argument("path", type=pathlib.Path)
+    scratch_parser = commands.add_parser("scratch")
+    scratch_parser.add_argument("commit")
+    scratch_parser.add_argument("directory", type=pathlib.Path)
     commands.add_parser("read").add_argument("path", type=pathlib.Path)
     commands.add_parser("serve")
     commands.add_parser("call").add_argument("port", type=int)
     args = parser.parse_args()
     if args.command == "exchange":
         return exchange(args.build)
+    if args.command == "scratch":
+        scratch.make(args.commit, args.directory)
+        return 0
     os.environ.setdefault("EVENTLET_NO_GREENDNS", "yes")
     warnings.filterwarnings("ignore", message="\\s*Eventlet is deprecated")
     import eventlet
