Test three mechanisms of second sends that no test held

Taken out one at a time, these turned no test red: the check that the first exchange is still waiting when it is interrupted, the check that a second one's task has begun and not ended, and the route's attempts for a send elsewhere.

--- a/tests/cover/test_forwarding.py
+++ b/tests/cover/test_forwarding.py
@@ -268,6 +268,7 @@
         self.host = self.fleet.hosts[0]
         self.forwards = []
         self.errors = []
+        self.straight = 0  # attempts without a second exchange
         self.retries = mock.Mock(return_value=True)
         for target, name, replacement in (
             (self.host.caller.requests, "send", self.send),
@@ -286,6 +287,9 @@
 
     def send(self, to, req):
         """Play an exchange that is lost, with a second one elsewhere before."""
+        self.straight -= 1
+        if self.straight >= 0:
+            raise AnswerLost("the connection broke")
         try:
             return req.elsewhere()
         except (PathsCut, AnswerLost) as exc:
@@ -313,6 +317,13 @@
         self.assertEqual(len(self.forwards), 1)
         self.assertLessEqual(len(self.errors), MAX_ATTEMPTS - 1)
 
+    # Guards against BUDGET: the same, where the attempts before went straight.
+    def test_are_not_made_without_an_attempt_left(self):
+        self.straight = MAX_ATTEMPTS - 1
+        self.assertIsInstance(self.host.caller.send(PATH), OutcomeUnknown)
+        self.assertEqual(self.forwards, [])
+        self.assertEqual(len(self.errors), 1)
+
     def test_that_no_host_takes_cost_no_attempt(self):
         for other in self.fleet.hosts[1:]:
             other.alive = False
--- a/tests/cover/test_second_sends.py
+++ b/tests/cover/test_second_sends.py
@@ -1,5 +1,7 @@
 """A second exchange beside the first, over orders of events in virtual time."""
 
+import contextlib
+import io
 import random
 import unittest
 from itertools import product
@@ -168,6 +170,16 @@
         eventlet.sleep(0.1)
         self.assertTrue(answer.closed)
 
+    # Guards against an interruption of what follows the exchange, or of another one.
+    def test_an_answer_at_the_end_of_the_first_exchange_interrupts_nothing(self):
+        for _ in range(50):
+            send = SecondSend()
+            send.start(FakeAnswer)
+            with send.listening():
+                eventlet.sleep(0)
+            eventlet.sleep(0.1)
+            send.end()
+
     def test_an_answer_that_nobody_took_is_closed(self):
         send, answer = SecondSend(), FakeAnswer()
         send.start(lambda: answer)
@@ -187,6 +199,21 @@
         eventlet.sleep(0.1)
         sender.assert_not_called()
 
+    # Guards against errors of ended tasks that reach the hub, and its log.
+    def test_the_end_of_one_that_has_not_begun_or_has_just_ended_is_quiet(self):
+        errors = io.StringIO()
+        with contextlib.redirect_stderr(errors):
+            for sender in (FakeAnswer, mock.Mock(side_effect=TargetShed("full"))):
+                for pause_s in (None, 0):
+                    for _ in range(20):
+                        send = SecondSend()
+                        send.start(sender)
+                        if pause_s is not None:
+                            eventlet.sleep(pause_s)
+                        send.end()
+                        eventlet.sleep(0.1)
+        self.assertEqual(errors.getvalue(), "")
+
     # Guards against REFUSED: a fault here must not look like "not run".
     def test_a_fault_of_this_host_counts_as_a_lost_answer(self):
         send = SecondSend()
