Keep the time of a second send after one that reached nothing

If a path seemed lost for a moment, no other host took the request, and its kept connection was dead, the request waited until its deadline: the attempt to go elsewhere had cancelled the timer of the second send. The timer stays now; it begins nothing while a second exchange runs.

Before, test_its_time_still_comes_after_one_that_reached_nothing failed. The orders of events no longer end an exchange exactly at the deadline, where either outcome is right and the order of two timers decided.

--- a/src/persimmonspoke/internal/targets/second_sends.py
+++ b/src/persimmonspoke/internal/targets/second_sends.py
@@ -91,7 +91,6 @@
     def start(self, send: Callable[[], TargetAnswer]) -> None:
         """Call `send` in a task of its own, unless a second exchange was begun."""
         if self._state is _State.IDLE:
-            self._cancel_timer()
             self._state = _State.RUNNING
             self._done = Event()
             self._second_task = eventlet.spawn_n(self._run, send)
@@ -117,18 +116,14 @@
 
     def end(self) -> None:
         """End the second exchange if it runs, and close an answer that nobody took."""
-        self._cancel_timer()
+        if self._timer is not None:
+            self._timer.cancel()
         state, self._state = self._state, _State.ENDED
         if state is _State.RUNNING:
             hubs.get_hub().schedule_call_global(0, self._interrupt_second)
         elif state is _State.ANSWERED:
             self._answer.close()
 
-    def _cancel_timer(self):
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-
     def _run(self, send):
         if self._state is _State.ENDED:
             return
--- a/tests/cover/test_second_sends.py
+++ b/tests/cover/test_second_sends.py
@@ -12,6 +12,7 @@
 from persimmonspoke.errors import (
     AnswerLost,
     CallerGone,
+    PathsCut,
     TargetShed,
     TargetUnreachable,
 )
@@ -25,7 +26,7 @@
 
 SEED = 34
 TIMES_S = (0.0, 1.0, 2.0, 3.0)
-DEADLINE_S = 4.0
+DEADLINE_S = 4.5
 OUTCOMES = ("answer", AnswerLost("lost"), TargetShed("full"), TargetUnreachable("no"))
 
 
@@ -155,6 +156,27 @@
                 self.assertEqual(sender.call_count, expected)
                 send.end()
 
+    # Guards against a dead connection that is listened to until the deadline, since a
+    # path seemed lost for a moment.
+    def test_its_time_still_comes_after_one_that_reached_nothing(self):
+        send, answer = SecondSend(), FakeAnswer()
+        send.start_after(1.0, lambda: answer)
+        send.start(mock.Mock(side_effect=PathsCut("no host")))
+        eventlet.sleep(0.5)
+        self.assertIs(send.wait(1.0), None)
+        eventlet.sleep(1.0)
+        self.assertIs(send.wait(0.0), answer)
+        send.end()
+
+    def test_its_time_is_ignored_while_one_runs(self):
+        send, sender = SecondSend(), mock.Mock()
+        send.start_after(1.0, sender)
+        send.start(lambda: eventlet.sleep(2.0) or FakeAnswer())
+        eventlet.sleep(1.5)
+        sender.assert_not_called()
+        send.end()
+        eventlet.sleep(0.1)
+
     def test_an_answer_that_comes_after_the_end_is_closed(self):
         send, answer = SecondSend(), FakeAnswer()
 
