Say that nothing has run if both sends of a request were refused

Callers got 502 and waited for nothing they could repeat, where a target had refused both the first and the second send of a request: the second's refusal counted as an exchange that may have run, and the owner that had refused was not reported, so the next attempt went to it again.

Only an error after which the request may have run is kept now. Before, the new test got AnswerLost. The fake of another host takes the argument that second sends added.

--- a/src/persimmonspoke/internal/targets/second_sends.py
+++ b/src/persimmonspoke/internal/targets/second_sends.py
@@ -12,6 +12,7 @@
 
 from persimmonspoke.errors import (
     AnswerLost,
+    NotRun,
     PathsCut,
     RequestFailure,
     RouteLapsed,
@@ -19,7 +20,7 @@
     TargetRefusedConnection,
     TargetUnreachable,
 )
-from persimmonspoke.internal.targets.request_api import TargetAnswer
+from persimmonspoke.internal.targets.request_api import NOT_RUN_ERRORS, TargetAnswer
 
 log = logging.getLogger(__name__)
 
@@ -54,7 +55,7 @@
     Attributes
     ----------
     error : Exception or None
-        How the second exchange failed, if it may have reached a target.
+        How the second exchange failed, if it may have run.
     """
 
     __slots__ = (
@@ -137,7 +138,8 @@
             log.debug("targets: second send failed", extra={"reason": str(exc)})
             state = _State.IDLE
         except (TargetError, RequestFailure) as exc:
-            self.error = exc
+            if not isinstance(exc, (NotRun, *NOT_RUN_ERRORS)):
+                self.error = exc
         except Exception as exc:
             log.exception("targets: second send failed by a fault of this host")
             self.error = AnswerLost(f"the second exchange failed: {exc!r}")
--- a/tests/cover/test_planned_stop.py
+++ b/tests/cover/test_planned_stop.py
@@ -52,7 +52,7 @@
         """Return True: it may be asked."""
         return True
 
-    def send(self, req, body, target_id, attempts, may_have_run):
+    def send(self, req, body, target_id, attempts, may_have_run, may_repeat):
         """Return the answer of the other host."""
         eventlet.sleep(0.5)
         return "h2", FakeAnswer()
@@ -147,6 +147,14 @@
         self.assertTrue(self.stopped.wait())
         self.assertEqual(self.targets.written, [])
 
+    # Guards against LOST: a request of which no byte was written is cut.
+    def test_one_that_waits_for_a_connection_at_the_end_is_refused_in_time(self):
+        self.targets.steps.append(Step(before_write_s=9.0))
+        sent = eventlet.spawn_after(1.0, call, self.app, x_deadline_ms="19000")
+        self.assertTrue(self.stopped.wait())
+        self.assertEqual(sent.wait().error(), (503, "host_closed", "not_run"))
+        self.assertEqual(self.targets.written, [])
+
     # Guards against REFUSED: a request that may have run is said not to have run.
     def test_one_that_waits_after_an_attempt_that_may_have_run_is_not_said_not_to(self):
         self.targets.steps.append(Step(AnswerLost("gone"), after_write_s=0.1))
--- a/tests/loopback/test_targets_requests.py
+++ b/tests/loopback/test_targets_requests.py
@@ -488,6 +488,14 @@
             self.assertEqual(self.ask(target, wait_s=5.0), (200, b"slow"))
             self.assertEqual(target.request_ids(), ["warm", "r1", "r1"])
 
+    # Guards against a 502 for a request of which nothing has run.
+    def test_a_refusal_of_both_sends_says_that_it_did_not_run(self):
+        refusal = {"status": "503 Full", "x_outcome": "shed"}
+        second = in_sequence(answer_with(**refusal))
+        target = self.slow_target(answer_after(0.4, **refusal), second)
+        with self.assertRaises(TargetShed):
+            self.ask(target, wait_s=5.0)
+
     # Guards against LOST: the same, where nothing takes a second connection.
     def test_answer_though_no_second_connection_is_accepted(self):
         for error in (TargetUnreachable, TargetRefusedConnection):
@@ -711,7 +719,7 @@
         eventlet.sleep(0.005)
         pool = self.pools.of(target.config())
 
-        def lose_path(deadline):
+        def lose_path(deadline, over_limit):
             self.paths.lost[target.config().target_id] = self.clock.now()
             raise TargetUnreachable("no connection")
 
