Open a second connection beyond the limit, and pay for second sends that are sent

A second send waited for a permit of its pool. With the limit reached, the connection that may be dead kept the permit that its replacement needed, and the request ended at its deadline; the limit is 1 where there are more hosts than connections. And the retry budget was taken before the connection was opened, so that second sends which reached nothing used it up just when it was needed. Found by the review.

The replacement may exceed the limit now; the target is asked for one connection more for each request that waits on a silent one. The budget is asked last, with the right to send.

Before, the two new tests failed.

--- a/src/persimmonspoke/internal/targets/connections.py
+++ b/src/persimmonspoke/internal/targets/connections.py
@@ -384,9 +384,21 @@
             self._release_permit()
             raise
 
-    def acquire_new(self, deadline: Instant) -> TargetConnection:
-        """Return a newly opened connection."""
-        self._acquire_permit(deadline)
+    def acquire_new(
+        self, deadline: Instant, over_limit: bool = False
+    ) -> TargetConnection:
+        """Return a newly opened connection.
+
+        Parameters
+        ----------
+        over_limit : bool
+            Whether it may exceed the limit, because it replaces a connection in use
+            that may be dead.
+        """
+        if over_limit:
+            self._permits.counter -= 1
+        else:
+            self._acquire_permit(deadline)
         self._in_use += 1
         try:
             return self._open(deadline)
--- a/src/persimmonspoke/internal/targets/http_requests.py
+++ b/src/persimmonspoke/internal/targets/http_requests.py
@@ -300,17 +300,15 @@
         req = first.req
         if self._must_go_elsewhere(first):
             return _answer_of_target(req.elsewhere())
-        if not req.may_repeat():
-            raise RouteLapsed("no second send is left in the budget")
         try:
-            conn = first.pool.acquire_new(req.deadline)
+            conn = first.pool.acquire_new(req.deadline, over_limit=True)
         except (TargetRefusedConnection, TargetUnreachable):
             if self._must_go_elsewhere(first):
                 return _answer_of_target(req.elsewhere())
             raise
-        second_req = replace(req, repeated=True)
+        may_send = partial(self._may_send_second, first)
+        second_req = replace(req, repeated=True, may_send=may_send)
         exchange = self._new_exchange(first.target, first.pool, conn, second_req)
-        self._log_second(first)
         answer = self._run(exchange)
         if req.forwarded is not None:
             answer = _answer_of_target(answer)
@@ -334,7 +332,13 @@
         is_reached = self._paths.reaches(first.target.target_id)
         return first.req.elsewhere is not None and not is_reached
 
-    def _log_second(self, first):
+    def _may_send_second(self, first) -> bool:
+        """Return whether a request may be sent a second time, and log that it is.
+
+        The budget is asked last, so that it pays only for what is sent.
+        """
+        if not first.req.may_send() or not first.req.may_repeat():
+            return False
         now = self._clock.now()
         log.info(
             "targets: sent a second time",
@@ -344,6 +348,7 @@
                 "target_had_ms": round((now - first.sent_at) * MS_PER_S, 1),
             },
         )
+        return True
 
     def has_ended(self, target: TargetConfig) -> bool:
         """Return whether `target` refuses connections, so that its process has ended.
--- a/tests/loopback/test_targets_requests.py
+++ b/tests/loopback/test_targets_requests.py
@@ -496,6 +496,22 @@
         with self.assertRaises(TargetShed):
             self.ask(target, wait_s=5.0)
 
+    # Guards against a dead connection that holds the last permit of its replacement.
+    def test_a_dead_connection_is_replaced_though_the_limit_is_one(self):
+        target = self.slow_target(never_answer, answer_all)
+        self.pools.of(target.config()).resize(1)
+        self.assertEqual(self.ask(target, wait_s=5.0), (200, b"ok"))
+
+    def test_the_budget_does_not_pay_for_what_is_not_sent(self):
+        target = self.slow_target(answer_after(0.2, body=b"slow"))
+        may_repeat = mock.Mock(return_value=True)
+        error = TargetUnreachable()
+        pool = self.pools.of(target.config())
+        with mock.patch.object(pool, "acquire_new", side_effect=error):
+            answer = self.ask(target, wait_s=5.0, may_repeat=may_repeat)
+        self.assertEqual(answer, (200, b"slow"))
+        may_repeat.assert_not_called()
+
     # Guards against LOST: the same, where nothing takes a second connection.
     def test_answer_though_no_second_connection_is_accepted(self):
         for error in (TargetUnreachable, TargetRefusedConnection):
