Close an idle connection only if nothing has arrived on it

Cause: the idle timeout was one of the socket. A late event hub runs timers before it polls sockets, so the timeout ended connections on which a request waited; the close then lingered, which read that request, or one that crossed it, and threw it away. A caller that must not repeat a request can send one again only if it was not read.

Ruled out: the callers, which reuse connections for four fifths of the limit: an event hub that is late by the last fifth is enough.

Change: a timer that closes the connection as the end of the server does, if a look without waiting finds nothing, and without lingering.

Before, both tests failed: no answer, and no reset.

--- a/src/persimmonspoke/internal/callers/server.py
+++ b/src/persimmonspoke/internal/callers/server.py
@@ -60,6 +60,7 @@
     """One caller's connection; rejects request heads that violate HTTP."""
 
     _lingers = True
+    _waiting_task: greenlet | None = None
 
     def handle(self):
         """Answer requests until the caller or this host closes the connection."""
@@ -96,18 +97,33 @@
 
     def _start_head_timer(self):
         """Wait for the first bytes; start a timer if the head is incomplete."""
-        self.connection.settimeout(self.cfg.idle_s)
-        self.waiting[self] = getcurrent()
+        # Not a timeout of the socket: a late hub runs timers before it polls sockets.
+        idle_timer = hubs.get_hub().schedule_call_global(
+            self.cfg.idle_s, self.close_if_unused
+        )
+        self.connection.settimeout(None)
+        self._waiting_task = getcurrent()
+        self.waiting[self] = None
         try:
             first_bytes = self.rfile.peek(1)
         except ConnectionError:
             return
         finally:
+            idle_timer.cancel()
+            self._waiting_task = None
             del self.waiting[self]
         # Most heads arrive in one segment, and a timer costs as much as a system call.
         if END_OF_HEAD not in first_bytes:
             self._head_timer = eventlet.Timeout(self.cfg.head_s, _HeadTooSlow)
 
+    def close_if_unused(self):
+        """Close the connection if it waits for a request of which nothing has arrived.
+
+        Call it from the event hub.
+        """
+        if self._waiting_task is not None and has_nothing_to_read(self.connection):
+            self._waiting_task.throw(_ConnectionUnused())
+
     def _stop_head_timer(self):
         if self._head_timer is not None:
             self._head_timer.cancel()
@@ -217,7 +233,7 @@
     """
 
     def __init__(self, listener, app: CallerApp, settings: CallerSettings):
-        self._waiting: dict[CallerConnection, greenlet] = {}
+        self._waiting: dict[CallerConnection, None] = {}
 
         class _Connection(CallerConnection):
             cfg = settings
@@ -286,12 +302,7 @@
         It happens in the next round of the event hub.
         """
         for conn in self._waiting:
-            hubs.get_hub().schedule_call_global(0, self._close_if_unused, conn)
-
-    def _close_if_unused(self, conn):
-        task = self._waiting.get(conn)
-        if task is not None and has_nothing_to_read(conn.connection):
-            task.throw(_ConnectionUnused())
+            hubs.get_hub().schedule_call_global(0, conn.close_if_unused)
 
     def _start(self, sock, address):
         sock.settimeout(self._library_server.socket_timeout)
--- a/tests/loopback/test_callers_server.py
+++ b/tests/loopback/test_callers_server.py
@@ -30,12 +30,13 @@
 
     scripts = (answer_all,)
     wait_ms = 20_000
+    idle_s = CallerSettings().idle_s
 
     def setUp(self):
         self.target = RawTarget(*self.scripts)
         self.addCleanup(self.target.stop)
         clock = SystemClock()
-        cfg = CallerSettings(head_s=0.2, gone_check_s=0.01)
+        cfg = CallerSettings(head_s=0.2, gone_check_s=0.01, idle_s=self.idle_s)
         pools = TargetPools(TargetSettings(), clock, lambda cfg: cfg.connections)
         config = self.target.config()
         self.gate = SimpleGate()
--- a/tests/loopback/test_stopping_server.py
+++ b/tests/loopback/test_stopping_server.py
@@ -1,4 +1,4 @@
-"""The end of the server for callers, beside requests that arrive in the same moment."""
+"""Closing callers' connections, beside requests that arrive in the same moment."""
 
 import socket
 
@@ -41,6 +41,14 @@
         self.assertIn('"run": "not_run"', text)
         self.assertIn("Connection: close", text)
 
+    def assert_resets(self, sock):
+        """Check that the server does not read a request that it won't answer."""
+        sock.fd.send(REQUEST)
+        eventlet.sleep(0.05)
+        with self.assertRaises(ConnectionError):
+            sock.recv(1)
+            sock.fd.send(REQUEST)
+
     def assert_ended(self):
         with eventlet.Timeout(SOON_S, AssertionError("a connection is left open")):
             self.wait_for(lambda: self.server.open_connections() == 0)
@@ -144,11 +152,7 @@
         sock = self.connect_and_use()
         self.stop()
         self.assert_ended()
-        sock.fd.send(REQUEST)
-        eventlet.sleep(0.05)
-        with self.assertRaises(ConnectionError):
-            sock.recv(1)
-            sock.fd.send(REQUEST)
+        self.assert_resets(sock)
 
     def test_new_connections_are_refused_at_once(self):
         address = self.listener.getsockname()
@@ -177,3 +181,26 @@
             failures.append(OSError(24, "Too many open files"))
             self.connect_and_use()
             self.connect_and_use()
+
+
+class TestIdleConnections(StopCase):
+    idle_s = 0.3
+
+    # Guards against requests that end without an answer because the hub was late: it
+    # runs timers before it looks at sockets.
+    def test_one_on_which_a_request_has_arrived_is_not_closed(self):
+        sock = self.connect_and_use()
+        sock.fd.send(REQUEST)
+        stall(2 * self.idle_s)
+        self.assertIn(b" 200 OK", sock.recv(65536))
+
+    def test_one_that_is_closed_reads_nothing_more(self):
+        sock = self.connect_and_use()
+        eventlet.sleep(self.idle_s)
+        self.assertEqual(self.read_all(sock), "")
+        self.assert_resets(sock)
+
+
+def stall(s):
+    """Let no task of this process run for a time."""
+    eventlet.patcher.original("time").sleep(s)
