Test that requests leave the desk of a host that stops before its end

Once the lists of live hosts lack the host, requests that wait at its desk ask the next one, so the end of its process takes none with it. Nothing was wrong; without the change of the lists, or without asking the new desk, the test turns red.

--- a/tests/cover/test_desk_scheduler.py
+++ b/tests/cover/test_desk_scheduler.py
@@ -63,6 +63,23 @@
         desk.task.kill()
         self.assertIn(other.acquire(3.0).target_id, ("t0", "t1"))
 
+    # Guards against LOST: the desk of a host that stops takes requests with it.
+    def test_a_desk_whose_host_stops_is_left_by_all_requests_before_its_end(self):
+        desk = self.desk_host()
+        other = next(h for h in self.fleet if h is not desk)
+        slots = [other.acquire(9.0) for _ in range(4)]
+        waiting = eventlet.spawn(other.acquire, 9.0)
+        eventlet.sleep(0.05)
+        desk.peers.remove(desk.me())  # as on all hosts' lists once it is leaving
+        eventlet.sleep(0.2)
+        desk.process.kill()
+        desk.task.kill()
+        self.assertFalse(waiting.dead)
+        slots[0].done(SlotOutcome.ANSWERED)
+        eventlet.sleep(0.05)
+        self.assertTrue(waiting.dead)
+        self.assertEqual(waiting.wait().target_id, slots[0].target_id)
+
 
 class TestTargetsThatAHostDoesNotReach(SchedulerCase):
     def test_are_avoided_for_that_host(self):
