Send nothing a second time to a target that is leaving

A second send comes up to a quarter of the time left after the first; a target of a service without keys may have begun to leave meanwhile, and the first write asks only the choice of the target. Owners of keys were asked by their route.

Before, test_do_not_go_to_a_target_that_is_leaving failed. Ruled out: asking in `may_send`, which would also end first sends that were chosen in time.

--- a/src/persimmonspoke/daemon/routed.py
+++ b/src/persimmonspoke/daemon/routed.py
@@ -328,6 +328,7 @@
             self.paths,
             self.forwarder,
             self.rests,
+            lambda target_id: self.state.leaving_since(target_id) is not None,
         )
 
     def _caller_server(self, runner):
--- a/src/persimmonspoke/internal/callers/attempts.py
+++ b/src/persimmonspoke/internal/callers/attempts.py
@@ -237,6 +237,8 @@
         Takes the requests of this host while its paths are cut.
     rests : TargetRests
         The targets that want nothing from this host.
+    is_leaving : callable
+        Returns whether a target is leaving; it gets no second send then.
     """
 
     def __init__(
@@ -254,7 +256,9 @@
         paths: TargetPaths | None = None,
         forwarder: Forwarder | None = None,
         rests: TargetRests | None = None,
+        is_leaving: Callable[[TargetId], bool] = lambda target_id: False,
     ):
+        self._is_leaving = is_leaving
         self._rests = no_rests(clock) if rests is None else rests
         self._forwarder = forwarder
         self._paths = always_open(clock) if paths is None else paths
@@ -559,7 +563,7 @@
             elsewhere = partial(
                 self._send_elsewhere, target_req, req, ticket, retry_state, owner
             )
-        may_repeat = partial(self._take_second_send, ticket)
+        may_repeat = partial(self._may_repeat, ticket, target_req.target_id)
         return replace(target_req, may_repeat=may_repeat, elsewhere=elsewhere)
 
     def _send_elsewhere(self, target_req, req, ticket, retry_state, owner):
@@ -594,6 +598,9 @@
         self._metrics.incr("callers.forwarded")
         return answer
 
+    def _may_repeat(self, ticket, target_id) -> bool:
+        return not self._is_leaving(target_id) and self._take_second_send(ticket)
+
     def _take_second_send(self, ticket) -> bool:
         """Take a second send during one attempt from the retry budget."""
         is_allowed = self._scheduler.take_retry(ticket)
--- a/tests/cover/test_callers_attempts.py
+++ b/tests/cover/test_callers_attempts.py
@@ -2,6 +2,7 @@
 
 import unittest
 from dataclasses import replace
+from unittest import mock
 
 import eventlet
 
@@ -18,7 +19,9 @@
     TargetUnreachable,
 )
 from persimmonspoke.internal.callers.app import make_caller_app
+from persimmonspoke.internal.callers.attempts import RequestRunner
 from persimmonspoke.internal.callers.settings import CallerSettings
+from persimmonspoke.internal.observe.api import NoMetrics
 from persimmonspoke.internal.routing.config import RouteConfig, RouteKind
 from persimmonspoke.internal.targets.request_api import NOT_RUN_ERRORS
 from tests.fakes.caller_parts import (
@@ -98,6 +101,27 @@
         ((_, req),) = self.targets.attempts
         self.assertEqual([req.may_repeat(), req.may_repeat()], [True, False])
 
+    # Guards against DRAIN: a target gets a request long after it began to leave.
+    def test_do_not_go_to_a_target_that_is_leaving(self):
+        leaving = set()
+        runner = RequestRunner(
+            CallerSettings(),
+            self.routes,
+            self.scheduler,
+            self.targets,
+            self.clock,
+            NoMetrics(),
+            is_leaving=leaving.__contains__,
+        )
+        self.scheduler.retries = 1
+        with mock.patch.object(self.app, "_runner", runner):
+            self.send_idempotent()
+        ((name, req),) = self.targets.attempts
+        leaving.add(name)
+        self.assertFalse(req.may_repeat())
+        leaving.clear()
+        self.assertTrue(req.may_repeat())
+
 
 class TestLongBodies(HostCase):
     def test_the_part_that_was_read_before_is_known_while_the_rest_is_streamed(self):
