--- a/tools/measure/__main__.py
+++ b/tools/measure/__main__.py
@@ -11,6 +11,7 @@
     "tools.measure.teams",
     "tools.measure.lender_loss",
     "tools.measure.hedging",
+    "tools.measure.silence",
     "tools.measure.ownership",
     "tools.measure.schedules",
 )
