--- a/src/persimmonspoke/internal/targets/early_ends.py
+++ b/src/persimmonspoke/internal/targets/early_ends.py
@@ -1,8 +1,8 @@
 """Exchanges with targets that this host ends before they have ended by themselves.
 
-Once a request's first byte was sent, its exchange is ended for no other reason than those
-of `EarlyEnd`.  Silence, and paths or owners that seem lost, are none: they may begin a
-second exchange, see `second_sends`.
+Once a request's first byte was sent, its exchange is ended for no other reason than
+those of `EarlyEnd`.  Silence, and paths or owners that seem lost, are none: they may
+begin a second exchange, see `second_sends`.
 """
 
 import logging
