Look up the layout of a message instead of counting for each

Cause: compared the number of fields with each revision whenever a message was decoded.

Change: the fields of each revision, and the revision of each number of fields, are computed when the type is registered.

--- a/src/persimmonspoke/internal/peers/codec.py
+++ b/src/persimmonspoke/internal/peers/codec.py
@@ -31,21 +31,21 @@
 
     Attributes
     ----------
+    names : tuple of str
+        Fields of the newest revision.
     adapter : TypeAdapter or None
         Validates the fields; None if they are not validated.
-    counts : tuple of int
-        Number of fields in each revision.
+    names_in : tuple of tuple of str
+        Fields in each revision.
+    revision_of : tuple of Revision
+        The newest revision with at most so many fields, by their number.
     """
 
     message_type: type
     names: tuple[str, ...]
     adapter: TypeAdapter | None
-    counts: tuple[int, ...]
-
-    def revision_of(self, count: int) -> Revision:
-        """Return the newest revision in which a message has at most `count` fields."""
-        fitting = [r for r in Revision if self.counts[r] <= count]
-        return max(fitting, default=min(Revision))
+    names_in: tuple[tuple[str, ...], ...]
+    revision_of: tuple[Revision, ...]
 
 
 _MESSAGE_TYPES: dict[str, _Layout] = {}
@@ -69,8 +69,7 @@
     """Return `msg` encoded as msgpack, in the layout of a revision."""
     name = type(msg).__name__
     layout = _MESSAGE_TYPES[name]
-    names = layout.names[: layout.counts[revision]]
-    body = [getattr(msg, field_name) for field_name in names]
+    body = [getattr(msg, field_name) for field_name in layout.names_in[revision]]
     return msgpack.packb([name, body], default=_to_plain_value)
 
 
@@ -90,13 +89,14 @@
     try:
         name, body = msgpack.unpackb(data)
         layout = _MESSAGE_TYPES[name]
-        known = body[: len(layout.names)]
+        if len(body) > len(layout.names):
+            body = body[: len(layout.names)]
         if layout.adapter is None:
-            msg = layout.message_type(*known)
+            msg = layout.message_type(*body)
         else:
-            by_name = dict(zip(layout.names, known, strict=False))
+            by_name = dict(zip(layout.names, body, strict=False))
             msg = layout.adapter.validate_python(by_name)
-        return msg, layout.revision_of(len(body))
+        return msg, layout.revision_of[len(body)]
     except (ValueError, TypeError, KeyError, ValidationError) as exc:
         raise MalformedMessage(f"{UNREADABLE}: {exc}") from exc
 
@@ -106,8 +106,8 @@
 
     Return None if there is none.
     """
-    counts = _MESSAGE_TYPES[message_type.__name__].counts
-    fewer = [r for r in Revision if counts[r] < counts[revision]]
+    names_in = _MESSAGE_TYPES[message_type.__name__].names_in
+    fewer = [r for r in Revision if len(names_in[r]) < len(names_in[revision])]
     return max(fewer, default=None)
 
 
@@ -115,10 +115,16 @@
     name = message_type.__name__
     if name in _MESSAGE_TYPES:
         raise ValueError(f"a message named {name} exists; rename this one")
-    found = fields(message_type)
-    counts = tuple(sum(_since(f) <= revision for f in found) for revision in Revision)
-    names = tuple(field.name for field in found)
-    _MESSAGE_TYPES[name] = _Layout(message_type, names, adapter, counts)
+    names = tuple(field.name for field in fields(message_type))
+    names_in = tuple(
+        tuple(field.name for field in fields(message_type) if _since(field) <= revision)
+        for revision in Revision
+    )
+    revision_of = tuple(
+        max((r for r in Revision if len(names_in[r]) <= count), default=min(Revision))
+        for count in range(len(names) + 1)
+    )
+    _MESSAGE_TYPES[name] = _Layout(message_type, names, adapter, names_in, revision_of)
     return message_type
 
 
