Let idle tasks of a host sleep until they have something to do

An idle host woke up for nothing: to poll the connections of callers while no request was in flight, to look after paths ten times a second, to flush no log lines, to look for news that wake their tasks anyway, and after every second read that had waited.

Each of these tasks now sleeps until its next work, or until it is woken. What is noticed, and how soon, stays as it was.

--- a/src/persimmonspoke/internal/callers/gone.py
+++ b/src/persimmonspoke/internal/callers/gone.py
@@ -4,6 +4,7 @@
 
 import eventlet
 from eventlet import greenio, hubs
+from eventlet.event import Event
 from greenlet import getcurrent
 
 from persimmonspoke.errors import CallerGone
@@ -40,6 +41,7 @@
         self._cfg = cfg
         self._clock = clock
         self._watched: dict[WatchedRequest, None] = {}
+        self._arrival = Event()
 
     def add(self, sock) -> WatchedRequest | None:
         """Watch the caller of the current task's request.
@@ -50,6 +52,8 @@
             return None
         watched = WatchedRequest(sock, self._clock.now())
         self._watched[watched] = None
+        if len(self._watched) == 1 and not self._arrival.ready():
+            self._arrival.send()
         return watched
 
     def check_request(self, watched: WatchedRequest | None) -> None:
@@ -66,6 +70,9 @@
     def run(self) -> None:
         """Poll the callers' sockets forever; run as a task of the daemon."""
         while True:
+            if not self._watched:
+                self._arrival = Event()
+                self._arrival.wait()
             eventlet.sleep(self._cfg.gone_check_s)
             self.check()
 
--- a/src/persimmonspoke/internal/news/updates.py
+++ b/src/persimmonspoke/internal/news/updates.py
@@ -10,6 +10,7 @@
 from enum import Enum
 
 import xxhash
+from eventlet.event import Event
 
 from persimmonspoke.errors import StoreMissing, StoreUnavailable
 from persimmonspoke.ids import Instant
@@ -155,11 +156,14 @@
         self._last_outage_at: Instant | None = None
         self._in_outage = False
         self._caught_up = False
+        self._reading = Event()
 
     def tasks(self) -> tuple[Callable[[], None], ...]:
         """Return the tasks that the daemon has to run."""
         watches = [
-            lambda watcher=watcher: watcher.run(self._reads_store)
+            lambda watcher=watcher: watcher.run(
+                self._reads_store, self._wait_until_reading
+            )
             for watcher in self.watchers
         ]
         return (
@@ -253,6 +257,7 @@
             self._fallback_until = Instant(now + self._cfg.fallback_s)
         elif now >= self._fallback_until or before is Source.STORE:
             self.source = Source.RELAYS
+        self._wake_readers()
         if self.source is not before:
             confirmed_at = self.confirmed_at
             log.info(
@@ -281,6 +286,7 @@
             pause_s = self._cfg.check_s
             if self.source is not Source.RELAYS:
                 answered = self._path.check()
+                self._wake_readers()
                 for watcher in self.watchers:
                     if answered:
                         watcher.check_era()
@@ -298,6 +304,16 @@
         """
         return self.source is not Source.RELAYS and not self._path.failed
 
+    def _wait_until_reading(self):
+        """Return once `_reads_store()`."""
+        while not self._reads_store():
+            self._reading.wait()
+
+    def _wake_readers(self):
+        if self._reads_store():
+            reading, self._reading = self._reading, Event()
+            reading.send()
+
     def _needs_relays(self):
         """Return whether to ask relays: a relay itself does if it is behind."""
         return self.source is not Source.STORE or self._is_stale()
--- a/src/persimmonspoke/internal/news/watcher.py
+++ b/src/persimmonspoke/internal/news/watcher.py
@@ -1,6 +1,7 @@
 """The task that watches the store and applies its changes to the cache."""
 
 import logging
+from collections.abc import Callable
 from typing import Protocol
 
 import eventlet
@@ -89,10 +90,21 @@
                 return path_confirmed_at
         return self._call_confirmed_at
 
-    def run(self, enabled=lambda: True) -> None:
-        """Follow the store while `enabled()`; run as a task of the daemon."""
+    def run(
+        self,
+        enabled: Callable[[], bool] = lambda: True,
+        wait_enabled: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Follow the store while `enabled()`; run as a task of the daemon.
+
+        Parameters
+        ----------
+        wait_enabled : callable
+            Returns once `enabled()`.
+        """
         retry_s = RETRY_S
         while True:
+            wait_enabled()
             if enabled():
                 self._follow(enabled)
                 failed = self.silent_since is not None
--- a/src/persimmonspoke/internal/observe/bounded_logs.py
+++ b/src/persimmonspoke/internal/observe/bounded_logs.py
@@ -6,6 +6,7 @@
 
 import eventlet
 from eventlet import patcher
+from eventlet.event import Event
 from pythonjsonlogger.json import JsonFormatter
 
 from persimmonspoke.internal.clock import Clock
@@ -42,6 +43,7 @@
         self._credit = float(LINES_PER_S)
         self._credited_at = clock.now()
         self._dropped_reported = 0
+        self._due = Event()
         self.dropped = 0
         os.set_blocking(descriptor, False)
 
@@ -55,6 +57,7 @@
         reserve = 0.0 if record.levelno >= logging.WARNING else LINES_PER_S / 10
         if self._credit < reserve + 1 or self._queued_bytes > MAX_QUEUED_BYTES:
             self.dropped += 1
+            self._note_due()
             return
         self._credit -= 1
         self._enqueue(self.format(record))
@@ -83,15 +86,23 @@
                 return
 
     def run(self) -> None:
-        """Write queued lines periodically, forever."""
+        """Write queued lines periodically, forever, while there are any."""
         while True:
+            if not self._queue and self.dropped == self._dropped_reported:
+                self._due = Event()
+                self._due.wait()
             eventlet.sleep(FLUSH_S)
             self.flush_without_blocking()
 
+    def _note_due(self):
+        if not self._due.ready():
+            self._due.send()
+
     def _enqueue(self, text):
         line = text.encode() + b"\n"
         self._queue.append(line)
         self._queued_bytes += len(line)
+        self._note_due()
 
 
 def start_bounded_logs(level: str, host_id: str, clock: Clock) -> BoundedHandler:
--- a/src/persimmonspoke/internal/targets/connections.py
+++ b/src/persimmonspoke/internal/targets/connections.py
@@ -76,7 +76,9 @@
                     timeout=self._sock.gettimeout(),
                     timeout_exc=TimeoutError,
                 )
+                self._reads_until_yield = READS_BEFORE_YIELD
                 continue
+            self._reads_until_yield -= 1
             self.left_bytes -= count
             if self.left_bytes < 0:
                 raise TooManyBytes("the answer has more bytes than its parts may have")
@@ -85,7 +87,6 @@
 
     def _yield_sometimes(self):
         """Let other tasks and timers run, even if the peer sends without a pause."""
-        self._reads_until_yield -= 1
         if self._reads_until_yield <= 0:
             self._reads_until_yield = READS_BEFORE_YIELD
             eventlet.sleep(0)
--- a/src/persimmonspoke/internal/targets/paths.py
+++ b/src/persimmonspoke/internal/targets/paths.py
@@ -25,7 +25,7 @@
 MAX_LOGGED = 8  # targets that one line names
 MAX_REACHED_SHARE = 0.25  # of the tried targets; above it, the others are not judged
 MIN_CUT = 2  # a single target that is lost has rather ended
-RUN_PERIOD_S = 0.1  # how often `TargetPaths.run` looks whether a check is due
+MIN_PAUSE_S = 0.1  # between two looks of `TargetPaths.run` whether a check is due
 LONG_AGO = Instant(float("-inf"))
 
 Seconds = Annotated[float, Field(gt=0)]
@@ -219,7 +219,7 @@
     def run(self) -> None:
         """Check the paths when it is due, until the task is killed."""
         while True:
-            self._clock.sleep_until(Instant(self._clock.now() + RUN_PERIOD_S))
+            self._clock.sleep_until(self._next_look_at())
             now = self._clock.now()
             if self._running is None and self._is_idle(now):
                 self._run_check(self._check_one)
@@ -229,6 +229,18 @@
                 self._rechecked_at = now
                 self._recheck_lost()
 
+    def _next_look_at(self):
+        """Return when a check may be due at the earliest.
+
+        What is sent meanwhile is not quiet before then.
+        """
+        now = self._clock.now()
+        due_at = now + min(self._cfg.quiet_s, self._cfg.recheck_s)
+        for flight in self._flights.values():
+            quiet_at = flight.quiet_since + self._cfg.quiet_s
+            due_at = min(due_at, max(quiet_at, flight.check_at))
+        return Instant(max(due_at, now + MIN_PAUSE_S))
+
     def _is_idle(self, now):
         """Return whether nothing has shown for long whether the paths are well."""
         hosts = max(1.0, self._host_count() / self._cfg.hosts_per_idle)
