Replace only the rows of a changed range in the routing table

Each change of one range rebuilt and sorted all rows of its service, and the list of first keys of all services, on every host. Now the rows before and after it are kept.

--- a/src/persimmonspoke/internal/ranges/routes.py
+++ b/src/persimmonspoke/internal/ranges/routes.py
@@ -71,7 +71,13 @@
         """Apply a table if it is newer than the present one; return whether it is."""
         if table.version() <= self.version():
             return False
-        self._replace_table(table)
+        self._replace_table(
+            table,
+            {
+                service: [row.first for row in rows]
+                for service, rows in table.services.items()
+            },
+        )
         return True
 
     def update_from_ownership(self, found: Ownership) -> None:
@@ -93,20 +99,19 @@
         if (change.epoch, change.serial - 1) != self.version():
             return False
         rows = self.table.services.get(change.service, ())
-        new = _with_rows(rows, [RouteRow(*row) for row in change.rows])
+        firsts = self._firsts.get(change.service, [])
+        new = with_rows(rows, firsts, [RouteRow(*row) for row in change.rows])
         services = {**self.table.services, change.service: new}
         self._replace_table(
-            replace(self.table, serial=change.serial, services=services)
+            replace(self.table, serial=change.serial, services=services),
+            {**self._firsts, change.service: [row.first for row in new]},
         )
         return True
 
-    def _replace_table(self, table):
+    def _replace_table(self, table, firsts):
         now = self._clock.now()
         self.table = table
-        self._firsts = {
-            service: [row.first for row in rows]
-            for service, rows in table.services.items()
-        }
+        self._firsts = firsts
         self._updated_at = now
         self._refused_until = {
             key: until for key, until in self._refused_until.items() if until > now
@@ -222,16 +227,27 @@
         return Instant(self._updated_at + row.open_in_s)
 
 
-def _with_rows(rows: tuple[RouteRow, ...], new: list[RouteRow]) -> tuple[RouteRow, ...]:
-    """Return `rows` with the rows of the keys that `new` covers replaced by `new`."""
+def with_rows(
+    rows: tuple[RouteRow, ...], firsts: list[int], new: list[RouteRow]
+) -> tuple[RouteRow, ...]:
+    """Return `rows` with the rows of the keys that `new` covers replaced by `new`.
+
+    Parameters
+    ----------
+    rows, new
+        Rows in the order of their keys.
+    firsts : list of int
+        First keys of `rows`.
+    """
     first, last = new[0].first, new[-1].last
-    remaining = []
-    for row in rows:
-        if row.last < first or row.first > last:
-            remaining.append(row)
-            continue
-        if row.first < first:
-            remaining.append(replace(row, last=first - 1))
-        if row.last > last:
-            remaining.append(replace(row, first=last + 1))
-    return tuple(sorted([*remaining, *new], key=lambda row: row.first))
+    begin = max(0, bisect_right(firsts, first) - 1)
+    if begin < len(rows) and rows[begin].last < first:
+        begin += 1
+    end = bisect_right(firsts, last)
+    before, after = [], []
+    if begin < end:
+        if rows[begin].first < first:
+            before = [replace(rows[begin], last=first - 1)]
+        if rows[end - 1].last > last:
+            after = [replace(rows[end - 1], first=last + 1)]
+    return (*rows[:begin], *before, *new, *after, *rows[end:])
