Start the routed daemon with fewer imports and without the garbage collector

A host that starts loaded modules of the other daemon for three settings, and the collector walked what was being imported. The settings of logs and metrics have a module of their own; the collector starts once the daemon is built, and what was imported is left out of its rounds.

--- a/src/persimmonspoke/daemon/routed_main.py
+++ b/src/persimmonspoke/daemon/routed_main.py
@@ -1,8 +1,12 @@
 """The command ``persimmonspoke-routed``, which runs the daemon on users' platform."""
 
+import gc
 import os
 import warnings
 
+# Nothing that is imported is garbage; `_run` starts the collector.
+gc.disable()
+
 # All addresses are numeric, and eventlet's DNS resolver is slow to import.
 os.environ.setdefault("EVENTLET_NO_GREENDNS", "yes")
 # The deprecation warning addresses new projects; operators can't act on it.
@@ -68,6 +72,8 @@
     except OSError as exc:
         print(f"cannot listen: {exc}", file=sys.stderr)
         return ExitStatus.FAILED
+    gc.freeze()
+    gc.enable()
     handler = start_bounded_logs(cfg.observe.log_level, daemon.host_id, daemon.clock)
     daemon.metrics.gauge("log.lines_dropped", lambda: handler.dropped)
     run_on_signals(
--- a/src/persimmonspoke/daemon/routed_settings.py
+++ b/src/persimmonspoke/daemon/routed_settings.py
@@ -8,7 +8,7 @@
 
 from pydantic import Field
 
-from persimmonspoke.daemon.settings import Observe, Port
+from persimmonspoke.daemon.observe_settings import Observe, Port
 from persimmonspoke.internal.callers.settings import CallerSettings
 from persimmonspoke.internal.checked_yaml import CheckedModel
 from persimmonspoke.internal.desk.settings import DeskSettings
--- a/src/persimmonspoke/daemon/settings.py
+++ b/src/persimmonspoke/daemon/settings.py
@@ -2,10 +2,11 @@
 
 import ipaddress
 from collections.abc import Iterator
-from typing import Annotated, Any, Literal
+from typing import Annotated, Any
 
 from pydantic import Field
 
+from persimmonspoke.daemon.observe_settings import Observe, Port
 from persimmonspoke.internal.admin.settings import AdminSettings
 from persimmonspoke.internal.callers.settings import CallerSettings
 from persimmonspoke.internal.checked_yaml import CheckedModel, CrossFault
@@ -14,26 +15,9 @@
 from persimmonspoke.internal.targets.settings import TargetSettings
 from persimmonspoke.internal.timers import Timers
 
-Port = Annotated[int, Field(strict=True, ge=0, le=65535)]
 Url = Annotated[str, Field(pattern=r"^https?://[^/\s]+(/\S*[^/\s])?$")]
 
 
-class Observe(CheckedModel):
-    """Settings of logs and metrics.
-
-    Attributes
-    ----------
-    log_level : str
-        Lowest level that is logged.
-    statsd_ip, statsd_port
-        Where statsd listens; without an address no metrics are sent.
-    """
-
-    log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
-    statsd_ip: Address | None = None
-    statsd_port: Port = 8125
-
-
 class Settings(CheckedModel):
     """All settings of one daemon.
 
--- a/src/persimmonspoke/internal/observe/statsd_metrics.py
+++ b/src/persimmonspoke/internal/observe/statsd_metrics.py
@@ -2,7 +2,7 @@
 
 import statsd
 
-from persimmonspoke.daemon.settings import Observe
+from persimmonspoke.daemon.observe_settings import Observe
 
 PREFIX = "persimmonspoke"
 
