Ask for answers after the second look at a target, too

A target that answered while the other paths were being looked at was still marked as lost, and its requests were sent elsewhere for nothing.

Before, test_one_that_answers_during_the_second_look_is_reached failed.

--- a/src/persimmonspoke/internal/targets/paths.py
+++ b/src/persimmonspoke/internal/targets/paths.py
@@ -197,9 +197,12 @@
         """
         if not self.reaches(target.target_id):
             return False
+        begun_at = self._clock.now()
         if not refused and self._reached([target]):
             return True
         self.check()
+        if self._has_answered(target, begun_at):
+            return True
         self._update([], [target])
         return False
 
--- a/tests/cover/test_target_paths.py
+++ b/tests/cover/test_target_paths.py
@@ -210,6 +210,20 @@
         self.assertEqual(len(self.paths.lost), 8)
         self.assertTrue(self.paths.reaches("t3") and self.paths.reaches("t4"))
 
+    def test_one_that_answers_during_the_second_look_is_reached(self):
+        delay_s = 1.25 * self.cfg.connect_s
+        eventlet.spawn_after(delay_s, self.paths.record_answer, "t3")
+        self.assertTrue(self.paths.check_target(self.net.addresses[3], refused=False))
+        self.assertTrue(self.paths.reaches("t3"))
+
+    def test_those_that_answer_and_were_not_tried_are_not_lost(self):
+        self.net.addresses[:] = Reachable(40).addresses
+        self.net.cut(self.net.silent)
+        answering = {"t1", "t17", "t33"}
+        self.keep_answering(*answering)
+        self.assertTrue(self.paths.check())
+        self.assertEqual(len(self.paths.lost), 40 - len(answering))
+
     def test_what_was_answered_before_the_check_is_no_evidence(self):
         for target in self.net.addresses:
             self.paths.record_answer(target.target_id)
