Count a second exchange that still runs at the deadline as one that may run

If the first exchange was refused and the second had no answer at the deadline, two timers were due at once; in one order the request was said not to have run, while the second was at its target.

--- a/src/persimmonspoke/internal/targets/http_requests.py
+++ b/src/persimmonspoke/internal/targets/http_requests.py
@@ -282,8 +282,9 @@
             answer = second.wait(req.deadline - self._clock.now())
             if answer is not None:
                 return answer
-            if second.error is not None and not isinstance(exc, AnswerLost):
-                raise AnswerLost("the second exchange may have run") from second.error
+            if second.may_have_run and not isinstance(exc, AnswerLost):
+                cause = second.error or exc
+                raise AnswerLost("the second exchange may have run") from cause
             raise
 
     def _may_be_dead(self, conn):
@@ -307,7 +308,7 @@
                 return _answer_of_target(req.elsewhere())
             raise
         may_send = partial(self._may_send_second, first)
-        second_req = replace(req, repeated=True, may_send=may_send)
+        second_req = replace(req, may_send=may_send)
         exchange = self._new_exchange(first.target, first.pool, conn, second_req)
         answer = self._run(exchange)
         if req.forwarded is not None:
--- a/src/persimmonspoke/internal/targets/second_sends.py
+++ b/src/persimmonspoke/internal/targets/second_sends.py
@@ -79,6 +79,11 @@
         self._answer = None
         self._state = _State.IDLE
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether the second exchange may have run, or may run yet."""
+        return self.error is not None or self._state is _State.RUNNING
+
     @property
     def has_begun(self) -> bool:
         """Return whether a second exchange may have been sent."""
