Lead on until the store takes a resignation

When the leader got SIGTERM while the store was away, it stopped granting at once, although nobody could take over without the store: all keys lost their holders after 2.5 s.

A leader that stops now leads on until the store answers, or the process ends, as one whose paths are cut did already.

--- a/src/persimmonspoke/internal/fleet/leadership.py
+++ b/src/persimmonspoke/internal/fleet/leadership.py
@@ -271,8 +271,19 @@
     def resign(self) -> None:
         """Stop leading for good, and clear the leader in the store.
 
-        Another host can then take over at once.
+        Another host can then take over at once.  While the store does not answer, none
+        could, and this host leads on.
         """
+        is_logged = False
+        while self.leading:
+            try:
+                self._read_ownership()
+                break
+            except StoreError as exc:
+                if not is_logged:
+                    log.info("leader: can't resign yet", extra={"reason": repr(exc)})
+                is_logged = True
+                self._clock.sleep_until(Instant(self._clock.now() + WATCH_PERIOD_S))
         self._resigned = True
         self._give_up_lead()
 
--- a/tests/cover/test_ranges.py
+++ b/tests/cover/test_ranges.py
@@ -421,6 +421,21 @@
         self.assertIsNot(self.fleet.leader(), leader)
         self.assert_all_held()
 
+    # Guards against keys that nobody holds while a leader stops and the store is away.
+    def test_a_leader_that_resigns_without_the_store_leads_on(self):
+        leader = self.fleet.leader()
+        leader.hosts.leaving = True
+        self.fleet.platform.faults.down = True
+        self.fleet.run_for(0.5)
+        eventlet.spawn(leader.leadership.resign)
+        for _ in range(5):
+            self.fleet.run_for(1)
+            self.assert_all_held()
+        self.fleet.platform.faults.down = False
+        self.fleet.run_for(3)
+        self.assertIsNot(self.fleet.leader(), leader)
+        self.assert_all_held()
+
     def test_a_leader_without_the_store_keeps_the_keys_held(self):
         self.fleet.platform.faults.silent = True
         self.fleet.run_for(9)
