Take an answer of a peer that has arrived before its call counts as timed out

The same cause elsewhere, found by the review: the hub fires timers before it looks at the sockets, so after a long turn a call to another host timed out though the answer had come. That is behind some of the lines `leader did not answer`, `desk: lost` and `a relay is silent` on hosts that apply a large configuration; it ends no exchange at a target, but costs refusals, and reads of the store.

What has arrived is taken once before the call fails. A full link is not mended by it.

--- a/src/persimmonspoke/internal/peers/zmq_link.py
+++ b/src/persimmonspoke/internal/peers/zmq_link.py
@@ -262,7 +262,7 @@
             self._sock.send_multipart(frames, zmq.NOBLOCK)
         except zmq.ZMQError as exc:
             log.debug("link: message dropped", extra={"reason": str(exc)})
-        self._drain()
+        self.drain()
 
     def close(self) -> None:
         """Close the socket and discard messages that have not been sent."""
@@ -271,10 +271,11 @@
 
     def _read(self):
         while True:
-            self._drain()
+            self.drain()
             hubs.trampoline(self._sock.FD, read=True)
 
-    def _drain(self):
+    def drain(self) -> None:
+        """Process all messages that have arrived."""
         while not self._sock.closed:
             try:
                 frames = self._sock.recv_multipart(zmq.NOBLOCK)
@@ -308,6 +309,12 @@
             with eventlet.Timeout(max(0.0, left_s), PeerTimeout(host_id)):
                 self.message_socket.send([number, host_id.encode(), kind.value, body])
                 return answer_event.wait()
+        except PeerTimeout:
+            # The event hub fires timers before it looks at the sockets.
+            self.message_socket.drain()
+            if not answer_event.ready():
+                raise
+            return answer_event.wait()
         finally:
             del self._pending_calls[number]
 
