--- a/src/persimmonspoke/internal/targets/second_sends.py
+++ b/src/persimmonspoke/internal/targets/second_sends.py
@@ -24,7 +24,7 @@
 
 log = logging.getLogger(__name__)
 
-NOT_SENT_ERRORS = (
+_UNSENT_ERRORS = (
     PathsCut,
     RouteLapsed,
     TargetRefusedConnection,
@@ -139,7 +139,7 @@
             state = _State.ANSWERED
         except NotNeeded:
             return
-        except NOT_SENT_ERRORS as exc:
+        except _UNSENT_ERRORS as exc:
             log.debug("targets: second send failed", extra={"reason": str(exc)})
             state = _State.IDLE
         except (TargetError, RequestFailure) as exc:
