--- a/tests/loopback/test_daemon.py
+++ b/tests/loopback/test_daemon.py
@@ -128,8 +128,9 @@
         self.assertEqual(self.daemons[2].caller_port, shared)
         for number in range(20):
             path = f"/desk/keyed/k{number}"
-            status, _ = self.get(self.daemons[2], path, headers={"Connection": "close"})
-            self.assertEqual(status, 200)
+            fields = {"Connection": "close"}
+            status, body = self.get(self.daemons[2], path, headers=fields)
+            self.assertEqual(status, 200, body)
 
     def test_a_service_that_is_not_divided_by_key_is_answered(self):
         status, body = self.get(self.daemons[1], "/desk/plain/x", "POST", body=b"abc")
