Name generation and age of the table in each line of a request

A refusal with 404 didn't say by which version it was decided, nor how long ago the host last knew that this was the newest, so the hypotheses of the late configuration could not be told apart. Requests, refusals for a missing route, and configurations in force now name generation, age and the stages of the change (arrival, wait, decoding); explain shows the change that a refusal missed, on every host; config.generation and config.age_seconds are served as metrics. No decision changes.

--- a/src/persimmonspoke/cli/explain.py
+++ b/src/persimmonspoke/cli/explain.py
@@ -33,6 +33,10 @@
     "paths:",
     "lines dropped",
 )
+IN_FORCE = "routing: configuration in force"
+MISSED_ROUTE_OUTCOMES = ("unknown_path", "route_unconfirmed")
+MISSED_CHANGE_TIME = timedelta(seconds=10)  # a change is in force by then, or never
+
 LEADERSHIP_MESSAGES = (
     "leader: took over",
     "leader: hands over",
@@ -182,6 +186,7 @@
         in_time = earliest <= line.time <= latest
         if line in request_lines or any(
             _is_about_repetition(line, request_line)
+            or _is_missed_change(line, request_line)
             or (in_time and _is_related(line, request_line))
             for request_line in request_lines
         ):
@@ -194,6 +199,15 @@
     return fingerprint is not None and line.fields.get("fingerprint") == fingerprint
 
 
+def _is_missed_change(line, request):
+    """Return whether a host got a newer configuration than one that knew no route."""
+    refused = request.fields.get("outcome") in MISSED_ROUTE_OUTCOMES
+    if not refused or line.message != IN_FORCE:
+        return False
+    newer = line.fields.get("generation", 0) > request.fields.get("generation", 0)
+    return newer and abs(line.time - request.time) <= MISSED_CHANGE_TIME
+
+
 def _is_related(line, request):
     """Return whether a line concerns a request's host, service, key or targets."""
     fields, request_fields = line.fields, request.fields
--- a/src/persimmonspoke/daemon/routed.py
+++ b/src/persimmonspoke/daemon/routed.py
@@ -135,6 +135,7 @@
             documents.decode_config,
             documents.decode_target,
             self.updates.last_outage_at,
+            lambda: self.updates.confirmed_at,
         )
         self.leadership = Leadership(
             cfg.fleet, self.clock, self.store, self.link, self.hosts
@@ -246,6 +247,8 @@
             ("paths.checks", lambda: self.paths.checks),
             ("paths.lost_targets", lambda: len(self.paths.lost)),
             ("in_hand", lambda: self.gate.in_flight),
+            ("config.generation", self.state.generation),
+            ("config.age_seconds", lambda: self.state.table_state().age_s or 0.0),
             ("store.unreadable", lambda: self.state.unreadable_count),
         ):
             self.metrics.gauge(name, read)
--- a/src/persimmonspoke/errors.py
+++ b/src/persimmonspoke/errors.py
@@ -320,7 +320,15 @@
 
 
 class UnknownPath(MalformedRequest):
-    """No service of any team matches this path."""
+    """No service of any team matches this path.
+
+    Attributes
+    ----------
+    table : TableState or None
+        The routing table that decided, for a routed service.
+    """
+
+    table = None
 
 
 class BodyTooLarge(MalformedRequest):
--- a/src/persimmonspoke/internal/callers/app.py
+++ b/src/persimmonspoke/internal/callers/app.py
@@ -252,6 +252,7 @@
         if refusal.run is RunStatus.UNKNOWN:
             reason = f"{exc}: {exc.__cause__!r}"
         self._logged_outcome = (refusal.status.value, refusal.kind, reason)
+        self._trail.table = getattr(exc, "table", None)
         closed = isinstance(exc, HostClosed) or self._app.is_leaving()
         if closed or self._has_unread_body():
             self._close_connection()
--- a/src/persimmonspoke/internal/callers/request.py
+++ b/src/persimmonspoke/internal/callers/request.py
@@ -6,11 +6,11 @@
 from dataclasses import dataclass
 
 from persimmonspoke.errors import MalformedRequest
-from persimmonspoke.ids import Generation, Instant, KeyText, RequestId
+from persimmonspoke.ids import Instant, KeyText, RequestId
 from persimmonspoke.internal.callers.keys import find_key
 from persimmonspoke.internal.callers.services import ServiceEntry, ServiceTable
 from persimmonspoke.internal.clock import Clock
-from persimmonspoke.internal.routing.config import RouteConfig
+from persimmonspoke.internal.routing.config import RouteConfig, TableState
 from persimmonspoke.internal.targets import protocol
 from persimmonspoke.internal.targets.request_api import ForwardedFields, Headers
 
@@ -57,8 +57,8 @@
     objective : Instant or None
         End of the route's latency objective, up to which an answer has its full
         value; None without a route.
-    generation : Generation or None
-        Version of the configuration that contains the route.
+    table : TableState or None
+        The routing table that contains the route, when the request was read.
     forwarded : ForwardedFields or None
         Set if another host took the request from its caller.
     """
@@ -73,7 +73,7 @@
     deadline: Instant
     route: RouteConfig | None = None
     objective: Instant | None = None
-    generation: Generation | None = None
+    table: TableState | None = None
     forwarded: ForwardedFields | None = None
 
 
--- a/src/persimmonspoke/internal/callers/trail.py
+++ b/src/persimmonspoke/internal/callers/trail.py
@@ -8,6 +8,7 @@
 from persimmonspoke.ids import Fingerprint, HostId, Instant, RequestId, TargetId
 from persimmonspoke.internal.callers.request import CallerRequest
 from persimmonspoke.internal.clock import Clock
+from persimmonspoke.internal.routing.config import TableState
 
 log = logging.getLogger(__name__)
 
@@ -70,6 +71,8 @@
         The target that has the request or has answered it.
     sent_at : Instant or None
         When the request was handed to that target or to another host.
+    table : TableState or None
+        The routing table by which a request without a route was refused.
     """
 
     request_id: RequestId
@@ -82,6 +85,7 @@
     stage: RequestStage = RequestStage.READING
     target_id: TargetId | None = None
     sent_at: Instant | None = None
+    table: TableState | None = None
 
     def __post_init__(self):
         self.started_at = self.clock.now()
@@ -182,5 +186,8 @@
             )
             if self.req.route is not None:
                 fields["route"] = self.req.route.name
-                fields["generation"] = self.req.generation
+        table = self.table if self.req is None else self.req.table
+        if table is not None:
+            fields["generation"] = table.generation
+            fields["config_age_s"] = table.age_s
         return fields
--- a/src/persimmonspoke/internal/news/board.py
+++ b/src/persimmonspoke/internal/news/board.py
@@ -148,6 +148,10 @@
         """Return the earliest instant at which the known version may be accepted."""
         return self._changed_at[key]
 
+    def learned_at(self, key: str) -> Instant:
+        """Return when this host learned of the known version of an object."""
+        return self._learned_at[key]
+
     def wait(self, count: int, deadline: Instant) -> None:
         """Return once `change_count()` exceeds `count`, or at `deadline`."""
         while self._count <= count:
--- a/src/persimmonspoke/internal/routing/config.py
+++ b/src/persimmonspoke/internal/routing/config.py
@@ -118,6 +118,20 @@
     unreadable: tuple[UnreadableField, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class TableState:
+    """What a host knows of its routing table when it decides by it.
+
+    Attributes
+    ----------
+    age_s : float or None
+        Time since the table was last known to be the newest; None if it never was.
+    """
+
+    generation: Generation
+    age_s: float | None
+
+
 class TargetState(Enum):
     """The state that a target has registered."""
 
--- a/src/persimmonspoke/internal/routing/reader.py
+++ b/src/persimmonspoke/internal/routing/reader.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from persimmonspoke.errors import HostClosed, MalformedRequest
+from persimmonspoke.errors import HostClosed, MalformedRequest, UnknownPath
 from persimmonspoke.ids import Instant, KeyText, RequestId
 from persimmonspoke.internal.callers.request import (
     CallerRequest,
@@ -71,7 +71,8 @@
         table = self._state.table
         if table is None:
             raise HostClosed("this host knows no configuration yet")
-        route = table.find(environ.get("HTTP_HOST", ""), path)
+        table_state = self._state.table_state()
+        route = self._find(table, environ.get("HTTP_HOST", ""), path, table_state)
         entry = self._state.entry(route)
         if entry.service.divided and fields.key is None:
             raise MalformedRequest("the service is divided by key, and no key came")
@@ -94,9 +95,17 @@
             deadline=Instant(now + wait_s),
             route=route,
             objective=Instant(now + self._objective_s(route, fields.caller_timeout_s)),
-            generation=table.cfg.generation,
+            table=table_state,
         )
 
+    def _find(self, table, host, path, table_state):
+        """Return the route of a path, or raise `UnknownPath` with the table's state."""
+        try:
+            return table.find(host, path)
+        except UnknownPath as exc:
+            exc.table = table_state
+            raise
+
     def _objective_s(self, route, caller_timeout_s):
         """Return the time that remains of the route's objective.
 
--- a/src/persimmonspoke/internal/routing/state.py
+++ b/src/persimmonspoke/internal/routing/state.py
@@ -28,6 +28,7 @@
     RoutedService,
     RouteKind,
     RoutingConfig,
+    TableState,
     TargetRecord,
     TargetState,
 )
@@ -46,6 +47,8 @@
 """Maximum time for which a missing entry is kept after an outage of the store.  The
 platform states that live targets register again within about 2 s."""
 
+MS_PER_S = 1000
+
 LEFT_MEMORY_S = 600.0  # longer than a store's copy can be old
 
 log = logging.getLogger(__name__)
@@ -62,6 +65,9 @@
         Decode the platform's documents.
     last_outage_at : callable
         Returns when the store was last unreachable from this host; None if never.
+    known_at : callable
+        Returns the latest instant at which the objects of the cache were known to be
+        the newest; None if never.
 
     Attributes
     ----------
@@ -82,6 +88,7 @@
         decode_config: Callable[[dict], RoutingConfig],
         decode_target: Callable[[str, dict], TargetRecord],
         last_outage_at: Callable[[], Instant | None],
+        known_at: Callable[[], Instant | None] = lambda: None,
     ):
         self._cache = cache
         self._clock = clock
@@ -90,6 +97,7 @@
         self._decode_config = decode_config
         self._decode_target = decode_target
         self._last_outage_at = last_outage_at
+        self._known_at = known_at
         self._split = WeightedRoundRobin()
         self._unreadable: dict[str, tuple[Era, Version]] = {}
         self._config_order: tuple[Era, Version] | None = None
@@ -115,6 +123,12 @@
         """Return the generation of the configuration in force; 0 before the first."""
         return self.table.cfg.generation if self.table else Generation(0)
 
+    def table_state(self) -> TableState:
+        """Return what this host knows of its routing table."""
+        known_at = self._known_at()
+        age_s = None if known_at is None else round(self._clock.now() - known_at, 3)
+        return TableState(self.generation(), age_s)
+
     def entry(self, route: RouteConfig) -> ServiceEntry:
         """Return the service for the route's next request.
 
@@ -217,6 +231,7 @@
         if stored is None or stored.order == self._config_order:
             return False
         self._config_order = stored.order
+        began_at = self._clock.now()
         try:
             cfg = self._decode_config(stored.value)
         except MalformedDocument as exc:
@@ -224,19 +239,29 @@
             return False
         if cfg.generation <= self.generation():
             return False
+        before, self.table = self.generation(), RouteTable(cfg)
+        self._split.reset()
+        self._log_in_force(stored, before, began_at)
+        self._log_unreadable_fields(stored, cfg)
+        return True
+
+    def _log_in_force(self, stored, before, began_at):
+        """Log a configuration, with the time since its change by stage."""
+        now = self._clock.now()
+        learned_at = self._cache.learned_at(stored.key)
+        changed_at = self._cache.changed_at(stored.key)
         log.info(
             "routing: configuration in force",
             extra={
-                "generation": cfg.generation,
-                "before": self.generation(),
+                "generation": self.generation(),
+                "before": before,
                 "store_version": stored.version,
-                "routes": len(cfg.routes),
+                "routes": len(self.table.cfg.routes),
+                "arrived_s": round(learned_at - changed_at, 3),
+                "waited_ms": round((began_at - learned_at) * MS_PER_S, 1),
+                "took_ms": round((now - began_at) * MS_PER_S, 1),
             },
         )
-        self._log_unreadable_fields(stored, cfg)
-        self.table = RouteTable(cfg)
-        self._split.reset()
-        return True
 
     def _refresh_targets(self):
         now = self._clock.now()
--- a/tests/cover/test_explain.py
+++ b/tests/cover/test_explain.py
@@ -86,6 +86,21 @@
         self.assertEqual(len(lines), 2)
         self.assertIn('reason="deadline"', lines[0])
 
+    # Guards against CONFIG that an operator can't trace.
+    def test_the_change_that_a_refusal_missed_is_printed_for_all_hosts(self):
+        in_force = "routing: configuration in force"
+        refused = ended(20.0, outcome="unknown_path", generation=34, config_age_s=0.4)
+        lines = (
+            line(17.1, "b.1", in_force, generation=35, arrived_s=0.2),
+            line(20.6, "a.1", in_force, generation=35, arrived_s=3.1),
+            line(17.0, "b.1", in_force, generation=34),
+        )
+        _, found = self.explain(ID, self.write("a.log", refused, *lines))
+        self.assertEqual(len(found), 3)
+        self.assertIn("arrived_s=0.2", found[0])
+        self.assertIn("config_age_s=0.4", found[1])
+        self.assertIn("arrived_s=3.1", found[2])
+
     def test_lines_of_several_hosts_are_printed_in_the_order_of_time(self):
         files = (self.write("a.log", REFUSED), self.write("b.log.gz", HELD, MOVED))
         status, lines = self.explain(ID, *files)
