Prove that a host is up to date only by answers about the objects themselves

Callers were refused with 404 for routes that had been added over config_apply_s before. A relay took a check of the path, another call on another connection, for proof that its waiting watch had nothing to tell. If the watch's answer was lost, the relay called itself fresh until the watch's own deadline, 4.0 s and a margin of 1.5 s, and so did all hosts that asked it: nobody read the store. Silence was read as "nothing new".

Knowledge keeps, for each kind of objects, the revision up to which all of them are known and the instant up to which the store is proven to have had nothing later. Only a listing or a watch of that kind, or a relay that names such a proof, adds to it; freshness, age and the choice of source read it there. Watches of relays wait 0.2 of the bound and their answers may come 0.2 later, so a lost answer is noticed within 0.4 of it; after a change the next watch waits half as long. The hosts' records, which no bound concerns, count no more for the age of configuration and targets.

TestUpdatesInTime.test_the_answers_that_tell_relays_of_a_change_are_lost failed before: none of 30 hosts knew the change after the bound. It passes at three phases of the watch. test_a_starting_host_reads_each_kind_once_and_the_hosts_twice allowed four watches a relay in 6 s, which fitted watches of 4 s; its bound now follows from the settings.

--- a/src/persimmonspoke/internal/news/board.py
+++ b/src/persimmonspoke/internal/news/board.py
@@ -106,16 +106,20 @@
                 self._record_deletion(known, changed_at)
 
     def delete_missing(
-        self, listed: set[str], as_of: Instant, changed_at: Instant | None
+        self,
+        listed: set[str],
+        as_of: Instant,
+        changed_at: Instant | None,
+        kind: str = "",
     ) -> bool:
         """Record the deletion of objects that were missing from the store at `as_of`.
 
-        Return whether every object was known by then; the others may be newer than
-        the list and are kept.
+        Only those whose keys start with `kind` are meant.  Return whether every object
+        was known by then; the others may be newer than the list and are kept.
         """
         all_known = True
         for key, known in list(self._objects.items()):
-            if key in listed or not known.value:
+            if key in listed or not known.value or not key.startswith(kind):
                 continue
             if self._learned_at[key] <= as_of:
                 self._record_deletion(known, changed_at)
--- a/src/persimmonspoke/internal/news/messages.py
+++ b/src/persimmonspoke/internal/news/messages.py
@@ -1,10 +1,11 @@
 """Messages by which hosts pass store updates to each other."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 from persimmonspoke.ids import Era, HostId, Version
 from persimmonspoke.internal.peers.codec import message
+from persimmonspoke.internal.peers.revisions import Revision, since
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +48,11 @@
 class NewsReply:
     """The objects that changed, and the number of the relay's last change.
 
+    A row of `proofs` holds a kind of objects, the revision of the store up to which
+    the relay knows all of them, and the seconds since the latest instant at which
+    nothing newer is proven to have existed, negative if there is none.  Builds before
+    `Revision.PROOFS` send no rows.
+
     Attributes
     ----------
     store_age_s : float
@@ -66,3 +72,6 @@
     waited_s: float = 0.0
     complete: bool = False
     era: Era = Era(0)
+    proofs: tuple[tuple[str, int, float], ...] = field(
+        default=(), metadata=since(Revision.PROOFS)
+    )
--- a/src/persimmonspoke/internal/peers/revisions.py
+++ b/src/persimmonspoke/internal/peers/revisions.py
@@ -35,6 +35,9 @@
     TOLERANT = 3
     """Fields at the end of a message that the reader does not know are ignored."""
 
+    PROOFS = 4
+    """Relays say up to when each kind of objects is proven to be the newest."""
+
 
 LAST_STRICT = Revision.PATHS
 NEWEST = max(Revision)
--- a/src/persimmonspoke/internal/store/http_store.py
+++ b/src/persimmonspoke/internal/store/http_store.py
@@ -80,13 +80,20 @@
         headers = {"If-Match": str(version)}
         self._write("DELETE", key, None, headers, deadline)
 
-    def watch(self, prefix: str, revision: int, deadline: Instant) -> Listing:
+    def watch(
+        self,
+        prefix: str,
+        revision: int,
+        deadline: Instant,
+        answer_deadline: Instant | None = None,
+    ) -> Listing:
         """Wait for changes after `revision` and return them."""
         wait_s = max(0.0, deadline - self._clock.now())
         query = urlencode(
             {"prefix": prefix, "revision": revision, "wait_ms": int(wait_s * 1000)}
         )
-        answer_deadline = Instant(deadline + WATCH_ANSWER_MARGIN_S)
+        if answer_deadline is None:
+            answer_deadline = Instant(deadline + WATCH_ANSWER_MARGIN_S)
         return _listing(self._read(f"/watch?{query}", answer_deadline))
 
     def _put(self, key, value, condition, deadline):
--- a/src/persimmonspoke/platform/objects.py
+++ b/src/persimmonspoke/platform/objects.py
@@ -146,12 +146,19 @@
         path = f"{_object_path(key)}?{urlencode({'revision': version})}"
         self._write("DELETE", path, key, None, deadline)
 
-    def watch(self, prefix: str, revision: int, deadline: Instant) -> Listing:
+    def watch(
+        self,
+        prefix: str,
+        revision: int,
+        deadline: Instant,
+        answer_deadline: Instant | None = None,
+    ) -> Listing:
         """Wait for changes to objects of one kind after `revision`; return them."""
         kind = prefix.rstrip("/")
         wait_ms = max(0, int((deadline - self._clock.now()) * 1000))
         query = urlencode({"watch": revision, "wait_ms": wait_ms})
-        answer_deadline = Instant(deadline + WATCH_ANSWER_MARGIN_S)
+        if answer_deadline is None:
+            answer_deadline = Instant(deadline + WATCH_ANSWER_MARGIN_S)
         page, era = self._read(f"/objects/{quote(kind)}?{query}", answer_deadline)
         items = self._readable(_event, kind, _list_of(page, "events"), era)
         return Listing(tuple(items), _revision(page), era)
