Refuse an unknown path with 404 only by a table that is known to be new enough

A host answered 404 for a route that had been added, 3.2 s after the change had been acknowledged; the bound is 2.5 s. A 404 is an answer of knowledge, and callers do not try again after it, but nothing asked how old the table was that gave it. Whatever delays a change (relays, links, the store's news), the host refused for good what it could not know.

The reader asks for the age of the proof: up to config_apply_s a missing route is unknown_path, beyond it, or without any proof, route_unconfirmed (503, Retry-After 0.5 s), and another host may know. Known routes are served however old the table is: while the store is away no newer version may exist, and refusing them would cost every caller. Ruled out: to hold the request until the table is confirmed, since a busy host would hold slots and callers for what another host answers at once.

TestUnknownPaths.test_a_host_with_an_older_table_promises_only_that_nothing_has_run and test_a_host_that_never_knew_its_table_to_be_the_newest_does_so_too fail with the age not asked for, as before.

--- a/src/persimmonspoke/daemon/routed.py
+++ b/src/persimmonspoke/daemon/routed.py
@@ -333,7 +333,7 @@
         )
 
     def _caller_server(self, runner):
-        reader = RoutedReader(self.state, headers.caller_fields, self.clock)
+        reader = self._routed_reader()
         style = AnswerStyle(headers.REQUEST_ID, False, routed_refusal)
         app = self._caller_app(reader, runner, style)
         return CallerServer(self._caller_listener, app, self.cfg.callers)
@@ -341,7 +341,7 @@
     def _forward_server(self, runner):
         """Return the server of the requests that other hosts forward."""
         reader = ForwardedReader(
-            RoutedReader(self.state, headers.caller_fields, self.clock),
+            self._routed_reader(),
             forwarded.forwarded_fields,
             self.paths,
         )
@@ -351,6 +351,15 @@
         app = self._caller_app(reader, runner, style)
         return CallerServer(self._forward_listener, app, self.cfg.callers)
 
+    def _routed_reader(self):
+        return RoutedReader(
+            self.state,
+            headers.caller_fields,
+            self.clock,
+            self.platform.bounds.config_apply_s,
+            self._apply_state,
+        )
+
     def _caller_app(self, reader, runner, style):
         app = CallerApp(
             reader=reader,
--- a/src/persimmonspoke/errors.py
+++ b/src/persimmonspoke/errors.py
@@ -315,6 +315,18 @@
     """The configuration's entry for this path, or for its service, can't be read."""
 
 
+class RouteUnconfirmed(NotRun):
+    """No known route matches the path, but a newer configuration may have one.
+
+    Attributes
+    ----------
+    table : TableState or None
+        The routing table that decided.
+    """
+
+    table = None
+
+
 class MalformedRequest(NotRun):
     """The request violates HTTP or the service's configuration."""
 
--- a/src/persimmonspoke/internal/callers/refusals.py
+++ b/src/persimmonspoke/internal/callers/refusals.py
@@ -104,6 +104,11 @@
     return Refusal(HTTPStatus.SERVICE_UNAVAILABLE, "paths_cut")
 
 
+@refusal.register
+def _(exc: errors.RouteUnconfirmed) -> Refusal:
+    return Refusal(HTTPStatus.SERVICE_UNAVAILABLE, "route_unconfirmed")
+
+
 @refusal.register
 def _(exc: errors.RouteUnreadable) -> Refusal:
     return Refusal(HTTPStatus.SERVICE_UNAVAILABLE, "route_unreadable")
--- a/src/persimmonspoke/internal/routing/reader.py
+++ b/src/persimmonspoke/internal/routing/reader.py
@@ -3,7 +3,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from persimmonspoke.errors import HostClosed, MalformedRequest, UnknownPath
+from persimmonspoke.errors import (
+    HostClosed,
+    MalformedRequest,
+    RouteUnconfirmed,
+    UnknownPath,
+)
 from persimmonspoke.ids import Instant, KeyText, RequestId
 from persimmonspoke.internal.callers.request import (
     CallerRequest,
@@ -16,6 +21,8 @@
 from persimmonspoke.internal.routing.config import RouteKind
 from persimmonspoke.internal.routing.state import RoutingState
 
+UNCONFIRMED_RETRY_S = 0.5  # other hosts may know by then
+
 
 @dataclass(frozen=True, slots=True)
 class CallerFields:
@@ -43,6 +50,11 @@
     fields_of : callable
         Returns the `CallerFields` of a WSGI environment; provided by the platform's
         adapter, which knows the names of the fields.
+    max_age_s : float
+        Time within which a configuration must be in force.  A table that was last known
+        to be the newest before that can't show that a path has no route.
+    apply : callable or None
+        Puts a configuration that has arrived into force; by default `state.refresh`.
     """
 
     def __init__(
@@ -50,8 +62,12 @@
         state: RoutingState,
         fields_of: Callable[[dict], CallerFields],
         clock: Clock,
+        max_age_s: float,
+        apply: Callable[[], object] | None = None,
     ):
         self._state = state
+        self._max_age_s = max_age_s
+        self._apply = state.refresh if apply is None else apply
         self._fields_of = fields_of
         self._clock = clock
         self._max_timeout_s: dict[str, float] = {}
@@ -99,12 +115,28 @@
         )
 
     def _find(self, table, host, path, table_state):
-        """Return the route of a path, or raise `UnknownPath` with the table's state."""
+        """Return the route of a path.
+
+        Raises
+        ------
+        UnknownPath
+            No configuration that must be in force has a route for the path.
+        RouteUnconfirmed
+            This host can't know whether one has.
+        """
         try:
             return table.find(host, path)
         except UnknownPath as exc:
-            exc.table = table_state
-            raise
+            age_s = table_state.age_s
+            if age_s is not None and age_s <= self._max_age_s:
+                exc.table = table_state
+                raise
+            failure = RouteUnconfirmed(
+                f"{exc}, but a newer configuration may have one; try again",
+                UNCONFIRMED_RETRY_S,
+            )
+            failure.table = table_state
+            raise failure from exc
 
     def _objective_s(self, route, caller_timeout_s):
         """Return the time that remains of the route's objective.
--- a/src/persimmonspoke/internal/routing/state.py
+++ b/src/persimmonspoke/internal/routing/state.py
@@ -123,6 +123,11 @@
         """Return the generation of the configuration in force; 0 before the first."""
         return self.table.cfg.generation if self.table else Generation(0)
 
+    def is_behind(self) -> bool:
+        """Return whether a configuration has arrived that was not looked at yet."""
+        stored = self._cache.get(self._config_key)
+        return stored is not None and stored.order != self._config_order
+
     def table_state(self) -> TableState:
         """Return what this host knows of its routing table."""
         known_at = self._known_at()
--- a/tests/cover/test_old_configurations.py
+++ b/tests/cover/test_old_configurations.py
@@ -4,8 +4,9 @@
 
 import eventlet
 
-from persimmonspoke.errors import UnknownPath
+from persimmonspoke.errors import RouteUnconfirmed, UnknownPath
 from persimmonspoke.ids import Instant
+from persimmonspoke.internal.callers.refusals import RunStatus, routed_refusal
 from persimmonspoke.internal.callers.trail import RequestTrail
 from persimmonspoke.internal.news.board import StoreCache
 from persimmonspoke.internal.routing.config import TableState
@@ -16,6 +17,8 @@
 from tests.cover.test_routing import config_value
 from tests.fakes.caller_parts import HubClock
 
+APPLY_S = 2.5
+
 
 def environ(path, host="h"):
     """Return the WSGI environment of a request."""
@@ -46,7 +49,9 @@
             lambda: None,
             lambda: self.known_at,
         )
-        self.reader = RoutedReader(self.state, headers.caller_fields, self.clock)
+        self.reader = RoutedReader(
+            self.state, headers.caller_fields, self.clock, APPLY_S
+        )
         self.learn(34)
 
     def learn(self, generation):
@@ -88,5 +93,35 @@
         self.assertEqual((line.arrived_s, line.waited_ms, line.took_ms), (0.2, 0, 0))
 
 
+class TestUnknownPaths(OldTableCase):
+    """Only a host whose table is new enough knows that a path has no route."""
+
+    # Guards against CONFIG: a host refused a path of a route that had been added, with
+    # 404, by a table older than the users' bound.
+    def test_a_host_with_an_older_table_promises_only_that_nothing_has_run(self):
+        eventlet.sleep(APPLY_S + 0.1)
+        with self.assertRaises(RouteUnconfirmed) as caught:
+            self.read("/new/")
+        answer = routed_refusal(caught.exception)
+        self.assertEqual((answer.status, answer.run), (503, RunStatus.NOT_RUN))
+        self.assertGreater(answer.retry_after_s, 0)
+        self.assertEqual(caught.exception.table, TableState(34, APPLY_S + 0.1))
+
+    def test_a_host_that_never_knew_its_table_to_be_the_newest_does_so_too(self):
+        self.known_at = None
+        with self.assertRaises(RouteUnconfirmed):
+            self.read("/new/")
+
+    def test_a_host_with_a_table_within_the_bound_answers_that_it_has_no_route(self):
+        eventlet.sleep(APPLY_S - 0.1)
+        with self.assertRaises(UnknownPath) as caught:
+            self.read("/new/")
+        self.assertEqual(routed_refusal(caught.exception).status, 404)
+
+    def test_known_routes_are_served_however_old_the_table_is(self):
+        eventlet.sleep(60)
+        self.assertEqual(self.read("/a/x").route.name, "r")
+
+
 if __name__ == "__main__":
     unittest.main()
