Decide by a configuration that has arrived, not by the one before it

The reader now looks, before each decision, whether a configuration has arrived that was not looked at yet, and puts it into force first.

TestUnknownPaths.test_a_configuration_that_has_arrived_decides_the_next_request fails without the look: generation 34 decided.

--- a/src/persimmonspoke/internal/routing/reader.py
+++ b/src/persimmonspoke/internal/routing/reader.py
@@ -84,6 +84,8 @@
             raise MalformedRequest("the request carries no id")
         path = checked_path(environ["RAW_PATH_INFO"])
         query = checked_query(environ.get("QUERY_STRING", ""))
+        if self._state.is_behind():
+            self._apply()
         table = self._state.table
         if table is None:
             raise HostClosed("this host knows no configuration yet")
--- a/tests/cover/test_old_configurations.py
+++ b/tests/cover/test_old_configurations.py
@@ -122,6 +122,14 @@
         eventlet.sleep(60)
         self.assertEqual(self.read("/a/x").route.name, "r")
 
+    # Guards against CONFIG: the new table lay in the cache when the old one decided.
+    def test_a_configuration_that_has_arrived_decides_the_next_request(self):
+        moved = config_value(35, service="moved")
+        self.cache.observe(StoredObject(documents.CONFIG_KEY, moved, 35))
+        req = self.read("/a/x")
+        self.assertEqual(req.table.generation, 35)
+        self.assertEqual(req.entry.service.service, "moved")
+
 
 if __name__ == "__main__":
     unittest.main()
