Use the answer of a relay that comes late

Again silence, seen through the host's own link, was read as a statement about the other side.

After the margin another relay is asked as well, and the first question stands for 2.0 s more; its answer is applied when it comes. Each relay has one question of a host at a time.

TestSlowAnswersOfRelays.test_an_answer_that_comes_late_is_used failed before: with answers that took 1.2 s, nothing was learned.

--- a/src/persimmonspoke/internal/news/relay.py
+++ b/src/persimmonspoke/internal/news/relay.py
@@ -11,6 +11,9 @@
 from dataclasses import replace
 from typing import Protocol
 
+import eventlet
+from eventlet.event import Event
+
 from persimmonspoke.errors import PeerError
 from persimmonspoke.ids import Era, HostId, Instant
 from persimmonspoke.internal.clock import Clock
@@ -22,7 +25,8 @@
 from persimmonspoke.internal.store.api import StoredObject
 
 RELAY_WAIT_S = 2.0
-ANSWER_MARGIN_S = 0.5
+ANSWER_MARGIN_S = 0.5  # then another relay is asked as well
+LATE_ANSWER_S = 2.0
 RETRY_S = 0.2
 AVOID_S = 2.0
 UNKNOWN_AGE_S = -1.0
@@ -159,6 +163,7 @@
         self._kinds = kinds
         self._turn = 0
         self._large_keys: set[str] = set()
+        self._asked: set[HostId] = set()
         self._hurry = False
         self._since: dict[HostId, int] = {}
         self._avoid_until: dict[HostId, Instant] = {}
@@ -188,9 +193,34 @@
         return [*ordered[turn:], *ordered[:turn]]
 
     def _ask(self, relay):
-        """Ask one relay; return whether this host is now up to date with it."""
-        asked_at = self._clock.now()
+        """Ask one relay; return whether this host is now up to date with it.
+
+        An answer that comes too late for that is used when it comes: on a full link
+        all are late.
+        """
+        if relay.host_id in self._asked:
+            return False
+        self._asked.add(relay.host_id)
         wait_s = 0.0 if self._hurry else self._wait_s
+        ended = Event()
+        eventlet.spawn_n(self._exchange, relay, wait_s, ended)
+        with eventlet.Timeout(wait_s + ANSWER_MARGIN_S, False):
+            return ended.wait()
+        log.info("news: a relay is silent", extra={"relay": relay.host_id})
+        self._avoid(relay)
+        return False
+
+    def _exchange(self, relay, wait_s, ended):
+        """Ask one relay; tell `ended` whether this host is now up to date with it."""
+        up_to_date = False
+        try:
+            up_to_date = self._ask_and_apply(relay, wait_s)
+        finally:
+            self._asked.discard(relay.host_id)
+            ended.send(up_to_date)
+
+    def _ask_and_apply(self, relay, wait_s):
+        asked_at = self._clock.now()
         req = NewsRequest(
             self._me,
             self._since.get(relay.host_id, 0),
@@ -198,7 +228,7 @@
             True,
             self._known_versions(),
         )
-        deadline = Instant(asked_at + wait_s + ANSWER_MARGIN_S)
+        deadline = Instant(asked_at + wait_s + LATE_ANSWER_S)
         try:
             reply = self._link.call(relay, req, deadline)
             large = [
@@ -206,11 +236,17 @@
             ]
         except PeerError as exc:
             log.info(
-                "news: a relay is silent",
+                "news: no answer of a relay",
                 extra={"relay": relay.host_id, "cause": str(exc)},
             )
             self._avoid(relay)
             return False
+        took_s = self._clock.now() - asked_at - reply.waited_s
+        if took_s > ANSWER_MARGIN_S:
+            log.info(
+                "news: late answer of a relay",
+                extra={"relay": relay.host_id, "took_s": round(took_s, 3)},
+            )
         self._hurry = False
         self._large_keys.update(item.key for item in large)
         reply = replace(reply, items=(*reply.items, *large))
@@ -247,7 +283,7 @@
         if reply.complete and not self._delete_missing(reply, proofs):
             # The relay may lack objects that this host knows: ask for all again.
             return False
-        self._since[relay.host_id] = reply.count
+        self._since[relay.host_id] = max(reply.count, self._since.get(relay.host_id, 0))
         for kind, proof in proofs.items():
             self._knowledge.record(kind, proof)
         confirmed = Instant(sent_at - reply.store_age_s)
--- a/tests/cover/test_news.py
+++ b/tests/cover/test_news.py
@@ -1,5 +1,6 @@
 """Tests of the store cache, the watcher and the relays."""
 
+import itertools
 import unittest
 
 import eventlet
@@ -132,6 +133,41 @@
         self.assertAlmostEqual(reader.confirmed_at, started_at - 3.0, places=3)
 
 
+class TestSlowAnswersOfRelays(unittest.TestCase):
+    """A host whose link is full gets each answer late, and still uses it."""
+
+    # Guards against CONFIG: answers that held the change came late and were dropped,
+    # again and again, while the host's link stayed full.
+    def test_an_answer_that_comes_late_is_used(self):
+        clock = HubClock()
+        cache = StoreCache(clock)
+        calls = []
+
+        class Link:
+            def call(self, peer, message, deadline):
+                calls.append((peer.host_id, clock.now()))
+                left_s = deadline - clock.now()
+                eventlet.sleep(min(left_s, message.wait_s + 1.2))
+                if left_s < message.wait_s + 1.2:
+                    raise PeerTimeout(peer.host_id)
+                return NewsReply((NewsItem("k", {"n": 1}, 1),), 7, 0.1, message.wait_s)
+
+        relays = tuple(PeerAddress(HostId(name), "127.0.0.1", 1) for name in "ab")
+        reader = RelayReader(
+            HostId("me"), Link(), cache, clock, lambda: relays, lambda: True, 0.5, 2
+        )
+        task = eventlet.spawn(reader.run)
+        eventlet.sleep(1.8)
+        self.assertEqual(cache.get("k").value, {"n": 1})
+        eventlet.sleep(3)
+        task.kill()
+        # Each relay has one question at a time.
+        for name in "ab":
+            asked_at = [at for host_id, at in calls if host_id == name]
+            for before, after in itertools.pairwise(asked_at):
+                self.assertGreaterEqual(after - before, 1.2)
+
+
 class TestFirstAnswerOfARelay(unittest.TestCase):
     """The first answer of a relay holds all objects that exist."""
 
