Keep a connection to a host open while another call's answer may be on its way

When a call to a host timed out and nothing had arrived since it was sent, the connection was closed, and with it the answers that other calls still waited for. Reports to the leader time out after 0.3 s; where the leader is a relay, a host with a full link threw away the configuration that was arriving.

The next call opens a new connection, as before; the old one is closed once no call waits.

TestZmqLink.test_a_call_without_an_answer_does_not_cost_another_one_its_answer failed before (PeerTimeout after its whole time).

--- a/src/persimmonspoke/internal/peers/zmq_link.py
+++ b/src/persimmonspoke/internal/peers/zmq_link.py
@@ -86,6 +86,7 @@
         self._connections: dict[tuple[str, int], _Connection] = {}
         self._revisions = PeerRevisions(encode, earlier_revision)
         self._logged: set[str] = set()
+        self._dropped: list[_Connection] = []
         self.bytes_sent = 0
         self.bytes_received = 0
         self._message_socket = _MessageSocket(self._listener, self._receive)
@@ -136,7 +137,7 @@
 
     def close(self) -> None:
         """Stop listening and close all connections."""
-        for conn in self._connections.values():
+        for conn in (*self._connections.values(), *self._dropped):
             conn.message_socket.close()
         self._message_socket.close()
         self._context.term()
@@ -156,14 +157,17 @@
         return kind, answer
 
     def _drop(self, peer, conn):
-        """Close a connection that may never respond again.
+        """Use no longer a connection that may never respond again.
 
-        The next call to the peer opens a new one.
+        The next call to the peer opens a new one.  The old one is closed once no call
+        waits for an answer that may be on its way there.
         """
         endpoint = (peer.ip, peer.port)
         if self._connections.get(endpoint) is conn:
             del self._connections[endpoint]
-        conn.message_socket.close()
+        conn.close_when_idle()
+        dropped = (*self._dropped, conn)
+        self._dropped = [c for c in dropped if not c.message_socket.is_closed]
 
     def _connection(self, peer):
         """Return the connection to the peer's address; open it on first use."""
@@ -264,6 +268,11 @@
             log.debug("link: message dropped", extra={"reason": str(exc)})
         self.drain()
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether the socket has been closed."""
+        return self._sock.closed
+
     def close(self) -> None:
         """Close the socket and discard messages that have not been sent."""
         self._reader.kill()
@@ -299,6 +308,7 @@
         self._numbers = itertools.count(1)
         self._pending_calls: dict[bytes, eventlet.event.Event] = {}
         self.answered_at = Instant(float("-inf"))
+        self._is_dropped = False
         self.message_socket = _MessageSocket(sock, self._deliver)
 
     def exchange(self, host_id: HostId, kind: _Kind, body: bytes, left_s: float):
@@ -317,6 +327,14 @@
             return answer_event.wait()
         finally:
             del self._pending_calls[number]
+            if self._is_dropped:
+                self.close_when_idle()
+
+    def close_when_idle(self) -> None:
+        """Close the connection once no call waits for an answer on it."""
+        self._is_dropped = True
+        if not self._pending_calls:
+            self.message_socket.close()
 
     def _deliver(self, frames):
         """Pass an answer to the call that waits for it."""
--- a/tests/loopback/test_zmq_link.py
+++ b/tests/loopback/test_zmq_link.py
@@ -76,6 +76,31 @@
         ]
         self.assertEqual([c.wait().text for c in calls], ["slow", "fast"])
 
+    # Guards against CONFIG: a large table on its way was dropped with the connection
+    # when another call to the same host timed out.
+    def test_a_call_without_an_answer_does_not_cost_another_one_its_answer(self):
+        def answer(msg):
+            eventlet.sleep(30 if msg.text == "never" else 0.5)
+            return msg
+
+        self.b.serve(Echo, answer)
+        slow = eventlet.spawn(
+            self.a.call, self.b.address, Echo("slow"), self.deadline()
+        )
+        with self.assertRaises(PeerTimeout):
+            self.a.call(self.b.address, Echo("never"), self.deadline(0.1))
+        with eventlet.Timeout(5):
+            self.assertEqual(slow.wait(), Echo("slow"))
+
+    def test_the_next_call_after_one_without_an_answer_opens_a_connection(self):
+        self.b.serve(Echo, lambda msg: eventlet.sleep(30))
+        before = self.a._connection(self.b.address)
+        for _ in range(2):
+            with self.assertRaises(PeerTimeout):
+                self.a.call(self.b.address, Echo("never"), self.deadline(0.1))
+        self.assertIsNot(self.a._connection(self.b.address), before)
+        self.assertTrue(before.message_socket.is_closed)
+
     def test_a_failure_of_the_handler_is_a_refusal(self):
         def fail(msg):
             raise OutcomeUnknown("why")
