List again at once when the store says that its history is gone

After watches that got no answer, a host paused for 0.4 to 1.0 s before each attempt, also after the store's clear answer that everything must be listed.

TestDroppedHistory.test_all_is_listed_again_at_once failed before: 1.0 s.

--- a/src/persimmonspoke/internal/news/watcher.py
+++ b/src/persimmonspoke/internal/news/watcher.py
@@ -122,7 +122,9 @@
         while True:
             wait_enabled()
             if enabled():
-                self._follow(enabled)
+                if self._follow(enabled):
+                    # Without a pause, but once: its history may go all the time.
+                    self._follow(enabled)
                 failed = self.silent_since is not None
                 retry_s = min(2 * retry_s, MAX_RETRY_S) if failed else RETRY_S
             self._clock.sleep_until(Instant(self._clock.now() + retry_s))
@@ -155,7 +157,8 @@
     def _follow(self, enabled):
         """List if need be, and watch until the store fails or drops the revision.
 
-        Also return once `enabled()` is false.
+        Also return once `enabled()` is false.  Return whether the store has answered
+        that everything must be listed.
         """
         self._soon = True
         try:
@@ -170,6 +173,7 @@
                 "news: the store dropped our revision; listing again",
                 extra={"prefix": self._prefix, "cause": str(exc), "era": self._era},
             )
+            return True
         except StoreUnavailable as exc:
             if self.silent_since is None:
                 self.silent_since = self._clock.now()
@@ -177,6 +181,7 @@
                     "news: the store is silent",
                     extra={"prefix": self._prefix, "cause": str(exc)},
                 )
+        return False
 
     def _known_revision(self):
         """Return the revision up to which the cache is complete; None if unknown."""
--- a/tests/cover/test_news.py
+++ b/tests/cover/test_news.py
@@ -5,7 +5,7 @@
 
 import eventlet
 
-from persimmonspoke.errors import PeerTimeout
+from persimmonspoke.errors import PeerTimeout, StoreCompacted, StoreUnavailable
 from persimmonspoke.ids import HostId, Instant
 from persimmonspoke.internal.news.board import StoreCache
 from persimmonspoke.internal.news.messages import NewsItem, NewsReply
@@ -102,6 +102,40 @@
         self.assertLessEqual(self.follow(gather_s=0.15), 9)
 
 
+class _CompactedStore(_CountedStore):
+    """Does not answer for 2 s, then has dropped its history."""
+
+    def __init__(self):
+        super().__init__(changes=0)
+        self.listed_at = []
+
+    def list(self, prefix, deadline):
+        self.listed_at.append(virtual_hub.now() - self.started_at)
+        return Listing((), 1)
+
+    def watch(self, prefix, revision, deadline, answer_deadline=None):
+        if len(self.listed_at) > 1:
+            return super().watch(prefix, revision, deadline)
+        if virtual_hub.now() < self.started_at + 2:
+            raise StoreUnavailable("no answer")
+        self.dropped_at = virtual_hub.now() - self.started_at
+        raise StoreCompacted("list again")
+
+
+class TestDroppedHistory(unittest.TestCase):
+    # Guards against CONFIG: a host paused for up to a second before it did what the
+    # store had just told it to do.
+    def test_all_is_listed_again_at_once(self):
+        store = _CompactedStore()
+        clock = HubClock()
+        watcher = StoreWatcher(store, StoreCache(clock), clock, Timers())
+        task = eventlet.spawn(watcher.run)
+        eventlet.sleep(4)
+        task.kill()
+        first, again = store.listed_at
+        self.assertAlmostEqual(again, store.dropped_at, places=3)
+
+
 class _Link:
     """Answers for the relay ``r`` after 1 s; the relay ``silent`` never answers."""
 
--- a/tests/cover/test_updates.py
+++ b/tests/cover/test_updates.py
@@ -336,6 +336,19 @@
         for relay in fleet.relays():
             relay.store.faults.lose_changes = False
 
+    # Guards against CONFIG: a host paused for a second before it listed again what the
+    # store had told it to list.
+    def test_the_history_is_dropped_after_the_watches_had_failed(self):
+        fleet = self.start(30)
+        fleet.platform.faults.silent = True
+        eventlet.sleep(4)
+        fleet.put("config/main", {"version": 7})
+        fleet.platform.compact()
+        fleet.platform.faults.silent = False
+        eventlet.sleep(DRAIN_S)
+        late = [h.process.name for h in fleet.hosts if h.version() != 7]
+        self.assertEqual(late, [])
+
     # Guards against CONFIG: checks succeed while watches hear nothing of changes.
     def test_watches_hear_nothing_until_the_history_is_dropped(self):
         fleet = self.start(30)
