--- a/tests/cover/test_builds.py
+++ b/tests/cover/test_builds.py
@@ -41,6 +41,8 @@
     "5084d5b": Revision.ERAS,
     "f4fd16b": Revision.QUARANTINE,
     "3e477da": Revision.PATHS,
+    "a03c2fb": Revision.TOLERANT,
+    "5fd2213": Revision.PROOFS,
 }
 SETTLE_S = 3.0
 
--- a/tools/builds/examples.py
+++ b/tools/builds/examples.py
@@ -54,7 +54,13 @@
         "rate_limits": [["stock-3", 40.0, 1.5]],
     },
     "NotesSeen": {"unknown": [43]},
-    "NewsRequest": {"asker": "front-1.5f3a", "since": 12, "wait_s": 2.0},
+    "NewsRequest": {
+        "asker": "front-1.5f3a",
+        "since": 12,
+        "wait_s": 2.0,
+        "reads_packed": True,
+        "known": [["config/main", 3, 18]],
+    },
     "NewsReply": {
         "items": [
             {
@@ -70,6 +76,9 @@
         "waited_s": 1.5,
         "complete": True,
         "era": 3,
+        "proofs": [["config/", 29, 0.25], ["servers/", 0, -1.0]],
+        "packed": [["config/large", b"\x78\x01", 19, 0.5, 3]],
+        "unchanged": ["config/main"],
     },
     "HostReport": {
         "sender": ENTRY_ROW,
--- a/tools/builds/records.py
+++ b/tools/builds/records.py
@@ -126,8 +126,18 @@
 
 
 def plain(value):
-    """Return a value as JSON and msgpack show it."""
-    return msgpack.unpackb(msgpack.packb(value, default=_fields))
+    """Return a value as JSON and msgpack show it, with bytes as hexadecimal text."""
+    return _without_bytes(msgpack.unpackb(msgpack.packb(value, default=_fields)))
+
+
+def _without_bytes(value):
+    if isinstance(value, bytes):
+        return value.hex()
+    if isinstance(value, list):
+        return [_without_bytes(inner) for inner in value]
+    if isinstance(value, dict):
+        return {key: _without_bytes(inner) for key, inner in value.items()}
+    return value
 
 
 def _fields(value):
