--- a/tests/loopback/test_zmq_link.py
+++ b/tests/loopback/test_zmq_link.py
@@ -89,8 +89,11 @@
         )
         with self.assertRaises(PeerTimeout):
             self.a.call(self.b.address, Echo("never"), self.deadline(0.1))
+        (dropped,) = self.a._dropped
+        self.assertFalse(dropped.message_socket.is_closed)
         with eventlet.Timeout(5):
             self.assertEqual(slow.wait(), Echo("slow"))
+        self.assertTrue(dropped.message_socket.is_closed)
 
     def test_the_next_call_after_one_without_an_answer_opens_a_connection(self):
         self.b.serve(Echo, lambda msg: eventlet.sleep(30))
