--- a/src/persimmonspoke/internal/routing/state.py
+++ b/src/persimmonspoke/internal/routing/state.py
@@ -107,6 +107,7 @@
         self._split = WeightedRoundRobin()
         self._unreadable: dict[str, tuple[Era, Version]] = {}
         self._config_order: tuple[Era, Version] | None = None
+        self._is_readable = True
         self._decoded: dict[str, tuple[tuple[Era, Version], TargetRecord | None]] = {}
         self._missing_since: dict[TargetId, Instant] = {}
         self._entries: dict[ServiceId, ServiceEntry] = {}
@@ -136,8 +137,11 @@
         return stored is not None and stored.order != self._config_order
 
     def table_state(self) -> TableState:
-        """Return what this host knows of its routing table."""
-        known_at = self._known_at()
+        """Return what this host knows of its routing table.
+
+        If the newest configuration can't be read, the table is not known to be new.
+        """
+        known_at = self._known_at() if self._is_readable else None
         age_s = None if known_at is None else round(self._clock.now() - known_at, 3)
         return TableState(self.generation(), age_s)
 
@@ -248,7 +252,9 @@
             cfg = self._decode_config(stored.value)
         except MalformedDocument as exc:
             self._log_unreadable(stored, exc)
+            self._is_readable = False
             return False
+        self._is_readable = True
         if cfg.generation <= self.generation():
             return False
         before, self.table = self.generation(), RouteTable(cfg)
--- a/tests/cover/test_old_configurations.py
+++ b/tests/cover/test_old_configurations.py
@@ -141,6 +141,17 @@
             self.read("/new/")
         self.assertEqual(routed_refusal(caught.exception).status, 404)
 
+    # Guards against CONFIG: the newest version was there, the table the one before it.
+    def test_a_host_that_can_not_read_the_newest_version_does_so_too(self):
+        broken = StoredObject(documents.CONFIG_KEY, {"version": "35"}, 35)
+        self.cache.observe(broken)
+        with self.assertRaises(RouteUnconfirmed) as caught:
+            self.read("/new/")
+        self.assertEqual(caught.exception.table, TableState(34, None))
+        self.learn(36)
+        with self.assertRaises(UnknownPath):
+            self.read("/new/")
+
     def test_known_routes_are_served_however_old_the_table_is(self):
         eventlet.sleep(60)
         self.assertEqual(self.read("/a/x").route.name, "r")
