Judge the age of the routing table by the configuration alone

Found in the review of the fix: a refusal asked for the age of configuration and targets together, so that news of targets that were late made a host refuse paths without a route with 503 by a configuration that it knew to be the newest. Each object that decides carries its own proof. TestAgeByKind guards it.

--- a/src/persimmonspoke/daemon/routed.py
+++ b/src/persimmonspoke/daemon/routed.py
@@ -135,7 +135,7 @@
             documents.decode_config,
             documents.decode_target,
             self.updates.last_outage_at,
-            lambda: self.updates.confirmed_at,
+            lambda: self.updates.proven_at(documents.CONFIG_PREFIX),
             platform.bounds.config_apply_s,
         )
         self.leadership = Leadership(
--- a/src/persimmonspoke/internal/news/updates.py
+++ b/src/persimmonspoke/internal/news/updates.py
@@ -207,6 +207,10 @@
         """
         return self.knowledge.proven_at(self._bounded)
 
+    def proven_at(self, kind: str) -> Instant | None:
+        """Return when the objects of one kind were last proven to be the newest."""
+        return self.knowledge.proven_at((kind,))
+
     def caught_up(self) -> bool:
         """Return whether the cache can be used since the start of this host.
 
--- a/tests/cover/test_updates.py
+++ b/tests/cover/test_updates.py
@@ -7,6 +7,7 @@
 
 from persimmonspoke.ids import HostId
 from persimmonspoke.internal.news.board import StoreCache
+from persimmonspoke.internal.news.knowledge import Proof
 from persimmonspoke.internal.news.relays import WeightedHost, choose_relays_of_fleet
 from persimmonspoke.internal.news.settings import UpdateSettings
 from persimmonspoke.internal.news.updates import StoreUpdates
@@ -389,6 +390,18 @@
         self.assertEqual(late, [])
 
 
+class TestAgeByKind(unittest.TestCase):
+    # Guards against decisions by the age of objects that they don't depend on.
+    def test_what_is_proven_of_one_kind_says_nothing_of_another(self):
+        fleet = UpdateFleet(1)
+        self.addCleanup(fleet.stop)
+        updates = fleet.hosts[0].updates
+        updates.knowledge.record("config/", Proof(0, 5, 1.5))
+        self.assertEqual(updates.proven_at("config/"), 1.5)
+        self.assertIsNone(updates.proven_at("servers/"))
+        self.assertIsNone(updates.confirmed_at)
+
+
 class TestNothingReturns(FleetCase):
     """What has left the store is not in use again after a restart."""
 
