Wait for the answer of a watch twice the margin at most

Found in the review of the fix: the time that a watch's answer is given grew with the duration of the latest check. A check that waits behind a listing takes 0.375 s, so a lost answer would have been noticed 2.15 s after the change, past the share that the budget has for it. The slowness counts up to the margin, and the budget counts it in full.

--- a/src/persimmonspoke/internal/news/watcher.py
+++ b/src/persimmonspoke/internal/news/watcher.py
@@ -219,12 +219,12 @@
     def _answer_deadline(self, deadline):
         """Return when to give up the answer of a watch; None for the store's margin.
 
-        A store that is slow to answer other calls is given as much longer.
+        A store that is slow to answer other calls is given longer, twice at most.
         """
         if self._margin_s is None:
             return None
         took_s = 0.0 if self._path is None else self._path.took_s
-        return Instant(deadline + self._margin_s + 2 * took_s)
+        return Instant(deadline + self._margin_s + min(2 * took_s, self._margin_s))
 
     def _prove(self, listing, at):
         self.answered_at = at
