List again after a failure where a watch is awaited for long

The daemon of keys that hosts own awaits watches for 10 s. Since it asked for the next watch at once after a failure, the silent store never got it, and the host heard nothing for 10 s; the listing before it would have ended after 3 s.

A watcher goes on from the known revision only if it gives up answers soon after they were due; without a margin, all is as before.

TestProofsOfWatches.test_a_host_that_awaits_answers_for_long_lists_again_after_a_failure failed before.

--- a/src/persimmonspoke/internal/news/watcher.py
+++ b/src/persimmonspoke/internal/news/watcher.py
@@ -62,8 +62,8 @@
     margin_s : float or None
         How long after that the answer may still come; None for the store's own margin.
 
-    The first watch, and one after a change, wait half as long, so that what follows is
-    soon proven.
+    With a margin, the first watch and one after a change wait half as long, so that what
+    follows is soon proven, and a watcher goes on from the revision that is known.
 
     Attributes
     ----------
@@ -184,7 +184,13 @@
         return False
 
     def _known_revision(self):
-        """Return the revision up to which the cache is complete; None if unknown."""
+        """Return the revision up to which the cache is complete; None if unknown.
+
+        A listing shows soon whether the store answers; a watch does so only if its
+        answer is given up soon after it was due.
+        """
+        if self._margin_s is None:
+            return None
         proof = self._knowledge.proof(self._prefix)
         if proof is None or proof.revision == UNKNOWN_REVISION or self._must_list:
             return None
@@ -194,7 +200,7 @@
     def _watch(self, revision):
         """Wait for one batch of changes; return the revision that follows it."""
         asked_at = self._clock.now()
-        share = 0.5 if self._soon else 1.0
+        share = 0.5 if self._soon and self._margin_s is not None else 1.0
         deadline = Instant(asked_at + share * self._watch_s())
         self._waiting_task = eventlet.getcurrent()
         try:
--- a/tests/cover/test_knowledge.py
+++ b/tests/cover/test_knowledge.py
@@ -74,7 +74,7 @@
 class TestProofsOfWatches(unittest.TestCase):
     path = None
 
-    def watch(self, *answers, known=None, for_s=0.45):
+    def watch(self, *answers, known=None, for_s=0.45, margin_s=0.3):
         """Watch with waits of 0.4 s for a while; return the store and the proof."""
         self.clock = HubClock()
         self.knowledge = Knowledge()
@@ -91,7 +91,7 @@
             self.path,
             self.knowledge,
             watch_s=lambda: 0.4,
-            margin_s=0.3,
+            margin_s=margin_s,
         )
         task = eventlet.spawn(watcher.run)
         eventlet.sleep(for_s)
@@ -118,6 +118,13 @@
         _, waits_s, answer_deadline = store.watches[0]
         self.assertAlmostEqual(answer_deadline, self.began_at + waits_s + 0.3, places=3)
 
+    # Guards against work for a leaving target: after an outage a host waited for a watch
+    # that the store had never got, ten seconds long.
+    def test_a_host_that_awaits_answers_for_long_lists_again_after_a_failure(self):
+        known = Proof(0, 5, Instant(0.0))
+        store, _ = self.watch(known=known, margin_s=None, for_s=0.5)
+        self.assertEqual((store.lists, store.watches), (1, [(7, 0.4, None)] * 2))
+
     # Guards against CONFIG: the wait for an answer grew with each slow check.
     def test_a_slow_store_is_given_twice_the_margin_at_most(self):
         for took_s, margin_s in ((0.1, 0.5), (5.0, 0.6)):
