--- a/tests/cover/test_knowledge.py
+++ b/tests/cover/test_knowledge.py
@@ -119,7 +119,7 @@
         given_s = answer_deadline - self.began_at - waits_s
         self.assertAlmostEqual(given_s, 0.3, places=3)
 
-    # Guards against work for a leaving target: after an outage a host waited for a watch
+    # Guards against work for a leaving target: after an outage a host awaited a watch
     # that the store had never got, ten seconds long.
     def test_a_host_that_awaits_answers_for_long_lists_again_after_a_failure(self):
         known = Proof(0, 5, Instant(0.0))
