--- a/tests/cover/test_news.py
+++ b/tests/cover/test_news.py
@@ -128,7 +128,7 @@
     def test_all_is_listed_again_at_once(self):
         store = _CompactedStore()
         clock = HubClock()
-        watcher = StoreWatcher(store, StoreCache(clock), clock, Timers())
+        watcher = StoreWatcher(store, StoreCache(clock), clock, Timers(), margin_s=0.5)
         task = eventlet.spawn(watcher.run)
         eventlet.sleep(4)
         task.kill()
