--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -104,7 +104,9 @@
         """Start the process with the command of the deploy file."""
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         (role,) = deploy["roles"].values()
-        env = {name: os.environ[name] for name in ("PATH", "HOME") if name in os.environ}
+        env = {
+            name: os.environ[name] for name in ("PATH", "HOME") if name in os.environ
+        }
         env["PYTHONPATH"] = "target/deps"
         env["PERSIMMONSPOKE_BOOT"] = str(self.settings)
         with open(self.settings.with_suffix(".log"), "ab") as log:
--- a/review/standins/upstream.py
+++ b/review/standins/upstream.py
@@ -1,10 +1,11 @@
 """A small stand-in for an upstream, for the cases of this review.
 
-Run it with ``python3 review/standins/upstream.py ADDRESS PORT ID FAULT RECORD``.  It runs
-every request, answers with its path and id as body, and writes one line for each run to
-the file RECORD.  A path that has a part like ``work-1.5`` takes so many seconds.  FAULT is the share of requests, in turn, whose answer is faulty: ``0``
-for none, ``3`` for each third.  Faulty answers give the length of their body twice, by
-its chunks and by a `Content-Length` that is shorter, or by a length that is no number.
+Run it with ``python3 review/standins/upstream.py ADDRESS PORT ID FAULT RECORD``.  It
+runs every request, answers with its path and id as body, and writes one line for each
+run to the file RECORD.  A path that has a part like ``work-1.5`` takes so many seconds.
+FAULT says which answers are faulty: ``0`` for none, ``3`` for each third.  The length
+of a faulty answer's body is given twice, by chunks and by a `Content-Length` that is
+shorter, or it is no number.
 """
 
 import json
