--- a/review/5/run.py
+++ b/review/5/run.py
@@ -1,83 +1,122 @@
-"""Shows that a process which is told of new settings while it starts ends by that."""
+"""Shows that a planned stop cuts requests that were read and that no upstream has."""
 
+import http.client
+import json
 import os
 import pathlib
-import signal
 import sys
+import threading
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "standins"))
 
-from deployment import Deployment, NotRun  # noqa: E402
+from deployment import HOST_NAME, Deployment, NotRun  # noqa: E402
 
-CHANGES = 4  # of the settings file, for each machine
-CHANGED_AFTER_S = 0.2  # after the process was started
-RESTART_DELAY_S = 1.2  # the platform starts an ended process again after a short delay
-DISTURBED_S = 1.0  # ends within this time after a start by the operator don't count
-MAX_ENDS = 3  # of a machine, by RULES.md
-MAX_MACHINES = 2
+MAX_CONNECTIONS = 3  # of the upstream; one for each of the three machines
+TIMEOUT_S = 6.0  # of the route, and the consumers' time limit
+LONG_WORK_S = 4.8
+SHORT_WORK_S = 0.1
+WAITING = 3  # requests that wait for a connection behind the long one
+SENT_AFTER_S = 1.0  # the signal; the machine may still be sent requests then
+GRACE_S = 6.0
+LOSS_SLACK_S = 0.2
+AT_WORK_SINCE_S = GRACE_S * 5 / 6  # an upstream at work then excuses the request
 
 
-def restart(machine):
-    """Stop a machine's process as planned, and start it again with new settings."""
-    machine.process.terminate()
-    machine.process.wait(timeout=8.0)
-    machine.write_settings()
-    machine.start()
+class Consumer(threading.Thread):
+    """Sends one request on a connection of its own, and keeps what came back."""
 
+    def __init__(self, machine, request_id, work_s):
+        super().__init__(daemon=True)
+        self.request_id = request_id
+        self.status = None
+        self.error = None
+        self.sent_at = self.ended_at = 0.0
+        self._path = f"/file/work-{work_s:g}/{request_id}"
+        self._conn = http.client.HTTPConnection(
+            machine.ip, machine.front_port, timeout=TIMEOUT_S + 2.0
+        )
+        self._conn.connect()
 
-def change_settings(machine, trouble, record):
-    """Change the settings file `CHANGES` times; return how often the process ended.
+    def run(self):
+        """Send the request, and wait for its answer or the connection's end."""
+        headers = {
+            "Host": HOST_NAME,
+            "Persimmonspoke-Request-Id": self.request_id,
+            "Persimmonspoke-Deadline-Ms": f"{TIMEOUT_S * 1000:.0f}",
+        }
+        try:
+            self._conn.request("POST", self._path, b"a filing", headers)
+            self.sent_at = time.monotonic()
+            resp = self._conn.getresponse()
+            resp.read()
+            self.status = resp.status
+        except (OSError, http.client.HTTPException) as exc:
+            self.error = repr(exc)
+        self.ended_at = time.monotonic()
+        self._conn.close()
 
-    The ends that are excused by the start of the operator are left out.
+
+def is_lost(consumer, runs):
+    """Return whether a request breaks LOST.
+
+    It does not if an answer came, its time was over, or an upstream was at work on it:
+    all runs that are not answered here are those of the last sixth of the grace.
     """
-    ends = 0
-    started_at = time.monotonic()
-    for number in range(CHANGES):
-        time.sleep(CHANGED_AFTER_S)
-        machine.write_settings()
-        if trouble:
-            machine.process.send_signal(signal.SIGHUP)
-        time.sleep(CHANGED_AFTER_S)
-        status = machine.process.poll()
-        since_start_s = time.monotonic() - started_at
-        record.append(f"{machine.name} change {number}: status {status}")
-        if status is not None:
-            if since_start_s > DISTURBED_S:
-                ends += 1
-            time.sleep(RESTART_DELAY_S)
-            machine.start()
-    machine.wait_ready()
-    return ends
+    held_s = consumer.ended_at - consumer.sent_at
+    return (
+        consumer.status is None
+        and LOSS_SLACK_S < held_s < TIMEOUT_S - LOSS_SLACK_S
+        and consumer.request_id not in runs
+    )
 
 
 def play(deployment, trouble):
     """Play the case; return the record, and whether the rule broke."""
     runs_file = deployment.folder / "runs"
     runs_file.touch()
-    deployment.start_store()
+    deployment.start_store(MAX_CONNECTIONS, TIMEOUT_S)
     deployment.start_upstream("i-1", 0, runs_file)
     for machine in deployment.machines:
         machine.write_settings()
         machine.start()
     for machine in deployment.machines:
         machine.wait_ready()
-    record, failing = [], 0
-    for machine in deployment.machines:
-        restart(machine)
-        ends = change_settings(machine, trouble, record)
-        record.append(f"{machine.name} ended by itself {ends} times")
-        failing += ends >= MAX_ENDS
-    record.append(f"machines that ended {MAX_ENDS} times or more: {failing}")
-    return record, failing >= MAX_MACHINES
+    time.sleep(2.0)  # both know of each other, so that each uses its share
+    stopped = deployment.machines[0]
+    consumers = [Consumer(stopped, "long", LONG_WORK_S)]
+    consumers += [Consumer(stopped, f"r{n}", SHORT_WORK_S) for n in range(WAITING)]
+    signal_at = time.monotonic()
+    if trouble:
+        stopped.process.terminate()
+    time.sleep(SENT_AFTER_S)
+    for consumer in consumers:
+        consumer.start()
+        time.sleep(0.1)
+    for consumer in consumers:
+        consumer.join(TIMEOUT_S + 3.0)
+    lines = [line.strip() for line in runs_file.read_text().splitlines()]
+    runs = {json.loads(line)["id"] for line in lines}
+    record = [f"run {line}" for line in lines]
+    for c in consumers:
+        record.append(
+            f"{c.request_id} sent {c.sent_at - signal_at:.2f} s after the signal, "
+            f"ended {c.ended_at - signal_at:.2f} s: status {c.status}, {c.error}"
+        )
+    lost = [c.request_id for c in consumers if is_lost(c, runs)]
+    served = sum(c.status == 200 for c in consumers)
+    record.append(f"sent {len(consumers)}, served {served}, LOST {lost}")
+    if not trouble and served < len(consumers):
+        raise NotRun(f"only {served} of {len(consumers)} requests were served")
+    return record, bool(lost)
 
 
 def main():
     """Run the case and return the exit status."""
     trouble = os.environ.get("TROUBLE") != "0"
     try:
-        with Deployment(machines=2) as deployment:
+        with Deployment(machines=3) as deployment:
             record, broken = play(deployment, trouble)
     except (NotRun, OSError) as exc:
         (HERE / "record.txt").write_text(f"could not run: {exc!r}\n")
