Tell each new leader which former ones may still give orders

Cause: a new leader knew that the one before it might give orders until its lease ended, and kept that in memory alone. When it resigned, its successor found no leader in the object and waited 8.2 s, as if nobody else had granted; a leader that was cut off has 12 s of lease and grants of up to 8 s. An answer of one former leader ended the wait for all, and so did a restoration of the store under a leader that was itself waiting.

Ruled out: late orders, since the third leader's commits came before the first one's lease had ended (virtual time: double holds begin 8.3 s after the second takeover).

Change: the object names all leaders whose orders may still have an effect, each with the rest of its time, counted by a reader from when it has read the object. Each is taken out by its own proof: its own answer, the record of its own new start (the grants then remain), or its time. A field that an older build did not write counts as the longest wait, as does a leader that a restored store may have forgotten. A leader that resigns says when its own grants end, so the wait after a planned stop is that time instead of 8.2 s. A host that leads again counts the grants of its earlier leaderships.

Evidence: tests/cover/test_succession.py, TestOrdersOfFormerLeaders.

--- a/src/persimmonspoke/internal/fleet/leadership.py
+++ b/src/persimmonspoke/internal/fleet/leadership.py
@@ -1,9 +1,10 @@
 """The leadership of the fleet: which host leads, and until when it may give orders.
 
 One object in the store names the leader.  A new leader increases the epoch by a
-conditional write, after which the former leader can't change the object.  The former
+conditional write, after which the former leader can't change the object.  A former
 leader may still repeat orders that the object allows, until its lease ends or it has
-answered the new leader.  `former_orders_end_at` is the time when their effect ends.
+answered a later leader.  Several former leaders may be in that state at once; the
+object names all of them, so that each leader knows whom its predecessors waited for.
 """
 
 import logging
@@ -39,6 +40,7 @@
 from persimmonspoke.internal.peers.api import Liveness, PeerAddress, PeerLink
 from persimmonspoke.internal.ranges.record import (
     OWNERSHIP_KEY,
+    FormerLeader,
     Ownership,
     decode,
     encode,
@@ -74,12 +76,9 @@
         End of this host's lease: until then it may give orders, if it leads.
     ownership : Ownership or None
         Content of the object, as this host last wrote it, with local updates.
-    former_orders_end_at : Instant
-        Until then targets may hold keys by orders of a former leader that has not
-        reported its grants.
     former_grants_end_at : dict of TargetId to Instant
-        End of each target's holds by orders of the former leader, as it reported
-        them when it stopped.
+        End of each target's holds by orders of former leaders, as they reported them
+        when they stopped.
     first_start : bool
         Whether the whole system starts for the first time, so that a missing object
         has never been written.
@@ -129,7 +128,7 @@
         self.leading = False
         self.lease_until = LONG_AGO
         self.ownership: Ownership | None = None
-        self.former_orders_end_at = LONG_AGO
+        self._former_end_at: dict[PeerAddress | None, Instant] = {}
         self.former_grants_end_at: dict[TargetId, Instant] = {}
         self.first_start = True
         self.owners_uncertain = False
@@ -144,6 +143,11 @@
         link.serve(LeaderQuery, self._on_query)
         link.serve(NewLeader, self._on_new_leader)
 
+    @property
+    def former_orders_end_at(self) -> Instant:
+        """End of holds by orders of former leaders that did not report their grants."""
+        return max(self._former_end_at.values(), default=LONG_AGO)
+
     def run(self) -> None:
         """Renew this host's lead, or monitor the leader, until this host resigns."""
         while not self._resigned:
@@ -314,8 +318,14 @@
         with self._write_lock:
             self.leading = False
             self.on_stop()
-            deadline = Instant(self._clock.now() + self._cfg.store_call_s)
-            value = encode(self.ownership.led_by(None, self.epoch))
+            now = self._clock.now()
+            deadline = Instant(now + self._cfg.store_call_s)
+            left_s = max((grant.left_s for grant in self._grants_left()), default=0.0)
+            former = self._former_left()
+            if left_s > 0:
+                former += (FormerLeader(self._hosts.me(), left_s),)
+            resigned = replace(self.ownership.led_by(None, self.epoch), former=former)
+            value = encode(resigned)
             try:
                 write(
                     self._store,
@@ -325,7 +335,10 @@
                     self._version,
                     deadline,
                 )
-                log.info("leader: resigned", extra={"epoch": self.epoch})
+                log.info(
+                    "leader: resigned",
+                    extra={"epoch": self.epoch, "former": _log_rows(former)},
+                )
             except StoreError as exc:
                 log.warning(
                     "leader: resigned, resignation not stored",
@@ -341,6 +354,7 @@
         while True:
             sent_at = self._clock.now()
             deadline = Instant(sent_at + self._cfg.store_call_s)
+            ownership = replace(ownership, former=self._former_left())
             try:
                 stored = write(
                     self._store,
@@ -395,16 +409,17 @@
                 self.follow(survey.later.leader, survey.later.epoch)
                 return
             epoch = self.ownership.epoch_in(era)
-            renewed = replace(self.ownership.led_by(self._hosts.me(), epoch), era=era)
+            former = self._former_left()
+            if not survey.conclusive:
+                # The store may have forgotten a leader that took over meanwhile.
+                former += (FormerLeader(None, self._max_orders_s),)
+            renewed = replace(
+                self.ownership.led_by(self._hosts.me(), epoch), era=era, former=former
+            )
             self._store_takeover(renewed, version)
             self.owners_uncertain |= not survey.conclusive
             self.on_stop()
-            now = self._clock.now()
-            self.former_orders_end_at = now
-            self.former_grants_end_at = {
-                grant.target_id: Instant(now + grant.left_s)
-                for grant in self.remaining_grants()
-            }
+            self._keep_own_grants()
             log.warning(
                 "leader: leads on after the store was restored",
                 extra={
@@ -413,10 +428,11 @@
                     "stored_epoch": stored.epoch,
                     "stored_era": stored.era,
                     "conclusive": survey.conclusive,
+                    "former": _log_rows(former),
                     "store_version": self._version,
                 },
             )
-            self._begin_epoch(None)
+            self._begin_epoch()
 
     def _read_ownership(self) -> tuple[Ownership, Version]:
         """Return the stored ownership and its version; version 0 if there is none."""
@@ -428,7 +444,10 @@
         return decode(stored.value), stored.version
 
     def _store_takeover(self, ownership, version):
-        """Write the ownership of a new epoch of this host, and apply it here."""
+        """Write the ownership of a new epoch of this host, and apply it here.
+
+        The former leaders that it names can't have confirmed their leases since.
+        """
         self._version = version
         sent_at = self._clock.now()
         deadline = Instant(sent_at + self._cfg.store_call_s)
@@ -445,13 +464,64 @@
         self.leader, self.epoch = self._hosts.me(), ownership.epoch
         self.lease_until = Instant(sent_at + self._cfg.lease_s)
         self.store_answered_at = sent_at
+        now = self._clock.now()
+        self._former_end_at = {}
+        for former in ownership.former:
+            end_at = Instant(now + former.left_s)
+            known = self._former_end_at.get(former.address, LONG_AGO)
+            self._former_end_at[former.address] = max(known, end_at)
+
+    @property
+    def _max_orders_s(self):
+        """Longest time for which orders of a former leader may have an effect."""
+        return self._cfg.lease_s + self.max_grant_s
+
+    def _former_left(self) -> tuple[FormerLeader, ...]:
+        """Return the former leaders whose orders may still have an effect."""
+        now = self._clock.now()
+        return tuple(
+            FormerLeader(address, end_at - now)
+            for address, end_at in self._former_end_at.items()
+            if end_at > now
+        )
 
-    def _begin_epoch(self, former):
+    def _grants_left(self) -> tuple[GrantLeft, ...]:
+        """Return the grants left of this host and of leaders that reported theirs."""
+        now = self._clock.now()
+        left = {
+            target_id: end_at - now
+            for target_id, end_at in self.former_grants_end_at.items()
+            if end_at > now
+        }
+        for grant in self.remaining_grants():
+            left[grant.target_id] = max(grant.left_s, left.get(grant.target_id, 0.0))
+        return tuple(GrantLeft(target_id, left_s) for target_id, left_s in left.items())
+
+    def _keep_own_grants(self):
+        """Record this host's grants before it leads in another epoch."""
+        grants = self._grants_left()
+        self.former_grants_end_at = {}
+        self._add_former_grants(grants)
+
+    def _add_former_grants(self, grants):
+        """Record grants of leaders that give no more orders."""
+        now = self._clock.now()
+        for grant in grants:
+            known = self.former_grants_end_at.get(grant.target_id, LONG_AGO)
+            end_at = Instant(now + grant.left_s)
+            self.former_grants_end_at[grant.target_id] = max(known, end_at)
+
+    def _begin_epoch(self):
         """Start to lead in the epoch just stored, and announce it to all hosts."""
         self.leading = True
         self.on_takeover()
-        for entry in self._hosts.known_hosts():
-            eventlet.spawn_n(self._announce, entry.address, former)
+        addresses = {entry.address for entry in self._hosts.known_hosts()}
+        addresses |= {address for address in self._former_end_at if address}
+        me = self._hosts.me()
+        for address in addresses:
+            # An earlier run of this host had the same address.
+            if (address.ip, address.port) != (me.ip, me.port):
+                eventlet.spawn_n(self._announce, address)
 
     def _watch(self):
         """Check whether the leader is lost; take over if it is this host's turn."""
@@ -587,36 +657,61 @@
         is_copy = (
             stored_ownership.era < era and max(stored_ownership.epoch, self.epoch) > 0
         ) or (stored_ownership.epoch == 0 and not self.first_start)
-        former, known_epoch = stored_ownership.leader, stored_ownership.epoch
-        if is_copy and self.epoch > known_epoch:
-            former, known_epoch = self.leader, self.epoch
-        restarted = former is not None and self._hosts.was_restarted(former.host_id)
+        known_epoch = max(stored_ownership.epoch, self.epoch if is_copy else 0)
         epoch = replace(stored_ownership, epoch=known_epoch).epoch_in(era) + 1
-        ownership = replace(stored_ownership.led_by(self._hosts.me(), epoch), era=era)
+        former = self._former_at_takeover(stored_ownership, is_copy)
+        ownership = replace(
+            stored_ownership.led_by(self._hosts.me(), epoch), era=era, former=former
+        )
         self._store_takeover(ownership, version)
-        now = self._clock.now()
-        wait_s = self.max_grant_s
-        if (former is not None or is_copy) and not restarted:
-            wait_s += self._cfg.lease_s
-        is_first = known_epoch == 0 and not is_copy
-        self.former_orders_end_at = now if is_first else Instant(now + wait_s)
-        self.former_grants_end_at = {}
+        self._keep_own_grants()
         self.owners_uncertain = is_copy
         log.info(
             "leader: took over",
             extra={
                 "epoch": self.epoch,
-                "former": former.host_id if former else None,
-                "former_orders_end_in_s": round(self.former_orders_end_at - now, 2),
+                "former": _log_rows(former),
+                "stored_leader": stored_ownership.leader
+                and stored_ownership.leader.host_id,
+                "stored_epoch": stored_ownership.epoch,
                 "store_version": self._version,
                 "era": era,
                 "owners_uncertain": self.owners_uncertain,
             },
         )
-        self._begin_epoch(former)
+        self._begin_epoch()
+
+    def _former_at_takeover(self, stored, is_copy) -> tuple[FormerLeader, ...]:
+        """Return all leaders whose orders may have an effect once this host leads.
+
+        These are the leader that the object names and those that it waited for.  What
+        the object does not say counts as the longest wait.
+        """
+        former = list(stored.former or ())
+        if stored.leader is not None:
+            former.append(FormerLeader(stored.leader, self._max_orders_s))
+        if is_copy and self.leader is not None:
+            former.append(FormerLeader(self.leader, self._max_orders_s))
+        if is_copy or (stored.former is None and stored.epoch > 0):
+            former.append(FormerLeader(None, self._max_orders_s))
+        return tuple(
+            self._with_proof(entry)
+            for entry in former
+            if entry.address != self._hosts.me()
+        )
+
+    def _with_proof(self, former):
+        """Return a former leader, with less time left if it has started again."""
+        if (
+            former.address is None
+            or former.left_s <= self.max_grant_s
+            or not self._hosts.was_restarted(former.address.host_id)
+        ):
+            return former
+        return replace(former, left_s=self.max_grant_s)
 
-    def _announce(self, address, former):
-        """Announce this leader to one host; to the former leader until it answers."""
+    def _announce(self, address):
+        """Announce this leader to one host; to a former leader until it answers."""
         message = NewLeader(self._hosts.me(), self.epoch)
         while self.leading and message.epoch == self.epoch:
             deadline = Instant(self._clock.now() + self._cfg.call_s)
@@ -625,22 +720,30 @@
             except PeerRefused:
                 return
             except PeerError:
-                if former is None or address.host_id != former.host_id:
+                end_at = self._former_end_at.get(address, LONG_AGO)
+                if end_at <= self._clock.now():
                     return
                 continue
-            self._hosts.mark_alive(address.host_id)
-            if former is not None and reply.host_id == former.host_id:
-                self._on_former_stopped(reply)
+            self._hosts.mark_alive(reply.host_id)
+            if reply.host_id == address.host_id:
+                self._on_former_stopped(address, reply.grants)
             return
 
-    def _on_former_stopped(self, reply):
-        """Record that the former leader gives no more orders, and its last grants."""
-        now = self._clock.now()
-        self.former_grants_end_at = {
-            grant.target_id: Instant(now + grant.left_s) for grant in reply.grants
-        }
-        self.former_orders_end_at = now
-        log.info("leader: the former leader has stopped", extra={"host": reply.host_id})
+    def _on_former_stopped(self, address, grants):
+        """Record that a host gives no more orders, and the grants that it has left.
+
+        This proves nothing about other former leaders.
+        """
+        self._add_former_grants(grants)
+        if self._former_end_at.pop(address, None) is not None:
+            log.info(
+                "leader: a former leader has stopped",
+                extra={
+                    "host": address.host_id,
+                    "grants": len(grants),
+                    "former": _log_rows(self._former_left()),
+                },
+            )
 
     def _on_query(self, query: LeaderQuery) -> LeaderKnown:
         self._hosts.mark_alive(query.asker)
@@ -656,7 +759,7 @@
             raise PeerRefused(
                 f"epoch {message.epoch} has ended; this is epoch {self.epoch}"
             )
-        grants = self.remaining_grants()
+        grants = self._grants_left()
         self.follow(message.leader, message.epoch)
         return NewLeaderSeen(self._hosts.me().host_id, grants)
 
@@ -668,3 +771,11 @@
         self.leader = None
         self.lease_until = LONG_AGO
         self.on_stop()
+
+
+def _log_rows(former):
+    """Return host and time left of each former leader, for a log line."""
+    return [
+        [entry.address.host_id if entry.address else None, round(entry.left_s, 2)]
+        for entry in former
+    ]
--- a/src/persimmonspoke/internal/ranges/record.py
+++ b/src/persimmonspoke/internal/ranges/record.py
@@ -4,6 +4,7 @@
 every write is conditional on the newest version that its writer knows.
 """
 
+import math
 from dataclasses import dataclass, field, replace
 
 from persimmonspoke.errors import MalformedDocument
@@ -22,6 +23,23 @@
 EPOCHS_PER_ERA = 1 << 10  # far more takeovers than the store can forget at once
 
 
+@dataclass(frozen=True, slots=True)
+class FormerLeader:
+    """A former leader whose orders may still have an effect.
+
+    Attributes
+    ----------
+    address : PeerAddress or None
+        None for a leader whose name is not known.
+    left_s : float
+        Longest time for which targets may hold keys by its orders, counted by a reader
+        from when it has read the object: clocks of two hosts can't be compared.
+    """
+
+    address: PeerAddress | None
+    left_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Ownership:
     """Content of the object.
@@ -41,6 +59,9 @@
         Serial of the leader's range table when the object was written.
     era : Era
         Era of the store in which the leader took over.
+    former : tuple of FormerLeader or None
+        All other leaders whose orders may still have an effect, as far as the writer
+        knew; None if the writer is of a build that did not write them.
     """
 
     leader: PeerAddress | None
@@ -49,6 +70,7 @@
     write_id: WriteId = WriteId("")
     serial: int = 0
     era: Era = Era(0)
+    former: tuple[FormerLeader, ...] | None = ()
 
     def epoch_in(self, era: Era) -> int:
         """Return an epoch in `era` above all that leaders can have had before it.
@@ -81,13 +103,16 @@
 
 def encode(ownership: Ownership) -> Value:
     """Return `ownership` as the value of a stored object."""
-    leader = ownership.leader
     return {
         WRITE_ID: ownership.write_id,
-        "leader": [leader.host_id, leader.ip, leader.port] if leader else None,
+        "leader": _address_row(ownership.leader),
         "epoch": ownership.epoch,
         "serial": ownership.serial,
         "era": ownership.era,
+        "former": [
+            [_address_row(former.address), _rounded_up(former.left_s)]
+            for former in ownership.former or ()
+        ],
         "services": {
             service: [
                 [r.first, r.last, r.owner, r.born_ms, r.fence, r.handover]
@@ -108,12 +133,8 @@
         could get a second owner.
     """
     try:
-        leader = value["leader"]
-        if leader is not None:
-            host_id, ip, port = leader
-            leader = PeerAddress(HostId(_text(host_id)), _text(ip), _number(port))
         return Ownership(
-            leader=leader,
+            leader=_address(value["leader"]),
             epoch=_number(value["epoch"]),
             services={
                 ServiceId(service): RangeMap(_key_range(row) for row in rows)
@@ -122,11 +143,40 @@
             write_id=WriteId(value[WRITE_ID]),
             serial=_number(value["serial"]),
             era=Era(_number(value.get("era", 0))),
+            former=_former(value["former"]) if "former" in value else None,
         )
     except (KeyError, TypeError, ValueError, AttributeError) as exc:
         raise MalformedDocument(f"the ownership can't be read: {exc!r}") from exc
 
 
+def _address_row(address):
+    return [address.host_id, address.ip, address.port] if address else None
+
+
+def _address(row):
+    if row is None:
+        return None
+    host_id, ip, port = row
+    return PeerAddress(HostId(_text(host_id)), _text(ip), _number(port))
+
+
+def _former(rows):
+    return tuple(FormerLeader(_address(row), _duration(left)) for row, left in rows)
+
+
+def _rounded_up(seconds):
+    """Return a duration in whole milliseconds, never a shorter one."""
+    return math.ceil(seconds * 1000) / 1000
+
+
+def _duration(value):
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError(f"{value!r} is not a duration")
+    if not 0 <= value < math.inf:
+        raise ValueError(f"{value!r} is not a duration")
+    return float(value)
+
+
 def _key_range(row):
     first, last, owner, born_ms, fence, handover = row
     for value in (first, last, born_ms, fence):
--- /dev/null
+++ b/tests/cover/test_succession.py
@@ -0,0 +1,189 @@
+"""Tests of what a leader owes the fleet, and what its successors know of it."""
+
+import unittest
+
+import eventlet
+
+from persimmonspoke.errors import MalformedDocument
+from persimmonspoke.internal.peers.api import PeerAddress
+from persimmonspoke.internal.ranges.record import (
+    OWNERSHIP_KEY,
+    FormerLeader,
+    Ownership,
+    decode,
+    encode,
+)
+from tests.fakes.range_fleet import RangeFleet
+
+SETTLE_S = 3.0
+
+
+class SuccessionCase(unittest.TestCase):
+    """Hosts and targets in virtual time; no key may have two holders at any time."""
+
+    hosts = 4
+
+    def setUp(self):
+        self.fleet = RangeFleet(hosts=self.hosts)
+        self.addCleanup(self.end)
+        self.fleet.run_for(SETTLE_S)
+
+    def end(self):
+        self.fleet.stop()
+        self.assertEqual(self.fleet.double_holds[:3], [])
+        self.assertEqual(self.fleet.fence_violations(), [])
+        self.assertEqual(self.fleet.network.crashes, [])
+
+    def cut_off(self, host):
+        """Cut a host from the store and from all other hosts."""
+        host.store.faults.silent = True
+        others = {h.process.machine for h in self.fleet.hosts if h is not host}
+        self.fleet.network.cut({host.process.machine}, others)
+
+    def reconnect(self, host):
+        host.store.faults.silent = False
+        self.fleet.network.heal()
+
+    def lose_paths(self, target_id, hosts):
+        """Cut the paths of `hosts` to one target."""
+        for host in hosts:
+            host.lost_targets.add(target_id)
+
+    def successor_of(self, *former):
+        """Wait for a leader that is none of `former`, and return it."""
+        for _ in range(400):
+            leading = [
+                host
+                for host in self.fleet.hosts
+                if host not in former and host.leadership.may_order()
+            ]
+            if leading:
+                return leading[0]
+            self.fleet.run_for(0.05)
+        return self.fail("no other host leads")
+
+    def end_leadership(self, host, how):
+        """Let a leader stop by plan, die, or die and start again."""
+        if how == "resigns":
+            host.hosts.leaving = True
+            eventlet.spawn(host.leadership.resign)
+        else:
+            host.kill()
+        if how == "restarts":
+            self.fleet.restart(host)
+
+
+class TestOrdersOfFormerLeaders(SuccessionCase):
+    """A leader that is cut off goes on under its lease and renews its grants."""
+
+    # Guards against OWNER: the second leader's wait for the first ended with it.
+    def test_keys_wait_for_a_leader_that_is_cut_off_whatever_its_successor_does(self):
+        for how in ("resigns", "dies", "restarts"):
+            with self.subTest(successor=how):
+                self.fleet.stop()
+                self.fleet = RangeFleet(hosts=self.hosts)
+                self.fleet.run_for(SETTLE_S)
+                first = self.fleet.leader()
+                self.cut_off(first)
+                rest = [host for host in self.fleet.hosts if host is not first]
+                self.lose_paths("t0", rest)
+                second = self.successor_of(first)
+                self.end_leadership(second, how)
+                self.lose_paths("t0", self.fleet.hosts)
+                first.lost_targets.clear()
+                self.successor_of(first, second)
+                self.fleet.run_for(14)
+                self.assertEqual(self.fleet.double_holds[:3], [])
+                self.reconnect(first)
+                self.fleet.run_for(16)
+                self.assertEqual(self.fleet.unheld_keys(), [])
+
+    # Guards against OWNER: the answer of one former leader ended the wait for all.
+    def test_keys_wait_for_it_although_its_successor_has_answered(self):
+        first = self.fleet.leader()
+        self.cut_off(first)
+        self.lose_paths("t0", [host for host in self.fleet.hosts if host is not first])
+        second = self.successor_of(first)
+        second.process.pause()
+        third = self.successor_of(first, second)
+        second.process.resume()
+        self.fleet.run_for(14)
+        self.assertTrue(third.leadership.leading)
+        self.assertEqual(self.fleet.double_holds[:3], [])
+
+    # Guards against OWNER: a leader forgot the wait when the store was restored.
+    def test_keys_wait_for_it_although_the_store_was_restored(self):
+        first = self.fleet.leader()
+        self.cut_off(first)
+        self.lose_paths("t0", [host for host in self.fleet.hosts if host is not first])
+        second = self.successor_of(first)
+        self.fleet.run_for(1)
+        self.fleet.platform.restore(1.0)
+        self.fleet.run_for(14)
+        self.assertTrue(second.leadership.leading)
+        self.assertEqual(self.fleet.double_holds[:3], [])
+
+    # Guards against OWNER: the object of an older build names no former leaders.
+    def test_an_object_that_does_not_name_them_counts_as_the_longest_wait(self):
+        first = self.fleet.leader()
+        stored = self.fleet.platform.get(OWNERSHIP_KEY)
+        value = {name: v for name, v in stored.value.items() if name != "former"}
+        first.kill()
+        self.fleet.platform.put(
+            OWNERSHIP_KEY, {**value, "leader": None}, stored.version
+        )
+        leadership = self.successor_of(first).leadership
+        left_s = leadership.former_orders_end_at - leadership._clock.now()
+        self.assertGreater(left_s, leadership.lease_s)
+
+    def test_a_leader_that_resigns_hands_over_when_its_grants_end(self):
+        first = self.fleet.leader()
+        longest_s = max(grant.left_s for grant in first.leadership.remaining_grants())
+        self.end_leadership(first, "resigns")
+        second = self.successor_of(first)
+        left_s = second.leadership.former_orders_end_at - second.clock.now()
+        self.assertLessEqual(left_s, longest_s + second.keeper._cfg.renew_s)
+
+    # Guards against OWNER: a host that leads again forgot what it had granted before.
+    def test_a_host_that_leads_again_counts_its_own_earlier_grants(self):
+        leader = self.fleet.leader()
+        until = leader.keeper.granters.held_until("stock", "t0")
+        leader.leadership.step_aside("test")
+        stored = self.fleet.platform.get(OWNERSHIP_KEY)
+        leader.leadership._take_over(decode(stored.value), stored.version)
+        grants_end_at = leader.leadership.former_grants_end_at
+        self.assertGreaterEqual(grants_end_at["t0"], until)
+
+    def test_a_former_leader_of_long_ago_is_not_named_any_more(self):
+        self.end_leadership(self.fleet.leader(), "dies")
+        self.fleet.run_for(3)
+        self.assertEqual(len(self.stored().former), 1)
+        self.fleet.run_for(20)
+        self.assertEqual(self.stored().former, ())
+
+    def stored(self):
+        return decode(self.fleet.platform.get(OWNERSHIP_KEY).value)
+
+
+class TestTheStoredObject(unittest.TestCase):
+    def test_former_leaders_and_their_times_are_read_as_they_were_written(self):
+        former = (FormerLeader(PeerAddress("h1.1", "10.0.0.1", 7), 2.0),)
+        former += (FormerLeader(None, 0.5),)
+        value = encode(Ownership(None, 3, former=former))
+        self.assertEqual(decode(value).former, former)
+
+    def test_a_time_is_never_rounded_to_a_shorter_one(self):
+        former = (FormerLeader(None, 1.00001),)
+        value = encode(Ownership(None, 3, former=former))
+        self.assertGreater(decode(value).former[0].left_s, 1.00001)
+
+    def test_a_time_that_is_no_duration_makes_the_object_unreadable(self):
+        for left in (-1.0, "2", True, float("nan"), float("inf")):
+            value = encode(Ownership(None, 3))
+            value["former"] = [[None, left]]
+            with self.subTest(left=left), self.assertRaises(MalformedDocument):
+                decode(value)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/fakes/range_fleet.py
+++ b/tests/fakes/range_fleet.py
@@ -60,11 +60,18 @@
 
 
 class RangeHost:
-    """One host with its process, leadership, keeper and routes."""
+    """One host with its process, leadership, keeper and routes.
+
+    Attributes
+    ----------
+    lost_targets : set of str
+        Targets that this host can't reach, while it reaches the others.
+    """
 
     def __init__(self, fleet, number):
         self.process = FakeProcess(f"h{number}.{fleet.runs}", f"10.0.0.{number}")
         self.cut_how = None
+        self.lost_targets = set()
         self.clock = FakeClock(self.process)
         address = PeerAddress(HostId(self.process.name), self.process.machine, 7000)
         self.store = FakeStore(fleet.platform, self.process)
@@ -151,13 +158,13 @@
 
     def reaches(self, target_id):
         """Return whether this host can connect to a target."""
-        return self.cut_how is None
+        return self.cut_how is None and target_id not in self.lost_targets
 
     def connects(self, fleet, target, timeout_s):
         """Return whether a target accepts a connection of this host in time."""
         eventlet.sleep(LATENCY_S)
         found = fleet.targets.get(target.target_id)
-        if self.cut_how is None and not (found is not None and found.silent):
+        if self.reaches(target.target_id) and not (found is not None and found.silent):
             return True
         if self.cut_how != "refused":
             eventlet.sleep(timeout_s)
