Store that the owners are uncertain until they are resolved

Cause: a leader that takes over from an older copy first takes all keys back from all targets. It stored the copy's owners under the new era at once, but kept the doubt in memory. When it ended before it was done, its successor read an object of the present era, took the owners in it for certain, and granted them keys that others still held.

Ruled out: late grants of the first leader, which ended before (the holds of both begin after the second takeover); a release that was not executed.

Change: the object names the services whose owners are certain, or none if all are. It is written with the takeover and with a leader that leads on in doubt, and each service is added once its keys are taken back. An object of an older build does not name them: after a restoration only those services count as certain all of whose fences are of the present era, which is what such a leader leaves behind when it is done.

Cost: one more write a service after a restoration; none otherwise.

Evidence: tests/cover/test_restored_store.py, TestSuccessorsOfLeadersInDoubt.

--- a/src/persimmonspoke/internal/fleet/leadership.py
+++ b/src/persimmonspoke/internal/fleet/leadership.py
@@ -82,9 +82,6 @@
     first_start : bool
         Whether the whole system starts for the first time, so that a missing object
         has never been written.
-    owners_uncertain : bool
-        Whether this host took over from an older copy of the object, so that other
-        targets than the owners in it may hold keys; the keeper resets it.
     remaining_grants : callable
         Returns the grants of this host that have not ended yet.
     may_lead : callable
@@ -131,7 +128,6 @@
         self._former_end_at: dict[PeerAddress | None, Instant] = {}
         self.former_grants_end_at: dict[TargetId, Instant] = {}
         self.first_start = True
-        self.owners_uncertain = False
         self.remaining_grants: Callable[[], tuple[GrantLeft, ...]] = tuple
         self.may_lead: Callable[[], bool] = lambda: True
         self.on_ownership_read: Callable[[Ownership], None] = lambda ownership: None
@@ -148,6 +144,14 @@
         """End of holds by orders of former leaders that did not report their grants."""
         return max(self._former_end_at.values(), default=LONG_AGO)
 
+    @property
+    def owners_uncertain(self) -> bool:
+        """Whether targets may hold keys that are not the owners in the object.
+
+        This or an earlier leader took over from an older copy of the object.
+        """
+        return self.ownership is not None and self.ownership.resolved is not None
+
     def run(self) -> None:
         """Renew this host's lead, or monitor the leader, until this host resigns."""
         while not self._resigned:
@@ -409,15 +413,18 @@
                 self.follow(survey.later.leader, survey.later.epoch)
                 return
             epoch = self.ownership.epoch_in(era)
-            former = self._former_left()
+            former, resolved = self._former_left(), self.ownership.resolved
             if not survey.conclusive:
                 # The store may have forgotten a leader that took over meanwhile.
                 former += (FormerLeader(None, self._max_orders_s),)
+                resolved = frozenset()
             renewed = replace(
-                self.ownership.led_by(self._hosts.me(), epoch), era=era, former=former
+                self.ownership.led_by(self._hosts.me(), epoch),
+                era=era,
+                former=former,
+                resolved=resolved,
             )
             self._store_takeover(renewed, version)
-            self.owners_uncertain |= not survey.conclusive
             self.on_stop()
             self._keep_own_grants()
             log.warning(
@@ -661,11 +668,13 @@
         epoch = replace(stored_ownership, epoch=known_epoch).epoch_in(era) + 1
         former = self._former_at_takeover(stored_ownership, is_copy)
         ownership = replace(
-            stored_ownership.led_by(self._hosts.me(), epoch), era=era, former=former
+            stored_ownership.led_by(self._hosts.me(), epoch),
+            era=era,
+            former=former,
+            resolved=frozenset() if is_copy else stored_ownership.resolved,
         )
         self._store_takeover(ownership, version)
         self._keep_own_grants()
-        self.owners_uncertain = is_copy
         log.info(
             "leader: took over",
             extra={
--- a/src/persimmonspoke/internal/ranges/keeper.py
+++ b/src/persimmonspoke/internal/ranges/keeper.py
@@ -74,7 +74,6 @@
         self._eligible_since: dict[ServiceId, tuple[frozenset[TargetId], Instant]] = {}
         self._next_rebalance_at = clock.now()
         self._resolving: set[ServiceId] = set()
-        self._resolved: set[ServiceId] = set()
         leadership.max_grant_s = cfg.max_duration_s(cfg.outage_hold_s)
         leadership.on_takeover = self._on_takeover
         leadership.on_stop = self.stop
@@ -124,9 +123,9 @@
         self._leading_since = self._clock.now()
         self._eligible_since = {}
         self.granters.reset()
-        self._resolving, self._resolved = set(), set()
-        if not self._leadership.owners_uncertain:
-            for service in self._leadership.ownership.services:
+        self._resolving = set()
+        for service in self._leadership.ownership.services:
+            if not self._is_unresolved(service):
                 self.granters.start_granters(service)
         self.ledger.reset()
         self._tasks.spawn(self._run)
@@ -148,7 +147,8 @@
         try:
             self._wait_for_registrations()
             self._mover.resolve_owners(service)
-            self._resolved.add(service)
+            divided = self._state.divided_services()
+            self._leadership.commit(lambda known: known.with_resolved(service, divided))
         except (StoreError, AuthorityLapsed, NoOwnerYet) as exc:
             log.warning(
                 "ranges: owners not resolved",
@@ -158,12 +158,11 @@
         finally:
             # Unless it is resolved, the next round starts again.
             self._resolving.discard(service)
-        if self._resolved >= set(self._state.divided_services()):
-            self._leadership.owners_uncertain = False
 
     def _is_unresolved(self, service):
         """Return whether keys of a service may have other owners than are known."""
-        return self._leadership.owners_uncertain and service not in self._resolved
+        resolved = self._leadership.ownership.resolved
+        return resolved is not None and service not in resolved
 
     def _wait_for_registrations(self):
         """Wait until all living targets have registered again."""
--- a/src/persimmonspoke/internal/ranges/record.py
+++ b/src/persimmonspoke/internal/ranges/record.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 
 from persimmonspoke.errors import MalformedDocument
@@ -62,6 +63,9 @@
     former : tuple of FormerLeader or None
         All other leaders whose orders may still have an effect, as far as the writer
         knew; None if the writer is of a build that did not write them.
+    resolved : frozenset of ServiceId or None
+        Services whose owners are certain, if a leader has taken over from an older copy
+        and other targets may still hold keys; None if all owners are certain.
     """
 
     leader: PeerAddress | None
@@ -71,6 +75,7 @@
     serial: int = 0
     era: Era = Era(0)
     former: tuple[FormerLeader, ...] | None = ()
+    resolved: frozenset[ServiceId] | None = None
 
     def epoch_in(self, era: Era) -> int:
         """Return an epoch in `era` above all that leaders can have had before it.
@@ -100,6 +105,23 @@
         services = {**self.services, service: ranges}
         return replace(self, services=services, serial=serial, write_id=new_write_id())
 
+    def with_resolved(
+        self, service: ServiceId, divided: Iterable[ServiceId]
+    ) -> "Ownership":
+        """Return the ownership with certain owners of `service`.
+
+        Parameters
+        ----------
+        divided : iterable of ServiceId
+            All services that are divided; once all are resolved, no doubt is left.
+        """
+        if self.resolved is None:
+            return self
+        resolved = self.resolved | {service}
+        if resolved.issuperset(divided):
+            resolved = None
+        return replace(self, resolved=resolved, write_id=new_write_id())
+
 
 def encode(ownership: Ownership) -> Value:
     """Return `ownership` as the value of a stored object."""
@@ -113,6 +135,9 @@
             [_address_row(former.address), _rounded_up(former.left_s)]
             for former in ownership.former or ()
         ],
+        "resolved": (
+            None if ownership.resolved is None else sorted(ownership.resolved)
+        ),
         "services": {
             service: [
                 [r.first, r.last, r.owner, r.born_ms, r.fence, r.handover]
@@ -133,16 +158,23 @@
         could get a second owner.
     """
     try:
+        services = {
+            ServiceId(service): RangeMap(_key_range(row) for row in rows)
+            for service, rows in value["services"].items()
+        }
+        era = Era(_number(value.get("era", 0)))
+        if "resolved" in value:
+            resolved = _resolved(value["resolved"])
+        else:
+            resolved = _resolved_by_older_build(services, era)
         return Ownership(
             leader=_address(value["leader"]),
             epoch=_number(value["epoch"]),
-            services={
-                ServiceId(service): RangeMap(_key_range(row) for row in rows)
-                for service, rows in value["services"].items()
-            },
+            services=services,
             write_id=WriteId(value[WRITE_ID]),
             serial=_number(value["serial"]),
-            era=Era(_number(value.get("era", 0))),
+            era=era,
+            resolved=resolved,
             former=_former(value["former"]) if "former" in value else None,
         )
     except (KeyError, TypeError, ValueError, AttributeError) as exc:
@@ -164,6 +196,28 @@
     return tuple(FormerLeader(_address(row), _duration(left)) for row, left in rows)
 
 
+def _resolved(names):
+    if names is None:
+        return None
+    return frozenset(ServiceId(_text(name)) for name in names)
+
+
+def _resolved_by_older_build(services, era):
+    """Return the services with certain owners in an object that does not name them.
+
+    Before a leader in doubt counts the owners of a service as certain, it grants all of
+    its ranges under fences of the present era.
+    """
+    if era == 0:
+        return None
+    first = EPOCHS_PER_ERA * era * FENCES_PER_EPOCH
+    return frozenset(
+        service
+        for service, ranges in services.items()
+        if all(entry.fence > first for entry in ranges.ranges)
+    )
+
+
 def _rounded_up(seconds):
     """Return a duration in whole milliseconds, never a shorter one."""
     return math.ceil(seconds * 1000) / 1000
--- a/tests/cover/test_restored_store.py
+++ b/tests/cover/test_restored_store.py
@@ -15,7 +15,12 @@
 from persimmonspoke.internal.news.relay import RelayReader, serve_news
 from persimmonspoke.internal.news.watcher import StoreWatcher
 from persimmonspoke.internal.ranges.planner import whole_move
-from persimmonspoke.internal.ranges.record import Ownership, decode, encode
+from persimmonspoke.internal.ranges.record import (
+    OWNERSHIP_KEY,
+    Ownership,
+    decode,
+    encode,
+)
 from persimmonspoke.internal.routing.config import TargetState
 from persimmonspoke.internal.routing.state import RoutingState
 from persimmonspoke.internal.store.api import Listing, StoredObject
@@ -289,6 +294,95 @@
             self.assertEqual(host.leadership.epoch, leader.leadership.epoch)
 
 
+class TestSuccessorsOfLeadersInDoubt(RestoredCase):
+    """A leader that took over from an older copy ends before it has resolved it."""
+
+    # Guards against OWNER: the doubt about the owners ended with its leader.
+    def test_they_take_all_keys_back_first_as_well(self):
+        for how in ("is killed", "resigns", "steps aside"):
+            with self.subTest(leader=how):
+                self.fleet.stop()
+                self.fleet = RangeFleet(hosts=4)
+                self.fleet.run_for(8)
+                self.move_keys(8)
+                first = self.lose_leader_and_restore()
+                second = self.wait_for_leader(first)
+                self.assertTrue(second.leadership.owners_uncertain)
+                self.end_leadership(second, how)
+                third = self.wait_for_leader(first, second)
+                self.assertTrue(third.leadership.owners_uncertain)
+                self.fleet.run_for(20)
+                self.assertEqual(self.fleet.double_holds[:3], [])
+                self.assertEqual(self.fleet.unheld_keys(), [])
+                self.assertFalse(third.leadership.owners_uncertain)
+                self.assertIsNone(self.stored().resolved)
+
+    # Guards against OWNER: a build that does not store its doubt led in between.
+    def test_owners_that_an_older_build_took_from_a_copy_are_in_doubt(self):
+        self.move_keys(8)
+        first = self.lose_leader_and_restore()
+        second = self.wait_for_leader(first)
+        second.kill()
+        stored = self.fleet.platform.get(OWNERSHIP_KEY)
+        value = {name: v for name, v in stored.value.items() if name != "resolved"}
+        value["services"] = self.copied_services
+        self.fleet.platform.put(OWNERSHIP_KEY, value, stored.version)
+        self.assertEqual(self.stored().resolved, frozenset())
+        self.wait_for_leader(first, second)
+        self.fleet.run_for(20)
+        self.assertEqual(self.fleet.unheld_keys(), [])
+
+    # Guards against OWNER: a leader that leads on in doubt is replaced.
+    def test_the_doubt_of_a_leader_that_led_on_alone_is_stored(self):
+        leader = self.fleet.leader()
+        others = {h.process.machine for h in self.fleet.hosts if h is not leader}
+        self.fleet.network.cut({leader.process.machine}, others)
+        self.fleet.platform.restore(1.0)
+        for _ in range(20):
+            self.fleet.run_for(0.05)
+            if self.stored().era == 1:
+                break
+        self.assertEqual(self.stored().resolved, frozenset())
+        self.fleet.network.heal()
+        self.fleet.run_for(12)
+
+    def lose_leader_and_restore(self):
+        """Kill the leader while the store is away; the copy lacks the last moves."""
+        first = self.fleet.leader()
+        self.fleet.platform.faults.down = True
+        self.fleet.run_for(1.0)
+        first.kill()
+        self.fleet.run_for(1.0)
+        self.fleet.platform.faults.down = False
+        self.fleet.platform.restore(LOST_S)
+        copy = self.fleet.platform.get(OWNERSHIP_KEY)
+        self.copied_services = copy.value["services"]
+        return first
+
+    def wait_for_leader(self, *former):
+        """Wait for a leader that is none of `former`, and return it."""
+        for _ in range(400):
+            self.fleet.run_for(0.02)
+            for host in self.fleet.hosts:
+                if host not in former and host.leadership.may_order():
+                    return host
+        return self.fail("no other host leads")
+
+    def end_leadership(self, host, how):
+        """End the leadership of a host in one of several ways."""
+        if how == "resigns":
+            host.hosts.leaving = True
+            eventlet.spawn(host.leadership.resign)
+        elif how == "steps aside":
+            host.leadership.step_aside("test")
+            host.leadership.may_lead = lambda: False
+        else:
+            host.kill()
+
+    def stored(self):
+        return decode(self.fleet.platform.get(OWNERSHIP_KEY).value)
+
+
 class TestEpochs(unittest.TestCase):
     def test_they_leave_room_for_the_leaders_that_an_older_copy_lacks(self):
         copy = Ownership(None, 3, era=1)
