Count a request as its target's only from its first byte on

Cause: a request was marked as its target's before a connection was taken, so the stop took one that waited in the pool for one that its target had, and cut it instead of refusing it. Nothing was written, so "not run" would have been true.

Change: the sender is told just before the first byte of an exchange is written, and the stage follows that. The same for requests that are forwarded, which counted as sent while they waited for a connection to the other host, and for the pause after a failed attempt, during which a request counted as still at its target. A request that may have run before is answered "unknown", as it was.

Fakes of senders tell of the first byte, too. FakeTargetRequests lets no other task run before a write without a wait, as a free connection does; test_one_that_has_just_got_a_slot relied on the early mark instead.

--- a/src/persimmonspoke/internal/callers/attempts.py
+++ b/src/persimmonspoke/internal/callers/attempts.py
@@ -337,18 +337,21 @@
 
     def _forward(self, req, body, ticket, retry_state, target_id):
         """Let another host serve the request; see `_attempt`."""
-        retry_state.trail.send(None)
+        trail = retry_state.trail
+        trail.wait()
         try:
-            retry_state.trail.forwarded_to, answer = self._forwarder.send(
+            trail.forwarded_to, answer = self._forwarder.send(
                 req,
                 body,
                 target_id,
                 retry_state.counted_attempts,
                 retry_state.may_have_run,
                 partial(self._take_second_send, ticket),
+                partial(trail.send, None),
             )
             stream = self._start_answer(answer, _NoSlot(), nullcontext())
         except errors.AnswerLost as exc:
+            trail.wait()
             retry_state.counted_attempts += 1
             retry_state.may_have_run = True
             self._metrics.incr("callers.forwards_lost")
@@ -398,12 +401,14 @@
             if not is_trial:
                 may_send = partial(self._suspects.allows, trail.fingerprint)
             target_req = self._target_request(req, body, route, target_id, may_send)
+            target_req = replace(
+                target_req, before_write=partial(trail.send, target_id)
+            )
             target_req = self._with_second_sends(
                 target_req, req, ticket, retry_state, owner
             )
             if trail.was_tried(target_id):
                 target_req = replace(target_req, repeated=True)
-            trail.send(target_id)
             answer = self._send(target, target_req, route, slot)
             answer.on_end = partial(self._on_answer_end, target, trail, answer.status)
             if answer.is_whole:
@@ -413,6 +418,7 @@
         except BaseException as exc:
             reason = f"{type(exc).__name__}: {exc}"
             trail.add(target_id, route, started_at, slot_acquired_at, reason)
+            trail.wait()
             if not isinstance(exc, (*NOT_RUN_ERRORS, errors.AnswerLost)):
                 raise
             self._record_failure(exc, route, slot, retry_state)
--- a/src/persimmonspoke/internal/callers/trail.py
+++ b/src/persimmonspoke/internal/callers/trail.py
@@ -21,11 +21,11 @@
     READING = "reading"
     """The caller, who has not sent the whole request."""
     WAITING = "waiting"
-    """An owner, a slot, or the pause before another attempt."""
+    """An owner, a slot, a connection, or the pause before another attempt."""
     FORWARDED = "forwarded"
-    """Another host, which has been sent the request."""
+    """Another host; the first byte of the request is written to it, or is next."""
     AT_TARGET = "at_target"
-    """A target, which has been sent the request or is about to be."""
+    """A target; the first byte of the request is written to it, or is next."""
     ANSWERING = "answering"
     """The rest of the answer, or the caller who reads it."""
 
@@ -70,7 +70,7 @@
     target_id : TargetId or None
         The target that has the request or has answered it.
     sent_at : Instant or None
-        When the request was handed to that target or to another host.
+        When the first byte was written to that target or to another host.
     table : TableState or None
         The routing table by which a request without a route was refused.
     """
@@ -95,10 +95,18 @@
         self.stage, self.target_id, self.sent_at = RequestStage.WAITING, None, None
 
     def send(self, target_id: TargetId | None) -> None:
-        """Record that the request is sent to a target, or to another host if None."""
+        """Record the first byte to a target, or to another host if `target_id` is None.
+
+        A second send while the first exchange goes on changes nothing.
+        """
         forwarded = target_id is None
-        self.stage = RequestStage.FORWARDED if forwarded else RequestStage.AT_TARGET
-        self.target_id, self.sent_at = target_id, self.clock.now()
+        stage = RequestStage.FORWARDED if forwarded else RequestStage.AT_TARGET
+        if stage is not self.stage:
+            self.stage, self.target_id, self.sent_at = (
+                stage,
+                target_id,
+                self.clock.now(),
+            )
 
     def add(
         self,
--- a/src/persimmonspoke/internal/forwarding/forwarder.py
+++ b/src/persimmonspoke/internal/forwarding/forwarder.py
@@ -34,6 +34,7 @@
     TargetRequest,
     TargetRequests,
     always_allowed,
+    ignore_write,
 )
 
 FORWARD_PORT_OFFSET = 1  # from the port of the peer link to that for forwarded requests
@@ -137,6 +138,7 @@
         attempts: int,
         may_have_run: bool,
         may_repeat: Callable[[], bool] = always_allowed,
+        before_write: Callable[[], None] = ignore_write,
     ) -> tuple[HostId, TargetAnswer]:
         """Forward a request; return the host that took it and its answer.
 
@@ -148,7 +150,7 @@
             Attempts so far that count against the route's limit.
         may_have_run : bool
             Whether one of them may have run.
-        may_repeat : callable
+        may_repeat, before_write : callable
             See `TargetRequest`.
 
         Raises
@@ -168,6 +170,7 @@
             request_id=req.request_id,
             protected=req.protected,
             forwarded=fields,
+            before_write=before_write,
             may_repeat=may_repeat,
         )
         offered = 0
--- a/src/persimmonspoke/internal/targets/http_requests.py
+++ b/src/persimmonspoke/internal/targets/http_requests.py
@@ -508,6 +508,7 @@
             body = self._request_chunks(exchange, body.chunks)
         if not req.may_send():
             raise RouteLapsed("the right to send ended before the first byte")
+        req.before_write()
         exchange.sent_at = now
         exchange.conn.request(
             req.method,
--- a/src/persimmonspoke/internal/targets/request_api.py
+++ b/src/persimmonspoke/internal/targets/request_api.py
@@ -61,6 +61,10 @@
     return True
 
 
+def ignore_write() -> None:
+    """Do nothing; for senders that do not need to know of the first byte."""
+
+
 @dataclass(frozen=True, slots=True)
 class ForwardedFields:
     """What the host that forwards a request to another one says about it.
@@ -108,6 +112,8 @@
     may_send : callable
         Called once the connection is open, just before the first byte is written;
         if it returns False, the attempt fails with `RouteLapsed`.
+    before_write : callable
+        Called just before the first byte of each exchange is written.
     may_repeat : callable
         Called before a repeatable request is sent a second time while its first
         exchange goes on; takes the second send from the retry budget.
@@ -128,6 +134,7 @@
     repeated: bool = False
     forwarded: ForwardedFields | None = None
     may_send: Callable[[], bool] = always_allowed
+    before_write: Callable[[], None] = ignore_write
     may_repeat: Callable[[], bool] = always_allowed
     elsewhere: "Callable[[], TargetAnswer] | None" = None
 
--- a/tests/cover/test_planned_stop.py
+++ b/tests/cover/test_planned_stop.py
@@ -8,7 +8,7 @@
 
 from persimmonspoke.daemon.gate import HostGate
 from persimmonspoke.daemon.planned_stop import PlannedStop, StopDeadlines
-from persimmonspoke.errors import AnswerLost, Overloaded
+from persimmonspoke.errors import AnswerLost, Overloaded, TargetShed
 from persimmonspoke.internal.callers.app import CallerApp, make_caller_app
 from persimmonspoke.internal.callers.attempts import RequestRunner
 from persimmonspoke.internal.callers.gone import CallerWatch
@@ -46,14 +46,27 @@
 
 
 class SlowForwarder:
-    """Another host, which answers late."""
+    """Another host, which answers late.
+
+    Attributes
+    ----------
+    before_write_s : float
+        How long a request waits for a connection to it.
+    """
+
+    def __init__(self, before_write_s=0.0):
+        self.before_write_s = before_write_s
 
     def is_possible(self, target_id):
         """Return True: it may be asked."""
         return True
 
-    def send(self, req, body, target_id, attempts, may_have_run, may_repeat):
+    def send(
+        self, req, body, target_id, attempts, may_have_run, may_repeat, before_write
+    ):
         """Return the answer of the other host."""
+        eventlet.sleep(self.before_write_s)
+        before_write()
         eventlet.sleep(0.5)
         return "h2", FakeAnswer()
 
@@ -231,7 +244,32 @@
 
     # Guards against LOST: a request that another host has sent to a target.
     def test_one_that_another_host_has_is_not_refused(self):
-        forwarder = SlowForwarder()
+        self.forward_to(SlowForwarder())
+        sent = self.send_later(0.1, took_s=0.0)
+        eventlet.sleep(0.2)
+        self.app.refuse_waiting()
+        self.assertEqual(sent.wait().status, 200)
+
+    # Guards against LOST: a request of which no byte went to the other host is cut.
+    def test_one_that_waits_for_a_connection_to_another_host_is_refused(self):
+        self.forward_to(SlowForwarder(before_write_s=9.0))
+        sent = self.send_later(0.1, took_s=0.0)
+        eventlet.sleep(0.2)
+        self.app.refuse_waiting()
+        self.assertEqual(sent.wait().error(), (503, "host_closed", "not_run"))
+
+    # Guards against LOST: a request whose attempt has failed still counts as sent.
+    def test_one_that_pauses_after_a_refused_connection_is_refused(self):
+        self.targets.steps.append(Step(TargetShed("full"), after_write_s=0.1))
+        sent = self.send_later(0.1, took_s=0.0, x_deadline_ms="1900")
+        eventlet.sleep(0.15)
+        self.scheduler.waits_for = Event()
+        eventlet.sleep(0.1)
+        self.app.refuse_waiting()
+        self.assertEqual(sent.wait().error(), (503, "host_closed", "not_run"))
+
+    def forward_to(self, forwarder):
+        """Let this host reach no target, and forward its requests."""
         self.app = CallerApp(
             RequestReader(ServiceTable(self.configs), self.clock),
             RequestRunner(
@@ -250,10 +288,6 @@
             self.gate,
             NoMetrics(),
         )
-        sent = self.send_later(0.1, took_s=0.0)
-        eventlet.sleep(0.2)
-        self.app.refuse_waiting()
-        self.assertEqual(sent.wait().status, 200)
 
 
 if __name__ == "__main__":
--- a/tests/cover/test_stop_stages.py
+++ b/tests/cover/test_stop_stages.py
@@ -56,6 +56,7 @@
 
     def send(self, target, req):
         """Return an answer after the time that the test has set."""
+        req.before_write()
         ready_at = self.clock.now() + self.took_s[req.request_id]
         self.clock.sleep_until(min(ready_at, req.deadline))
         if ready_at > req.deadline:
--- a/tests/fakes/crashing_pool.py
+++ b/tests/fakes/crashing_pool.py
@@ -149,6 +149,7 @@
             raise TargetRefusedConnection(name)
         if not req.may_send():
             raise RouteLapsed("equal requests are refused")
+        req.before_write()
         arrival = Arrival(virtual_hub.now(), req.path, self._host, req.request_id)
         pool.arrivals.append(arrival)
         done = eventlet.event.Event()
--- a/tests/fakes/forwarding.py
+++ b/tests/fakes/forwarding.py
@@ -90,6 +90,7 @@
         eventlet.sleep(HOP_S)
         if not other.alive:
             raise TargetRefusedConnection(to.target_id)
+        req.before_write()
         if other.paths.is_cut:
             if not isinstance(req.body, bytes):
                 next(req.body.chunks)
--- a/tests/fakes/target_requests.py
+++ b/tests/fakes/target_requests.py
@@ -33,7 +33,10 @@
 
 @dataclass
 class Step:
-    """The script of one attempt: pauses, and then an error or an answer."""
+    """The script of one attempt: pauses, and then an error or an answer.
+
+    Without a pause before the write a connection is free, and no other task runs.
+    """
 
     outcome: object = field(default_factory=FakeAnswer)
     before_write_s: float = 0.0
@@ -71,7 +74,8 @@
         """Play the next step."""
         step = self.steps.popleft() if self.steps else self.default()
         self.attempts.append((target.target_id, req))
-        eventlet.sleep(step.before_write_s)
+        if step.before_write_s:
+            eventlet.sleep(step.before_write_s)
         if not req.may_send():
             raise RouteLapsed("the route's lease ended")
         self._write(req)
@@ -85,6 +89,7 @@
         return step.outcome
 
     def _write(self, req):
+        req.before_write()
         if not isinstance(req.body, bytes):
             b"".join(req.body.chunks)
         self.written.append(req.request_id)
--- a/tests/fakes/targets.py
+++ b/tests/fakes/targets.py
@@ -215,6 +215,7 @@
         self.process.gate(GateKind.CLOCK)
         if not req.may_send():
             raise RouteLapsed("the route's lease ended")
+        req.before_write()
         work = partial(
             destination.execute,
             req.request_id,
--- a/tests/loopback/test_targets_requests.py
+++ b/tests/loopback/test_targets_requests.py
@@ -368,6 +368,21 @@
         self.assertEqual(pool.open_count, 2)
         self.assertIsNone(conns[0].sock)
 
+    # Guards against LOST: a request that waits for a connection counts as sent.
+    def test_the_sender_hears_of_the_first_byte_and_not_of_the_wait_before(self):
+        target = self.target(answer_all)
+        config = target.config(connections=1)
+        pool = self.pools.of(config)
+        conn = pool.acquire("other", self.clock.now() + 1, False)
+        heard_at = []
+        req = self.request(before_write=lambda: heard_at.append(self.clock.now()))
+        asked = eventlet.spawn(self.client.send, config, req)
+        eventlet.sleep(0.05)
+        self.assertEqual(heard_at, [])
+        pool.release(conn)
+        asked.wait().close()
+        self.assertEqual(len(heard_at), 1)
+
     def test_a_lower_connection_limit_takes_effect(self):
         limits = [3]
         pools = TargetPools(self.cfg, self.clock, lambda cfg: limits[0])
