End a granter when another one takes over its target

Change: a granter that is replaced sends nothing any more.

Evidence: test_a_target_at_a_new_address_gets_no_more_grants_at_the_old_one failed before (orders to both addresses for 3 s, with and without a new start).

--- a/src/persimmonspoke/internal/ranges/granter.py
+++ b/src/persimmonspoke/internal/ranges/granter.py
@@ -47,6 +47,8 @@
     ----------
     running : bool
         Whether the task that renews the grants is running.
+    is_replaced : bool
+        Whether another granter sends the target's grants now; this one sends no more.
     granted : set of (int, int, int)
         First key, last key and fence of every grant that the target has confirmed.
     """
@@ -75,6 +77,7 @@
         self.address = address
         self.responsiveness = Responsiveness.ANSWERS
         self.running = False
+        self.is_replaced = False
         self._granted_until = LONG_AGO
         self._in_flight: dict[object, Instant] = {}
         self._last_answer_at = clock.now()
@@ -103,7 +106,7 @@
             self.running = False
 
     def _renew(self):
-        while self.responsiveness is Responsiveness.ANSWERS:
+        while self._is_active():
             renew_at = self._clock.now() + self._cfg.renew_s
             self._wake = Event()
             entries = self._ledger.grantable(self.service, self.target_id)
@@ -118,6 +121,9 @@
                 with eventlet.Timeout(pause_s, False):
                     self._wake.wait()
 
+    def _is_active(self):
+        return self.responsiveness is Responsiveness.ANSWERS and not self.is_replaced
+
     def _grant_all(self, entries):
         """Grant ranges one at a time; after an unanswered order, several in parallel.
 
@@ -160,7 +166,7 @@
 
     def grant(self, entry: KeyRange) -> bool:
         """Grant one range; return whether the target has confirmed the grant."""
-        if self.responsiveness is Responsiveness.SILENT:
+        if not self._is_active():
             return False
         try:
             return self._grant_with_retry(entry)
@@ -174,7 +180,7 @@
     def grant_in_transfer(self, entries: list[KeyRange]) -> None:
         """Grant ranges to this target, their new owner, before their transfer ends."""
         for entry in entries:
-            if self.responsiveness is Responsiveness.ANSWERS:
+            if self._is_active():
                 self._grant_with_retry(entry, transferring=True)
 
     def _grant_with_retry(self, entry, transferring=False):
@@ -186,6 +192,8 @@
         """
         refused = sent = False
         for _ in range(MAX_ATTEMPTS):
+            if self.is_replaced:
+                return False
             if (
                 refused
                 or self._incarnation_by_fence.get(entry.fence, self._incarnation)
--- a/src/persimmonspoke/internal/ranges/granters.py
+++ b/src/persimmonspoke/internal/ranges/granters.py
@@ -118,16 +118,14 @@
         address = TargetAddress(record.target_id, record.ip, record.port)
         restarted = granter is not None and granter.born_ms != record.born_ms
         if granter is None or granter.address != address or restarted:
-            until = (
-                granter.may_hold_until
-                if granter is not None and not restarted
-                else None
-            )
+            replaced = granter
             granter = Granter(
                 self, record, address, self._cfg, self._clock, self._orders
             )
-            if until is not None:
-                granter.include_earlier_holds(until)
+            if replaced is not None:
+                replaced.is_replaced = True
+                if not restarted:
+                    granter.include_earlier_holds(replaced.may_hold_until)
             self._granters[key] = granter
         if not granter.running and granter.responsiveness is Responsiveness.ANSWERS:
             granter.running = True
--- a/tests/cover/test_succession.py
+++ b/tests/cover/test_succession.py
@@ -1,6 +1,7 @@
 """Tests of what a leader owes the fleet, and what its successors know of it."""
 
 import unittest
+from dataclasses import replace
 
 import eventlet
 
@@ -210,6 +211,30 @@
         self.fleet.run_for(1)
         self.assertGreater(min(fence for fence, _ in target.holds.values()), before)
 
+    # Guards against OWNER: grants go on to an address that another target may have now.
+    def test_a_target_at_a_new_address_gets_no_more_grants_at_the_old_one(self):
+        for change in ({"ip": "10.1.0.9"}, {"ip": "10.1.0.9", "born_ms": 2}):
+            with self.subTest(change):
+                leader, found = self.fleet.leader(), self.fleet.records["t0"]
+                sent_to = []
+                grant = leader.orders.grant
+
+                def record_and_grant(to, order, deadline, sent=sent_to, grant=grant):
+                    if to.target_id == "t0":
+                        sent.append(to.ip)
+                    grant(to, order, deadline)
+
+                leader.orders.grant = record_and_grant
+                self.fleet.records["t0"] = replace(found, **change)
+                leader.keeper.granters.granter(self.fleet.records["t0"])
+                self.fleet.run_for(0.1)
+                sent_to.clear()
+                self.fleet.run_for(3)
+                self.assertEqual(set(sent_to), {"10.1.0.9"})
+                leader.orders.grant = grant
+                self.fleet.records["t0"] = found
+                self.fleet.run_for(3)
+
     # Guards against two ranges under one fence, one stored and one given out later.
     def test_fences_that_are_given_out_later_are_above_those_of_the_takeover(self):
         first = self.fleet.leader()
