Keep the connections for orders apart by target

Where a target has crashed and another one has started at its address, the first failed order showed the lost connection to the granter of the new target alone; the next order of the other granter went over the connection that the new one had opened, without a failure and so under an old fence.

Change: they are kept by target. Connections to targets that have had no order for 30 s are closed, since each start of a target may have a new id; nothing closed them before.

Evidence: test_targets_at_one_address_do_not_share_connections failed before.

--- a/src/persimmonspoke/platform/orders.py
+++ b/src/persimmonspoke/platform/orders.py
@@ -28,6 +28,7 @@
 HANDOVER = "Persimmonspoke-Handover"
 CONNECT_S = 0.5  # connecting within one region takes milliseconds
 MAX_IDLE_PER_TARGET = 1
+MAX_IDLE_S = 30.0  # a target that owns keys gets orders several times a second
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 _CONNECTION_ERRORS = (HTTPError, HTTPException, OSError, ValueError)
@@ -45,7 +46,9 @@
     def __init__(self, clock: Clock, notices: TargetNotices | None = None):
         self._clock = clock
         self._notices = no_notices() if notices is None else notices
-        self._idle: dict[tuple[str, int], list[TargetConnection]] = {}
+        # By target, since one at the address of another is another process.
+        self._idle: dict[TargetAddress, list[TargetConnection]] = {}
+        self._next_tidy_at = Instant(clock.now() + MAX_IDLE_S)
 
     def grant(
         self, target: TargetAddress, order: RangeGrant, deadline: Instant
@@ -70,7 +73,7 @@
 
     def forget(self, target: TargetAddress) -> None:
         """Close the idle connections to a target that will get no more orders."""
-        for conn in self._idle.pop((target.ip, target.port), ()):
+        for conn in self._idle.pop(target, ()):
             conn.drop()
 
     def _call(self, target, path, body, deadline):
@@ -110,7 +113,7 @@
         return resp.headers.get(HANDOVER)
 
     def _connection(self, target, deadline):
-        idle = self._idle.get((target.ip, target.port), [])
+        idle = self._idle.get(target, [])
         if idle:
             conn = idle.pop()
             if conn.is_reusable():
@@ -121,11 +124,23 @@
         return connect(target.ip, target.port, left_s)
 
     def _return_to_pool(self, target, conn):
-        idle = self._idle.setdefault((target.ip, target.port), [])
+        idle = self._idle.setdefault(target, [])
         if conn.sock is None or len(idle) >= MAX_IDLE_PER_TARGET:
             conn.drop()
         else:
+            conn.answered_at = self._clock.now()
             idle.append(conn)
+        self._drop_unused()
+
+    def _drop_unused(self):
+        """Close the connections to targets that have had no order for `MAX_IDLE_S`."""
+        now = self._clock.now()
+        if now < self._next_tidy_at:
+            return
+        self._next_tidy_at = Instant(now + MAX_IDLE_S)
+        for target, conns in list(self._idle.items()):
+            if all(now - conn.answered_at > MAX_IDLE_S for conn in conns):
+                self.forget(target)
 
 
 def _reset(conn):
--- a/tests/loopback/test_platform_adapter.py
+++ b/tests/loopback/test_platform_adapter.py
@@ -1,7 +1,9 @@
 """Tests of the platform's adapter against a small stand-in over real sockets."""
 
 import json
+import socket
 import unittest
+from unittest import mock
 from urllib.parse import parse_qs
 
 import eventlet
@@ -21,6 +23,7 @@
 from persimmonspoke.internal.clock import SystemClock
 from persimmonspoke.internal.ranges.api import RangeGrant, RangeRelease
 from persimmonspoke.internal.targets.api import TargetAddress
+from persimmonspoke.platform import orders as platform_orders
 from persimmonspoke.platform.objects import ObjectStore
 from persimmonspoke.platform.orders import HttpRangeOrders
 from persimmonspoke.platform.settings_file import read_settings
@@ -338,6 +341,45 @@
         with self.assertRaises(OrderOutcomeUnknown):
             self.orders.grant(self.target, RangeGrant(1, 5, 7, 2.5), self.deadline(0.1))
 
+    # Guards against OWNER: a lost connection that nobody noticed, since a new target at
+    # the same address had opened another one.
+    def test_targets_at_one_address_do_not_share_connections(self):
+        listener = eventlet.listen(("127.0.0.1", 0))
+        ip, port = listener.getsockname()
+        accepted = []
+
+        def answer(sock):
+            while sock.recv(4096):
+                sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+        def accept():
+            while True:
+                sock, _ = listener.accept()
+                accepted.append(sock)
+                eventlet.spawn(answer, sock)
+
+        task = eventlet.spawn(accept)
+        self.addCleanup(task.kill)
+        crashed, new = TargetAddress("t", ip, port), TargetAddress("u", ip, port)
+        self.orders.grant(crashed, RangeGrant(1, 5, 7, 2.5), self.deadline())
+        accepted[0].shutdown(socket.SHUT_RDWR)
+        eventlet.sleep(0.05)
+        self.orders.grant(new, RangeGrant(6, 9, 8, 2.5), self.deadline())
+        with self.assertRaises(OrderConnectionLost):
+            self.orders.grant(crashed, RangeGrant(1, 5, 7, 2.5), self.deadline())
+
+    # Guards against open files without end: each start of a target has a new id.
+    def test_connections_to_targets_that_get_no_more_orders_are_closed(self):
+        order = RangeGrant(1, 5, 7, 2.5)
+        with mock.patch.object(platform_orders, "MAX_IDLE_S", 0.05):
+            self.orders = HttpRangeOrders(self.clock)
+            old = self.target
+            self.orders.grant(old, order, self.deadline())
+            eventlet.sleep(0.1)
+            new = TargetAddress("u", old.ip, old.port)
+            self.orders.grant(new, order, self.deadline())
+        self.assertEqual(list(self.orders._idle), [new])
+
     def test_a_closed_connection_is_reported_before_the_next_order_is_sent(self):
         listener = eventlet.listen(("127.0.0.1", 0))
         ip, port = listener.getsockname()
