Read the answers to orders in pieces

What operators of similar systems reported: bytes that are no answer, without end, and a host out of memory. Looked for here with a whole daemon in front of targets that send without end, in heads, fields, chunk sizes, extensions, trailers, interim answers and bodies, to callers that read or don't, and as answers to grants and releases.

Found: an answer to an order was read in one go, and the library allocates all bytes that its length announces before the first one comes. With a length of a terabyte the task ended with MemoryError, which no caller of it expects: the task that renews the grants of that target ended again and again without the target ever counting as silent, so its keys were granted to nobody.

--- a/src/persimmonspoke/internal/targets/http_requests.py
+++ b/src/persimmonspoke/internal/targets/http_requests.py
@@ -641,6 +641,7 @@
                 "POST",
                 self.protocol.CANCEL_PATH + exchange.req.request_id,
                 headers=self.protocol.cancel_headers(exchange.attempt),
+                preload_content=False,
             )
             conn.getresponse()
         except CONNECTION_ERRORS:
--- a/src/persimmonspoke/platform/orders.py
+++ b/src/persimmonspoke/platform/orders.py
@@ -29,6 +29,7 @@
 CONNECT_S = 0.5  # connecting within one region takes milliseconds
 MAX_IDLE_PER_TARGET = 1
 MAX_IDLE_S = 30.0  # a target that owns keys gets orders several times a second
+READ_BYTES = 16 * 1024
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 _CONNECTION_ERRORS = (HTTPError, HTTPException, OSError, ValueError)
@@ -87,9 +88,10 @@
                 path,
                 body=json.dumps(body).encode(),
                 headers={"Content-Type": "application/json"},
+                preload_content=False,
             )
             resp = conn.getresponse()
-            resp.read()
+            _read_to_end(resp)
         except eventlet.Timeout as exc:
             if exc is not timer:
                 raise
@@ -143,6 +145,17 @@
                 self.forget(target)
 
 
+def _read_to_end(resp):
+    """Read the body of an answer, which the connection allows to be short only.
+
+    It is read in pieces: a single read would allocate all bytes that a length or the
+    size of a chunk announces.
+    """
+    while resp.read1(READ_BYTES, decode_content=False):
+        pass
+    resp.close()
+
+
 def _reset(conn):
     """Close the connection by a reset.
 
--- a/tests/fakes/endless_target.py
+++ b/tests/fakes/endless_target.py
@@ -25,6 +25,9 @@
     "chunk_extension": (CHUNKED + b"5;", b"x" * 4096),
     "trailers": (CHUNKED + b"5\r\nhello\r\n0\r\n", b"X-Field: y\r\n" * 300),
     "unframed_body": (HEAD + b"\r\n", b"x" * 4096),
+    "chunked_body": (CHUNKED, b"400\r\n" + b"x" * 1024 + b"\r\n"),
+    "huge_chunk": (CHUNKED + b"FFFFFFFFFF\r\n", b"x" * 4096),
+    "framed_body": (HEAD + b"Content-Length: 1000000000000\r\n\r\n", b"x" * 4096),
     "past_the_length": (HEAD + b"Content-Length: 2\r\n\r\nok", b"x" * 4096),
 }
 """For each kind, the first bytes of the answer and those that are repeated."""
--- a/tests/loopback/test_endless_bytes.py
+++ b/tests/loopback/test_endless_bytes.py
@@ -5,22 +5,27 @@
 
 import eventlet
 
-from persimmonspoke.errors import AnswerLost
+from persimmonspoke.errors import AnswerLost, OrderConnectionLost, OrderOutcomeUnknown
+from persimmonspoke.ids import Instant
 from persimmonspoke.internal.clock import SystemClock
 from persimmonspoke.internal.questionnaire.configuration import TargetConfig
+from persimmonspoke.internal.ranges.api import RangeGrant, RangeRelease
+from persimmonspoke.internal.targets.api import TargetAddress
 from persimmonspoke.internal.targets.connections import TargetPools
 from persimmonspoke.internal.targets.http_requests import HttpTargetRequests
 from persimmonspoke.internal.targets.rate_limits import UNLIMITED
 from persimmonspoke.internal.targets.request_api import TargetRequest
 from persimmonspoke.internal.targets.settings import TargetSettings
 from persimmonspoke.platform import headers
+from persimmonspoke.platform.orders import HttpRangeOrders
 from tests.fakes.endless_target import KINDS, EndlessTarget
 from tests.fakes.raw_target import RawTarget, answer_all
 
 LEFT_S = 1.0
 MARGIN_S = 1.0
 MAX_GROWTH_MB = 100  # half of the memory of the smallest hosts
-LOST = sorted(set(KINDS) - {"unframed_body", "past_the_length"})
+BODIES = ("chunked_body", "framed_body", "huge_chunk", "unframed_body")
+LOST = sorted(set(KINDS) - {*BODIES, "past_the_length"})
 
 
 class PlatformLikeProtocol:
@@ -95,11 +100,14 @@
                 took_s = self.clock.now() - started_at
                 self.assertLessEqual(took_s, LEFT_S + MARGIN_S)
 
-    def test_an_answer_without_length_or_end_stops_at_the_deadline(self):
-        started_at = self.clock.now()
-        with self.assertRaises(AnswerLost):
-            self.ask(self.endless("unframed_body"))
-        self.assertLessEqual(self.clock.now() - started_at, LEFT_S + MARGIN_S)
+    def test_a_body_without_end_stops_at_the_deadline(self):
+        for kind in BODIES:
+            with self.subTest(kind):
+                started_at = self.clock.now()
+                with self.assertRaises(AnswerLost):
+                    self.ask(self.endless(kind))
+                took_s = self.clock.now() - started_at
+                self.assertLessEqual(took_s, LEFT_S + MARGIN_S)
 
     def test_bytes_past_the_length_belong_to_no_answer(self):
         target = self.endless("past_the_length")
@@ -108,11 +116,30 @@
             eventlet.sleep(0.05)
 
 
+class TestEndlessAnswersToOrders(EndlessCase):
+    # Guards against a leader whose tasks end, and keys that nobody is granted: a length
+    # of a terabyte was allocated before the first byte was read.
+    def test_they_are_failed_orders_by_the_deadline(self):
+        for kind in sorted(set(KINDS) - {"past_the_length"}):
+            with self.subTest(kind):
+                found = self.endless(kind)
+                to = TargetAddress(found.target_id, found.ip, found.port)
+                orders = HttpRangeOrders(self.clock)
+                started_at = self.clock.now()
+                deadline = Instant(started_at + LEFT_S)
+                with self.assertRaises((OrderConnectionLost, OrderOutcomeUnknown)):
+                    orders.grant(to, RangeGrant(0, 9, 1, 1.0), deadline)
+                with self.assertRaises((OrderConnectionLost, OrderOutcomeUnknown)):
+                    orders.release(to, RangeRelease(0, 9, 2), deadline)
+                took_s = self.clock.now() - started_at
+                self.assertLessEqual(took_s, LEFT_S + MARGIN_S)
+
+
 class TestManyEndlessTargets(EndlessCase):
     def test_a_hundred_endless_answers_leave_memory_and_time_for_the_others(self):
         sound = RawTarget(answer_all)
         self.addCleanup(sound.stop)
-        targets = [self.endless(kind) for kind in (*LOST, "unframed_body")]
+        targets = [self.endless(kind) for kind in (*LOST, *BODIES)]
         before_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
         tasks = [
             eventlet.spawn(self._ask_and_forget, targets[n % len(targets)], 3.0)
