--- a/tests/fakes/range_targets.py
+++ b/tests/fakes/range_targets.py
@@ -6,6 +6,7 @@
 import eventlet
 
 from persimmonspoke.errors import (
+    OrderConnectionLost,
     OrderOutcomeUnknown,
     TargetFenced,
     TargetRefusedConnection,
@@ -141,6 +142,8 @@
         self._reaches = reaches
         self._is_refused = is_refused
         self._listening = {} if listening is None else listening
+        # Names of the processes at the other ends of this one's connections.
+        self._connected: dict[str, str] = {}
 
     def grant(self, target, order, deadline):
         """Grant keys to a target, or renew its grant."""
@@ -177,6 +180,9 @@
         eventlet.sleep(LATENCY_S)
         if found.down:
             raise TargetRefusedConnection("nothing listens")
+        if self._connected.setdefault(address.target_id, name) != name:
+            del self._connected[address.target_id]
+            raise OrderConnectionLost("the process at the other end has ended")
         if not self._reaches(address.target_id) and self._is_refused():
             raise TargetRefusedConnection("nothing listens")
         if found.silent or not self._reaches(address.target_id):
