Record the messages and the ownership object of this landing

The object has two fields more (former, resolved); no message has changed. Builds before read the object as before, and drop both fields when they write it.

--- a/tests/cover/test_builds.py
+++ b/tests/cover/test_builds.py
@@ -43,6 +43,7 @@
     "3e477da": Revision.PATHS,
     "a03c2fb": Revision.TOLERANT,
     "5fd2213": Revision.PROOFS,
+    "566f3b9": Revision.PROOFS,
 }
 SETTLE_S = 3.0
 
--- a/tools/builds/records.py
+++ b/tools/builds/records.py
@@ -90,6 +90,7 @@
         write_id="w",
         serial=OWNERSHIP["serial"],
         era=Era(OWNERSHIP["era"]),
+        **_later_fields(),
     )
     documents = {
         record.OWNERSHIP_KEY: record.encode(ownership),
@@ -100,6 +101,14 @@
     return documents
 
 
+def _later_fields() -> dict:
+    """Return the fields of the ownership that builds before 566f3b9 do not have."""
+    if not hasattr(record, "FormerLeader"):
+        return {}
+    former = record.FormerLeader(PeerAddress(**ADDRESS), 2.5)
+    return {"former": (former,), "resolved": frozenset({"stock"})}
+
+
 def read_message(data: bytes) -> dict:
     """Return what the build understands of an encoded message."""
     try:
