--- a/tests/cover/test_drawn_successions.py
+++ b/tests/cover/test_drawn_successions.py
@@ -61,19 +61,23 @@
 
     @rule(how=st.sampled_from(["dies", "resigns", "steps aside"]), pause_s=seconds)
     def end_leader(self, how, pause_s):
-        host = self.newest_leader()
-        if host is not None and not host.process.paused:
-            if how == "resigns":
-                host.hosts.leaving = True
-                eventlet.spawn(host.leadership.resign)
-            if how == "steps aside":
-                host.leadership.step_aside("test")
-            else:
-                eventlet.spawn_after(AWAY_S, self.start_again, host)
-            if how == "dies":
-                host.kill()
+        self.end_newest_leader(how)
         self.fleet.run_for(pause_s)
 
+    def end_newest_leader(self, how):
+        host = self.newest_leader()
+        if host is None or host.process.paused:
+            return
+        if how == "resigns":
+            host.hosts.leaving = True
+            eventlet.spawn(host.leadership.resign)
+        if how == "steps aside":
+            host.leadership.step_aside("test")
+        else:
+            eventlet.spawn_after(AWAY_S, self.start_again, host)
+        if how == "dies":
+            host.kill()
+
     def start_again(self, host):
         """End a host's process if it still runs, and start the next one."""
         if host in self.fleet.hosts:
@@ -163,8 +167,37 @@
         self.fleet.platform.restore(age_s)
         self.fleet.run_for(pause_s)
 
+    @precondition(lambda self: self.restored < 2)
+    @rule(
+        first=st.integers(0, 60000),
+        target_id=target_ids,
+        how=st.sampled_from(["dies", "resigns", "steps aside", "stays"]),
+        pause_s=seconds,
+    )
+    def restore_store_without_its_leader(self, first, target_id, how, pause_s):
+        """Lose the leader, its last moves, and perhaps the one that finds the copy."""
+        self.restored += 1
+        for step in range(3):
+            self.move((first + 9000 * step) % 60000, target_id)
+            self.fleet.run_for(0.3)
+        lost = self.newest_leader()
+        self.end_newest_leader("dies")
+        self.fleet.platform.restore(1.0)
+        for _ in range(60):
+            self.fleet.run_for(0.05)
+            if self.newest_leader() not in (None, lost):
+                break
+        if how != "stays":
+            self.end_newest_leader(how)
+        self.fleet.run_for(pause_s)
+
     @rule(first=st.integers(0, 60000), target_id=target_ids, pause_s=seconds)
     def move_keys(self, first, target_id, pause_s):
+        self.move(first, target_id)
+        self.fleet.run_for(pause_s)
+
+    def move(self, first, target_id):
+        """Start to move a run of keys, if there is a leader that may."""
         leader = self.newest_leader()
         ranges = leader and leader.keeper.ledger.map(SERVICE)
         if ranges and target_id in self.fleet.records and not leader.process.paused:
@@ -172,7 +205,6 @@
             if not leader.keeper.ledger.in_transfer(SERVICE, entry):
                 piece = replace(entry, first=first, last=min(entry.last, first + 3000))
                 leader.keeper.start_move(SERVICE, whole_move(piece, target_id))
-        self.fleet.run_for(pause_s)
 
     @invariant()
     def no_key_has_two_holders_and_no_fence_goes_to_two(self):
