--- a/src/persimmonspoke/internal/fleet/leadership.py
+++ b/src/persimmonspoke/internal/fleet/leadership.py
@@ -239,7 +239,7 @@
         """Change only this host's copy of the ownership; the next commit stores it.
 
         Use it for changes that a new leader can do without, such as a higher fence
-        for the same owner: refused grants show the new leader that it needs one.
+        for the same owner: it gives all ranges fences of its own epoch.
         """
         self.check()
         self.ownership = change(self.ownership)
--- a/src/persimmonspoke/internal/ranges/mover.py
+++ b/src/persimmonspoke/internal/ranges/mover.py
@@ -351,8 +351,7 @@
         """Combine a range with its owner's neighbouring ranges into one grant.
 
         The combined range is not stored at once, because the owner stays the same: a
-        new leader that grants the stored ranges is refused, as their fences are too
-        low, and grants them again under new fences.
+        new leader grants the stored ranges under new fences, which are above this one.
         """
         ranges = self._ledger.map(service)
         first, last = new.first, new.last
--- a/tests/cover/test_drawn_successions.py
+++ b/tests/cover/test_drawn_successions.py
@@ -101,13 +101,41 @@
     @precondition(lambda self: not self.is_cut)
     @rule(pause_s=seconds)
     def cut_leader_off(self, pause_s):
+        self.cut_newest_leader_off()
+        self.fleet.run_for(pause_s)
+
+    def cut_newest_leader_off(self):
+        """Cut the leader from the store and the other hosts; return it, or None."""
         host = self.newest_leader()
         if host is not None:
             self.is_cut = True
             host.store.faults.silent = True
             others = {h.process.machine for h in self.fleet.hosts if h is not host}
             self.fleet.network.cut({host.process.machine}, others)
-        self.fleet.run_for(pause_s)
+        return host
+
+    @precondition(lambda self: not self.is_cut)
+    @rule(
+        target_id=target_ids,
+        how=st.sampled_from(["dies", "resigns", "steps aside"]),
+        pause_s=seconds,
+    )
+    def cut_leader_off_and_end_the_next(self, target_id, how, pause_s):
+        """Leave a target to a leader that is cut off, and end its successor."""
+        cut = self.cut_newest_leader_off()
+        for host in self.fleet.hosts:
+            if host is not cut:
+                host.lost_targets.add(target_id)
+        self.wait_for_another_than(cut)
+        self.end_newest_leader(how)
+        self.fleet.run_for(8 + pause_s)
+
+    def wait_for_another_than(self, former):
+        """Wait for some seconds until another host leads."""
+        for _ in range(60):
+            self.fleet.run_for(0.05)
+            if self.newest_leader() not in (None, former):
+                return
 
     @precondition(lambda self: self.is_cut)
     @rule(pause_s=seconds)
@@ -129,8 +157,15 @@
             host.lost_targets.clear()
         self.fleet.run_for(pause_s)
 
-    @rule(target_id=target_ids, same_id=st.booleans(), away_s=seconds, pause_s=seconds)
-    def crash_target(self, target_id, same_id, away_s, pause_s):
+    @rule(
+        target_id=target_ids,
+        same_id=st.booleans(),
+        away_s=st.sampled_from([0.0, 0.4, 1.0, 6.0]),
+        how=st.sampled_from(["dies", "resigns", "stays"]),
+        pause_s=seconds,
+    )
+    def crash_target(self, target_id, same_id, away_s, how, pause_s):
+        """Crash a target, and perhaps end the leader that has noticed it."""
         if target_id not in self.crashed:
             self.crashed.add(target_id)
             self.fleet.targets[target_id].crash()
@@ -139,6 +174,9 @@
             eventlet.spawn_after(away_s, self.start_target, target_id, name)
             change = self.register_again if same_id else self.replace_record
             eventlet.spawn_after(NOTICED_S + away_s, change, target_id, name, born_ms)
+            if how != "stays":
+                self.fleet.run_for(0.2)
+                self.end_newest_leader(how)
         self.fleet.run_for(pause_s)
 
     def start_target(self, crashed, name):
@@ -183,10 +221,7 @@
         lost = self.newest_leader()
         self.end_newest_leader("dies")
         self.fleet.platform.restore(1.0)
-        for _ in range(60):
-            self.fleet.run_for(0.05)
-            if self.newest_leader() not in (None, lost):
-                break
+        self.wait_for_another_than(lost)
         if how != "stays":
             self.end_newest_leader(how)
         self.fleet.run_for(pause_s)
