Test what a resigned, a second-last and a forgotten leader leave to their successors

Three mechanisms had no test that turned red when they were taken out: the end of the grants of a leader that resigns and ends, grants that a former leader had reported to the one before, and the wait for a leader that a restored store has forgotten. Each has one now, tried by taking it out.

--- a/tests/cover/test_succession.py
+++ b/tests/cover/test_succession.py
@@ -14,6 +14,7 @@
     decode,
     encode,
 )
+from tests.fakes import virtual_hub
 from tests.fakes.range_fleet import RangeFleet, record
 
 SETTLE_S = 3.0
@@ -145,6 +146,63 @@
         left_s = second.leadership.former_orders_end_at - second.clock.now()
         self.assertLessEqual(left_s, longest_s + second.keeper._cfg.renew_s)
 
+    # Guards against OWNER: a leader that resigned and ended can't tell of its grants.
+    def test_keys_wait_for_the_grants_of_a_leader_that_has_resigned_and_ended(self):
+        first = self.fleet.leader()
+        # While the store is away, grants are longer than those of the next leader.
+        self.fleet.platform.faults.down = True
+        self.fleet.run_for(3)
+        self.fleet.platform.faults.down = False
+        self.fleet.targets["t0"].silent = True
+        first.hosts.leaving = True
+        first.leadership.resign()
+        first.kill()
+        self.successor_of(first)
+        self.fleet.run_for(10)
+        self.assertEqual(self.fleet.double_holds[:3], [])
+        self.assertEqual(self.fleet.unheld_keys(), [])
+
+    # Guards against OWNER: what a former leader had reported went with its successor.
+    def test_keys_wait_for_grants_that_the_leader_before_the_last_had_reported(self):
+        first = self.fleet.leader()
+        self.fleet.platform.faults.down = True
+        self.fleet.run_for(3)
+        self.fleet.platform.faults.down = False
+        self.fleet.targets["t0"].silent = True
+        self.step_aside(first)
+        second = self.successor_of(first)
+        self.fleet.run_for(1.3)
+        self.assertEqual(self.stored().former, ())
+        first.kill()
+        self.step_aside(second)
+        self.successor_of(first, second)
+        self.fleet.run_for(10)
+        self.assertEqual(self.fleet.double_holds[:3], [])
+        self.assertEqual(self.fleet.unheld_keys(), [])
+
+    def step_aside(self, host):
+        host.leadership.may_lead = lambda: False
+        host.leadership.step_aside("test")
+
+    # Guards against OWNER: a leader of which neither store nor next leader knows.
+    def test_keys_wait_for_a_leader_of_which_a_restored_store_knows_nothing(self):
+        first = self.fleet.leader()
+        first.hosts.leaving = True
+        first.leadership.resign()
+        resigned_at = virtual_hub.now()
+        second = self.successor_of(first)
+        self.fleet.run_for(1)
+        self.cut_off(second)
+        for host in [h for h in self.fleet.hosts if h is not second]:
+            host.kill()
+            self.fleet.restart(host).lost_targets.add("t0")
+        self.fleet.platform.restore(virtual_hub.now() - resigned_at)
+        self.assertIsNone(self.stored().leader)
+        third = self.successor_of(first, second)
+        self.fleet.run_for(14)
+        self.assertTrue(third.leadership.leading)
+        self.assertEqual(self.fleet.double_holds[:3], [])
+
     # Guards against OWNER: a host that leads again forgot what it had granted before.
     def test_a_host_that_leads_again_counts_its_own_earlier_grants(self):
         leader = self.fleet.leader()
