Log the proof and the instant by which a leaving target was judged

Now: 'callers: request ended' has target_leaving_s, how long the target may have been leaving at the first byte; 'routing: target changed' has changed_s and learned_s; 'news: the store is silent', 'news: the store dropped our revision' have proven_s; 'news: changes', a new line for each answer of a watch with changes, has since, revision, count, asked_s, proven_s. No decision changes. The lines' two tests failed before (no such attribute); the parameter is_leaving of RequestRunner is now leaving_since, which its test follows with the same checks.

--- a/src/persimmonspoke/daemon/routed.py
+++ b/src/persimmonspoke/daemon/routed.py
@@ -341,7 +341,7 @@
             self.paths,
             self.forwarder,
             self.rests,
-            lambda target_id: self.state.leaving_since(target_id) is not None,
+            self.state.leaving_since,
         )
 
     def _caller_server(self, runner):
--- a/src/persimmonspoke/internal/callers/attempts.py
+++ b/src/persimmonspoke/internal/callers/attempts.py
@@ -237,8 +237,9 @@
         Takes the requests of this host while its paths are cut.
     rests : TargetRests
         The targets that want nothing from this host.
-    is_leaving : callable
-        Returns whether a target is leaving; it gets no second send then.
+    leaving_since : callable
+        Returns since when a target may be leaving; None if it is not.  A leaving target
+        gets no second send.
     """
 
     def __init__(
@@ -256,9 +257,9 @@
         paths: TargetPaths | None = None,
         forwarder: Forwarder | None = None,
         rests: TargetRests | None = None,
-        is_leaving: Callable[[TargetId], bool] = lambda target_id: False,
+        leaving_since: Callable[[TargetId], Instant | None] = lambda target_id: None,
     ):
-        self._is_leaving = is_leaving
+        self._leaving_since = leaving_since
         self._rests = no_rests(clock) if rests is None else rests
         self._forwarder = forwarder
         self._paths = always_open(clock) if paths is None else paths
@@ -402,7 +403,10 @@
                 may_send = partial(self._suspects.allows, trail.fingerprint)
             target_req = self._target_request(req, body, route, target_id, may_send)
             target_req = replace(
-                target_req, before_write=partial(trail.send, target_id)
+                target_req,
+                before_write=lambda: trail.send(
+                    target_id, self._leaving_since(target_id)
+                ),
             )
             target_req = self._with_second_sends(
                 target_req, req, ticket, retry_state, owner
@@ -605,7 +609,8 @@
         return answer
 
     def _may_repeat(self, ticket, target_id) -> bool:
-        return not self._is_leaving(target_id) and self._take_second_send(ticket)
+        is_leaving = self._leaving_since(target_id) is not None
+        return not is_leaving and self._take_second_send(ticket)
 
     def _take_second_send(self, ticket) -> bool:
         """Take a second send during one attempt from the retry budget."""
--- a/src/persimmonspoke/internal/callers/trail.py
+++ b/src/persimmonspoke/internal/callers/trail.py
@@ -42,6 +42,9 @@
         Time from the attempt's start until it got a slot, and from then to its end.
     outcome : str
         ``begun`` if an answer started, else the type and text of the failure.
+    leaving_s : float or None
+        How long the target may have been leaving when the first byte was written to
+        it; None if it was not leaving, or nothing was written.
     """
 
     target_id: TargetId
@@ -49,6 +52,7 @@
     waited_ms: float
     took_ms: float
     outcome: str
+    leaving_s: float | None = None
 
 
 @dataclass(slots=True)
@@ -71,6 +75,8 @@
         The target that has the request or has answered it.
     sent_at : Instant or None
         When the first byte was written to that target or to another host.
+    leaving_s : float or None
+        How long that target may have been leaving by then; None if it was not.
     table : TableState or None
         The routing table by which a request without a route was refused.
     """
@@ -85,6 +91,7 @@
     stage: RequestStage = RequestStage.READING
     target_id: TargetId | None = None
     sent_at: Instant | None = None
+    leaving_s: float | None = None
     table: TableState | None = None
 
     def __post_init__(self):
@@ -93,11 +100,19 @@
     def wait(self) -> None:
         """Record that the request waits on this host, and no target has it."""
         self.stage, self.target_id, self.sent_at = RequestStage.WAITING, None, None
+        self.leaving_s = None
 
-    def send(self, target_id: TargetId | None) -> None:
+    def send(
+        self, target_id: TargetId | None, leaving_since: Instant | None = None
+    ) -> None:
         """Record the first byte to a target, or to another host if `target_id` is None.
 
         A second send while the first exchange goes on changes nothing.
+
+        Parameters
+        ----------
+        leaving_since : Instant or None
+            Since when the target may be leaving; None if it is not.
         """
         forwarded = target_id is None
         stage = RequestStage.FORWARDED if forwarded else RequestStage.AT_TARGET
@@ -107,6 +122,8 @@
                 target_id,
                 self.clock.now(),
             )
+            if leaving_since is not None:
+                self.leaving_s = round(self.sent_at - leaving_since, 3)
 
     def add(
         self,
@@ -135,6 +152,7 @@
                 round((slot_acquired_at - queued_at) * MS_PER_S, 1),
                 round((now - slot_acquired_at) * MS_PER_S, 1),
                 outcome,
+                self.leaving_s,
             )
         )
 
@@ -180,6 +198,9 @@
                 for a in self.attempts
             ],
         }
+        leaving = [a.leaving_s for a in self.attempts if a.leaving_s is not None]
+        if leaving:
+            fields["target_leaving_s"] = leaving
         if self.forwarded_to is not None:
             fields["forwarded_to"] = self.forwarded_to
         if self.req is not None:
--- a/src/persimmonspoke/internal/news/watcher.py
+++ b/src/persimmonspoke/internal/news/watcher.py
@@ -171,7 +171,12 @@
             self._must_list = True
             log.info(
                 "news: the store dropped our revision; listing again",
-                extra={"prefix": self._prefix, "cause": str(exc), "era": self._era},
+                extra={
+                    "prefix": self._prefix,
+                    "cause": str(exc),
+                    "era": self._era,
+                    "proven_s": self._proven_s(),
+                },
             )
             return True
         except StoreUnavailable as exc:
@@ -179,7 +184,11 @@
                 self.silent_since = self._clock.now()
                 log.warning(
                     "news: the store is silent",
-                    extra={"prefix": self._prefix, "cause": str(exc)},
+                    extra={
+                        "prefix": self._prefix,
+                        "cause": str(exc),
+                        "proven_s": self._proven_s(),
+                    },
                 )
         return False
 
@@ -216,12 +225,33 @@
         waited = answered_at > asked_at
         for stored in listing.items:
             self._cache.observe(stored, answered_at if waited else self.confirmed_at)
+        if listing.items:
+            self._log_changes(revision, listing, asked_at)
         self._soon = bool(listing.items)
         self._prove(listing, self._proven_at(asked_at, deadline, listing.items))
         if listing.items and self._timers.gather_s:
             self._clock.sleep_until(Instant(self._clock.now() + self._timers.gather_s))
         return listing.revision
 
+    def _log_changes(self, since, listing, asked_at):
+        """Log the changes that a watch has told of, and how old the proof was."""
+        log.info(
+            "news: changes",
+            extra={
+                "prefix": self._prefix,
+                "since": since,
+                "revision": listing.revision,
+                "count": len(listing.items),
+                "asked_s": round(self._clock.now() - asked_at, 3),
+                "proven_s": self._proven_s(),
+            },
+        )
+
+    def _proven_s(self):
+        """Return the age of the proof that the objects are the newest, for logs."""
+        proven_at = self.confirmed_at
+        return None if proven_at is None else round(self._clock.now() - proven_at, 3)
+
     def _answer_deadline(self, deadline):
         """Return when to give up the answer of a watch; None for the store's margin.
 
--- a/src/persimmonspoke/internal/routing/state.py
+++ b/src/persimmonspoke/internal/routing/state.py
@@ -414,9 +414,26 @@
                         "state": after.state.value if after else "gone",
                         "before": before.state.value if before else "unknown",
                         "born_ms": (after or before).born_ms,
+                        **self._news_of(target_id),
                     },
                 )
 
+    def _news_of(self, target_id):
+        """Return what a log line says of the age of a target's entry.
+
+        ``changed_s`` is the longest time for which the store may have had it.
+        """
+        key = self._targets_prefix + target_id
+        now = self._clock.now()
+        try:
+            changed_at = self._cache.changed_at(key)
+        except KeyError:  # the target is known by its own word only
+            return {}
+        return {
+            "changed_s": round(now - changed_at, 3),
+            "learned_s": round(now - self._cache.learned_at(key), 3),
+        }
+
     def _make_entries(self):
         if self.table is None:
             return {}
--- a/tests/cover/test_callers_attempts.py
+++ b/tests/cover/test_callers_attempts.py
@@ -18,9 +18,11 @@
     TargetShed,
     TargetUnreachable,
 )
+from persimmonspoke.ids import Instant
 from persimmonspoke.internal.callers.app import make_caller_app
 from persimmonspoke.internal.callers.attempts import RequestRunner
 from persimmonspoke.internal.callers.settings import CallerSettings
+from persimmonspoke.internal.callers.trail import RequestTrail
 from persimmonspoke.internal.observe.api import NoMetrics
 from persimmonspoke.internal.routing.config import RouteConfig, RouteKind
 from persimmonspoke.internal.targets.request_api import NOT_RUN_ERRORS
@@ -103,7 +105,7 @@
 
     # Guards against DRAIN: a target gets a request long after it began to leave.
     def test_do_not_go_to_a_target_that_is_leaving(self):
-        leaving = set()
+        leaving = {}
         runner = RequestRunner(
             CallerSettings(),
             self.routes,
@@ -111,18 +113,33 @@
             self.targets,
             self.clock,
             NoMetrics(),
-            is_leaving=leaving.__contains__,
+            leaving_since=leaving.get,
         )
         self.scheduler.retries = 1
         with mock.patch.object(self.app, "_runner", runner):
             self.send_idempotent()
         ((name, req),) = self.targets.attempts
-        leaving.add(name)
+        leaving[name] = self.clock.now()
         self.assertFalse(req.may_repeat())
         leaving.clear()
         self.assertTrue(req.may_repeat())
 
 
+class TestLinesOfLeavingTargets(HostCase):
+    # Guards against DRAIN that can't be traced: a send that says nothing of why it was
+    # still allowed.
+    def test_a_request_names_how_long_its_target_had_been_leaving(self):
+        trail = RequestTrail("r1", self.clock)
+        trail.send("t", Instant(self.clock.now() - 1.25))
+        trail.add("t", None, self.clock.now(), self.clock.now(), "begun")
+        trail.wait()
+        trail.send("u")
+        trail.add("u", None, self.clock.now(), self.clock.now(), "begun")
+        with self.assertLogs("persimmonspoke", "INFO") as logs:
+            trail.log(200, "answered", "")
+        self.assertEqual(logs.records[0].target_leaving_s, [1.25])
+
+
 class TestLongBodies(HostCase):
     def test_the_part_that_was_read_before_is_known_while_the_rest_is_streamed(self):
         source = RequestInput(b"x" * 100_000)
--- a/tests/cover/test_leaving_targets.py
+++ b/tests/cover/test_leaving_targets.py
@@ -6,6 +6,7 @@
 import eventlet
 
 from persimmonspoke.errors import NoOwnerYet
+from persimmonspoke.ids import Instant
 from persimmonspoke.internal.fleet.messages import RangeTable, RouteRow
 from persimmonspoke.internal.news.board import StoreCache
 from persimmonspoke.internal.ranges.routes import RangeRoutes
@@ -109,6 +110,18 @@
         self.assertIs(self.state.targets["one"].state, TargetState.LEAVING)
         self.assertFalse(self.says("one"))
 
+    # Guards against DRAIN that can't be traced: when the host learned of it, and when
+    # the store may have had it.
+    def test_a_changed_entry_is_logged_with_its_age(self):
+        changed_at = Instant(self.clock.now() - 0.75)
+        value = target_value(state="draining")
+        self.cache.observe(StoredObject("servers/one", value, 99), changed_at)
+        eventlet.sleep(0.125)
+        with self.assertLogs("persimmonspoke", "INFO") as logs:
+            self.state.refresh()
+        line = logs.records[0]
+        self.assertEqual((line.changed_s, line.learned_s), (0.875, 0.125))
+
     def test_a_later_start_is_free_of_it(self):
         self.says("one")
         self.put_target("one", born=BORN_MS + 5000)
