Ask the store again as soon after a later failure as after the first

Suspected part of it: the pause after a failed watch doubled with every failure of the process's life, up to 1.0 s, and was never reset, as the task that follows the store returns only from a failure. The budget of docs/decisions/freshness.md counts with 0.4 s.

Now the pause starts anew once the store has answered. The test failed before: 1.0 s in place of 0.4 s after a failure that follows an answer.

--- a/src/persimmonspoke/internal/news/watcher.py
+++ b/src/persimmonspoke/internal/news/watcher.py
@@ -122,9 +122,12 @@
         while True:
             wait_enabled()
             if enabled():
+                answered_at = self.answered_at
                 if self._follow(enabled):
                     # Without a pause, but once: its history may go all the time.
                     self._follow(enabled)
+                if self.answered_at != answered_at:
+                    retry_s = RETRY_S
                 failed = self.silent_since is not None
                 retry_s = min(2 * retry_s, MAX_RETRY_S) if failed else RETRY_S
             self._clock.sleep_until(Instant(self._clock.now() + retry_s))
--- a/tests/cover/test_news.py
+++ b/tests/cover/test_news.py
@@ -136,6 +136,39 @@
         self.assertAlmostEqual(again, store.dropped_at, places=3)
 
 
+class _FailingStore(_CountedStore):
+    """Fails the first watches, answers one, and fails again."""
+
+    FAILURES = 4
+
+    def __init__(self):
+        super().__init__(changes=0)
+        self.watched_at = []
+
+    def watch(self, prefix, revision, deadline, answer_deadline=None):
+        self.watched_at.append(virtual_hub.now())
+        if len(self.watched_at) != self.FAILURES + 1:
+            raise StoreUnavailable("no answer")
+        eventlet.sleep(1)
+        return Listing((), revision)
+
+
+class TestPausesAfterFailures(unittest.TestCase):
+    # Guards against CONFIG and DRAIN: the pause grew with each failure of the process's
+    # life, so a relay missed changes for a second after each later one.
+    def test_a_store_that_has_answered_is_asked_again_as_soon_as_at_first(self):
+        store, clock = _FailingStore(), HubClock()
+        watcher = StoreWatcher(store, StoreCache(clock), clock, Timers(), margin_s=0.5)
+        task = eventlet.spawn(watcher.run)
+        eventlet.sleep(9)
+        task.kill()
+        pauses = [b - a for a, b in itertools.pairwise(store.watched_at)]
+        answered = store.FAILURES
+        # The call after the answer fails at once, and the pause after that is short.
+        self.assertGreater(pauses[answered - 1], pauses[0])
+        self.assertAlmostEqual(pauses[answered + 1], pauses[0], places=3)
+
+
 class _Link:
     """Answers for the relay ``r`` after 1 s; the relay ``silent`` never answers."""
 
