Don't date what a starting host finds by its start

A leaving owner gets requests for 0.7 of the bound, counted from the instant since which it may be leaving.

Cause: the first listing of a host dated all that it found by 'now', as it had no proof before. If the host is a relay, it passes the date on, and hosts that were in touch all the while keep sending to a target that left up to the relays' time of restart before. It needs no disturbance of the store, only new relays just after the target has left.

Now the age of what the first listing finds is unknown, which is older than any bound; a configuration of unknown age is no late one. The test failed before: all hosts that asked the new relays dated the change 0.3 s too late. Callers lose the grace for such targets: their requests wait until the keys have moved.

--- a/src/persimmonspoke/internal/news/board.py
+++ b/src/persimmonspoke/internal/news/board.py
@@ -9,6 +9,8 @@
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.store.api import Listing, StoredObject
 
+LONGEST_AGE_S = 3600.0  # stands for an unknown age, which may exceed any bound
+
 
 class StoreCache:
     """Implements `persimmonspoke.internal.news.api.StoreView`.
--- a/src/persimmonspoke/internal/news/watcher.py
+++ b/src/persimmonspoke/internal/news/watcher.py
@@ -14,7 +14,7 @@
 from persimmonspoke.errors import StoreCompacted, StoreError, StoreUnavailable
 from persimmonspoke.ids import Era, Instant
 from persimmonspoke.internal.clock import Clock
-from persimmonspoke.internal.news.board import StoreCache
+from persimmonspoke.internal.news.board import LONGEST_AGE_S, StoreCache
 from persimmonspoke.internal.news.knowledge import UNKNOWN_REVISION, Knowledge, Proof
 from persimmonspoke.internal.news.settings import WATCH_RETRY_S
 from persimmonspoke.internal.store.api import Store
@@ -151,7 +151,7 @@
         before = self._cache.snapshot(self._prefix)
         deadline = Instant(asked_at + self._timers.store_call_s)
         listing = self._store.list(self._prefix, deadline)
-        self._cache.observe_listing(listing, before, self.confirmed_at)
+        self._cache.observe_listing(listing, before, self._earliest_change())
         self._prove(listing, asked_at)
         self._era = listing.era
         self._must_list = False
@@ -227,7 +227,9 @@
         # A watch that waited returned at once when the change came.
         waited = answered_at > asked_at
         for stored in listing.items:
-            self._cache.observe(stored, answered_at if waited else self.confirmed_at)
+            self._cache.observe(
+                stored, answered_at if waited else self._earliest_change()
+            )
         if listing.items:
             self._log_changes(revision, listing, asked_at)
         self._soon = bool(listing.items)
@@ -236,6 +238,16 @@
             self._clock.sleep_until(Instant(self._clock.now() + self._timers.gather_s))
         return listing.revision
 
+    def _earliest_change(self) -> Instant:
+        """Return since when a change that is still unknown here may have been made.
+
+        That is the latest instant up to which all changes are proven to be known.
+        """
+        proven_at = self.confirmed_at
+        if proven_at is None:
+            return Instant(self._clock.now() - LONGEST_AGE_S)
+        return proven_at
+
     def _log_changes(self, since, listing, asked_at):
         """Log the changes that a watch has told of, and how old the proof was."""
         log.info(
--- a/src/persimmonspoke/internal/routing/state.py
+++ b/src/persimmonspoke/internal/routing/state.py
@@ -17,7 +17,7 @@
 )
 from persimmonspoke.internal.callers.services import ServiceEntry
 from persimmonspoke.internal.clock import Clock
-from persimmonspoke.internal.news.board import StoreCache
+from persimmonspoke.internal.news.board import LONGEST_AGE_S, StoreCache
 from persimmonspoke.internal.questionnaire.configuration import (
     Precedence,
     ServiceConfig,
@@ -268,8 +268,9 @@
         now = self._clock.now()
         learned_at = self._cache.learned_at(stored.key)
         changed_at = self._cache.changed_at(stored.key)
+        is_dated = now - changed_at < LONGEST_AGE_S
         # The first one is in time whenever it comes.
-        is_late = before > 0 and now - changed_at > self._apply_s
+        is_late = before > 0 and is_dated and now - changed_at > self._apply_s
         self.late_count += is_late
         log.log(
             logging.WARNING if is_late else logging.INFO,
@@ -279,7 +280,7 @@
                 "before": before,
                 "store_version": stored.version,
                 "routes": len(self.table.cfg.routes),
-                "arrived_s": round(learned_at - changed_at, 3),
+                "arrived_s": round(learned_at - changed_at, 3) if is_dated else None,
                 "waited_ms": round((began_at - learned_at) * MS_PER_S, 1),
                 "took_ms": round((now - began_at) * MS_PER_S, 1),
             },
--- a/tests/cover/test_updates.py
+++ b/tests/cover/test_updates.py
@@ -375,6 +375,33 @@
             at = host.process.virtual(host.cache.changed_at("servers/t3"))
             self.assertLessEqual(at, changed_at + 0.01)
 
+    def assert_not_dated_late(self, fleet, hosts, key, changed_at):
+        """Assert that no host believes a change to be newer than it is."""
+        dated = {
+            host.process.name: host.process.virtual(host.cache.changed_at(key))
+            for host in hosts
+        }
+        late = {name: at for name, at in dated.items() if at > changed_at + 0.01}
+        self.assertEqual(late, {})
+
+    # Guards against DRAIN: a relay that had just started dated what it found by its own
+    # start, and told all hosts so, which kept sending to a target that had left before.
+    def test_a_host_that_starts_does_not_date_what_it_finds_by_its_start(self):
+        fleet = self.start(10)
+        relays = fleet.relays()
+        for relay in relays:
+            relay.kill()
+        changed_at = virtual_hub.now()
+        fleet.put("servers/t3", {"state": "draining"})
+        eventlet.sleep(0.3)
+        new = [UpdateHost(fleet, number, run=2) for number in (0, 1)]
+        small = [host for host in fleet.hosts if host.me.cores < new[0].me.cores]
+        fleet.hosts = hosts = [*small, *new]
+        fleet.known = tuple(host.me for host in hosts)
+        eventlet.sleep(DRAIN_S)
+        self.assertEqual(fleet.relays(), new)
+        self.assert_not_dated_late(fleet, hosts, "servers/t3", changed_at)
+
 
 class TestStart(FleetCase):
     def test_no_host_waits_for_another_one_when_all_start_at_once(self):
