Prove that a copy is the newest by listings alone

Cause: a watch that ended without a change was taken for proof that nothing had changed.

Now relays list the configuration and the targets every 0.25 of the bound, by linearizable reads, and the hosts' records a quarter as often; nothing else proves anything. The other daemon lists as often as a watch of it lasts.

--- a/src/persimmonspoke/daemon/control.py
+++ b/src/persimmonspoke/daemon/control.py
@@ -73,6 +73,12 @@
         """Start to watch the store, and join the fleet."""
         serve_news(self.link, self.cache, self.watcher, self._clock)
         eventlet.spawn(self.watcher.run, self.fleet.watches_store)
+        eventlet.spawn(
+            self.watcher.run_reads,
+            self._cfg.timers.watch_s,
+            self._cfg.timers.store_call_s,
+            self.fleet.watches_store,
+        )
         eventlet.spawn(self.relay_reader.run)
         eventlet.spawn(self.host_list.run)
         self.node.start()
--- a/src/persimmonspoke/internal/news/knowledge.py
+++ b/src/persimmonspoke/internal/news/knowledge.py
@@ -1,8 +1,8 @@
 """What this host knows of the store's objects, and how old that knowledge is.
 
-Only an answer about objects of a kind proves that this host has the newest of them:
-the answer of a listing or a watch of the kind, or what another host derives from one.
-That other calls are answered, or that nothing arrives, proves nothing.
+Only a listing of the objects of a kind proves that this host has the newest of them,
+or what another host derives from one.  That other calls are answered, that nothing
+arrives, or that a watch ends without a change, proves nothing.
 """
 
 from collections.abc import Iterable
--- a/src/persimmonspoke/internal/news/settings.py
+++ b/src/persimmonspoke/internal/news/settings.py
@@ -10,6 +10,8 @@
 WAIT_SHARE = 0.2
 CHECK_SHARE = 0.15
 GATHER_SHARE = 0.08
+READ_SHARE = 0.25
+READ_TIMEOUT_SHARE = 0.2
 WATCH_SHARE = 0.2
 MARGIN_SHARE = 0.2
 APPLY_SHARE = 0.15
@@ -37,8 +39,13 @@
         Time without confirmation after which a host reads the store itself.
     fallback_s : float
         How long it then goes on doing so.
+    read_s : float
+        How often a relay lists the objects for whose age there is a bound.
+    read_timeout_s : float
+        How long it waits for such a listing.
     watch_s : float
-        How long a watch of a relay waits; a lost answer is noticed when it is due.
+        Unit of the time for which a watch waits; a lost answer is noticed when it is
+        due.
     watch_margin_s : float
         How long after that the answer may still come.
     """
@@ -52,6 +59,8 @@
     gather_s: Seconds = 0.16
     stale_s: Seconds = 1.3
     fallback_s: Seconds = 3.0
+    read_s: Seconds = 0.5
+    read_timeout_s: Seconds = 0.4
     watch_s: Seconds = 0.4
     watch_margin_s: Seconds = 0.4
 
@@ -60,11 +69,12 @@
 
         It counts from the acknowledgement, in seconds, at the worst moment.
         """
-        # The margin is doubled while the store is slow to answer.
-        noticed_s = self.watch_s + 2 * self.watch_margin_s + WATCH_RETRY_S
+        # The host may have just begun to wait for another relay.
+        listed_s = max(self.read_s, self.read_timeout_s) + self.wait_s
         return {
             "nothing": self.gather_s,
-            "the answer to a relay is lost": noticed_s,
+            "a relay's watch is silent": listed_s,
+            "the answer to a relay is lost": listed_s + self.read_s,
             "all relays are silent": self.stale_s + MAX_JITTER_S,
         }
 
@@ -89,6 +99,8 @@
                 "check_s": CHECK_SHARE * bound_s,
                 "gather_s": GATHER_SHARE * bound_s,
                 "stale_s": STALE_SHARE * bound_s,
+                "read_s": READ_SHARE * bound_s,
+                "read_timeout_s": READ_TIMEOUT_SHARE * bound_s,
                 "watch_s": WATCH_SHARE * bound_s,
                 "watch_margin_s": MARGIN_SHARE * bound_s,
             }
--- a/tests/fakes/cluster.py
+++ b/tests/fakes/cluster.py
@@ -103,6 +103,13 @@
             lambda: not self.fleet.watches_store(),
         )
         self.node.tasks.spawn(self.watcher.run, self.fleet.watches_store)
+        timers = self.node.cfg.timers
+        self.node.tasks.spawn(
+            self.watcher.run_reads,
+            timers.watch_s,
+            timers.store_call_s,
+            self.fleet.watches_store,
+        )
         self.node.tasks.spawn(self.relay.run)
         self.node.tasks.every(0.1, self._configure)
         self.node.start()
