Look at a target's state again when the first byte is written

A request that then waited for a connection (a second at most) was sent though the target was known to leave by then. Owners of keys were checked at the first byte already. Such an attempt now ends before anything is written, and the next one goes to another target at once. Its test failed before.

--- a/src/persimmonspoke/internal/callers/attempts.py
+++ b/src/persimmonspoke/internal/callers/attempts.py
@@ -239,7 +239,7 @@
         The targets that want nothing from this host.
     leaving_since : callable
         Returns since when a target may be leaving; None if it is not.  A leaving target
-        gets no second send.
+        gets no second send, and no request that another target may serve.
     """
 
     def __init__(
@@ -550,7 +550,9 @@
     def _target_request(self, req, body, route, target_id, may_send) -> TargetRequest:
         may_send = partial(self._may_reach, target_id, may_send)
         shard = None
-        if route is not None:
+        if route is None:
+            may_send = partial(self._is_staying, target_id, may_send)
+        else:
             shard = GrantedShard(route.shard, route.epoch)
             may_send = partial(self._may_send, route, may_send)
         return TargetRequest(
@@ -622,6 +624,9 @@
     def _may_reach(self, target_id, also) -> bool:
         return also() and self._rests.may_send(target_id)
 
+    def _is_staying(self, target_id, also) -> bool:
+        return also() and self._leaving_since(target_id) is None
+
     def _may_send(self, route, also) -> bool:
         return also() and self._routes.may_send(route)
 
--- a/tests/cover/test_callers_attempts.py
+++ b/tests/cover/test_callers_attempts.py
@@ -341,6 +341,26 @@
 class TestServicesNotDividedByKey(HostCase):
     service = service(targets=(A, B), shard_count=0, key=None)
 
+    # Guards against DRAIN: a request that waited for a connection was sent to a target
+    # that had begun to leave meanwhile, though others could serve it.
+    def test_nothing_is_sent_once_the_target_is_known_to_leave(self):
+        leaving = {}
+        runner = RequestRunner(
+            CallerSettings(),
+            self.routes,
+            self.scheduler,
+            self.targets,
+            self.clock,
+            NoMetrics(),
+            leaving_since=leaving.get,
+        )
+        with mock.patch.object(self.app, "_runner", runner):
+            self.send_idempotent()
+        ((name, req),) = self.targets.attempts
+        self.assertTrue(req.may_send())
+        leaving[name] = self.clock.now()
+        self.assertFalse(req.may_send())
+
     def test_a_failed_target_is_replaced_by_another_without_a_pause(self):
         self.steps(Step(TargetRefusedConnection("dead")))
         reply, took_s = self.timed(self.send_protected)
