Keep the earliest instant at which a target began to leave, whatever comes back

Now the earliest one known of the same start of the target holds, for as long as the target is remembered as leaving. The test failed before: 1.5 s too late.

--- a/src/persimmonspoke/internal/routing/state.py
+++ b/src/persimmonspoke/internal/routing/state.py
@@ -3,7 +3,7 @@
 import logging
 from collections import defaultdict
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from persimmonspoke.errors import MalformedDocument, RouteUnreadable
 from persimmonspoke.ids import (
@@ -54,6 +54,23 @@
 log = logging.getLogger(__name__)
 
 
+@dataclass(slots=True)
+class _Departure:
+    """What is remembered of a target that is leaving, also while its entry is away.
+
+    Attributes
+    ----------
+    since : Instant
+        Earliest instant at which it may have begun to leave.
+    seen_at : Instant
+        When the store, or the target itself, last said so.
+    """
+
+    born_ms: int
+    since: Instant
+    seen_at: Instant
+
+
 class RoutingState:
     """The configuration in force on this host, and the targets that it knows.
 
@@ -111,9 +128,8 @@
         self._decoded: dict[str, tuple[tuple[Era, Version], TargetRecord | None]] = {}
         self._missing_since: dict[TargetId, Instant] = {}
         self._entries: dict[ServiceId, ServiceEntry] = {}
-        self._leaving: dict[TargetId, Instant] = {}
         self._announced: dict[TargetId, tuple[int, Instant]] = {}
-        self._left: dict[TargetId, tuple[int, Instant]] = {}
+        self._left: dict[TargetId, _Departure] = {}
         self.table: RouteTable | None = None
         self.targets: dict[TargetId, TargetRecord] = {}
         self.unreadable_count = 0
@@ -193,7 +209,10 @@
 
     def leaving_since(self, target_id: TargetId) -> Instant | None:
         """Return when a target may have begun to leave; None if it is not leaving."""
-        return self._leaving.get(target_id)
+        record = self.targets.get(target_id)
+        known = self._left.get(target_id)
+        is_leaving = record is not None and record.state is TargetState.LEAVING
+        return known.since if is_leaving and known is not None else None
 
     def report_leaving(
         self, target_id: TargetId, born_ms: int, source: str, age_s: float = 0.0
@@ -217,8 +236,9 @@
         if record.state is TargetState.LEAVING:
             return False
         now = self._clock.now()
-        self._left[target_id] = (born_ms, now)
-        self._announced[target_id] = (born_ms, Instant(now - age_s))
+        said_at = Instant(now - age_s)
+        self._note_leaving(target_id, born_ms, said_at, now)
+        self._announced[target_id] = (born_ms, said_at)
         log.info(
             "routing: target says that it is leaving",
             extra={
@@ -308,20 +328,14 @@
             for target_id, (born_ms, said_at) in self._announced.items()
             if target_id in found and found[target_id].born_ms == born_ms
         }
-        self._leaving = {
-            target_id: self._left_at(target_id)
-            for target_id, record in found.items()
-            if record.state is TargetState.LEAVING
-        }
         return True
 
-    def _left_at(self, target_id):
-        """Return when a leaving target may have begun to leave."""
-        known_at = self._leaving.get(target_id)
-        if known_at is None:
-            _, said_at = self._announced.get(target_id, (None, None))
-            known_at = self._changed_at(target_id) if said_at is None else said_at
-        return known_at
+    def _note_leaving(self, target_id, born_ms, since, now):
+        """Remember that a target is leaving, and the earliest instant of that."""
+        known = self._left.get(target_id)
+        if known is not None and known.born_ms == born_ms:
+            since = min(since, known.since)
+        self._left[target_id] = _Departure(born_ms, since, now)
 
     def _with_final_state(self, record, now):
         """Return the record as leaving if this incarnation was known to be leaving.
@@ -330,19 +344,20 @@
         from an older copy may say so.
         """
         if record.state is TargetState.LEAVING:
-            self._left[record.target_id] = (record.born_ms, now)
+            since = self._changed_at(record.target_id)
+            self._note_leaving(record.target_id, record.born_ms, since, now)
             return record
-        born_ms, _ = self._left.get(record.target_id, (None, now))
-        if born_ms != record.born_ms:
+        known = self._left.get(record.target_id)
+        if known is None or known.born_ms != record.born_ms:
             return record
         return replace(record, state=TargetState.LEAVING)
 
     def _forget_left(self, now):
         """Forget targets that have not been known to be leaving for long."""
         self._left = {
-            target_id: (born_ms, seen_at)
-            for target_id, (born_ms, seen_at) in self._left.items()
-            if now - seen_at <= LEFT_MEMORY_S
+            target_id: known
+            for target_id, known in self._left.items()
+            if now - known.seen_at <= LEFT_MEMORY_S
         }
 
     def _changed_at(self, target_id):
--- a/tests/cover/test_leaving_targets.py
+++ b/tests/cover/test_leaving_targets.py
@@ -122,6 +122,24 @@
         line = logs.records[0]
         self.assertEqual((line.changed_s, line.learned_s), (0.875, 0.125))
 
+    # Guards against DRAIN: an entry that came back after an outage, or from an older
+    # copy of the store, began the grace of its target anew.
+    def test_an_entry_that_comes_back_does_not_begin_the_grace_anew(self):
+        left_at = Instant(self.clock.now() - 1.0)
+        value = target_value(state="draining")
+        self.cache.observe(StoredObject("servers/one", value, 90), left_at)
+        self.state.refresh()
+        eventlet.sleep(0.5)
+        before = self.cache.snapshot(documents.TARGETS_PREFIX)
+        gone = Listing((before["servers/two"],), 91)
+        self.cache.observe_listing(gone, before, self.clock.now())
+        self.state.refresh()
+        self.assertIsNone(self.state.leaving_since("one"))
+        again = StoredObject("servers/one", value, 92)
+        self.cache.observe(again, self.clock.now())
+        self.state.refresh()
+        self.assertEqual(self.state.leaving_since("one"), left_at)
+
     def test_a_later_start_is_free_of_it(self):
         self.says("one")
         self.put_target("one", born=BORN_MS + 5000)
