--- a/tests/cover/test_old_configurations.py
+++ b/tests/cover/test_old_configurations.py
@@ -8,7 +8,7 @@
 from persimmonspoke.ids import Instant
 from persimmonspoke.internal.callers.refusals import RunStatus, routed_refusal
 from persimmonspoke.internal.callers.trail import RequestTrail
-from persimmonspoke.internal.news.board import StoreCache
+from persimmonspoke.internal.news.board import LONGEST_AGE_S, StoreCache
 from persimmonspoke.internal.news.settings import UpdateSettings
 from persimmonspoke.internal.routing.config import TableState
 from persimmonspoke.internal.routing.reader import RoutedReader
@@ -101,6 +101,15 @@
         self.learn(36, age_s=APPLY_S - 0.1)
         self.assertEqual(self.state.late_count, 1)
 
+    # Guards against a warning without a cause: a relay that has just started can't tell
+    # how old what it found is.
+    def test_a_configuration_of_unknown_age_is_not_called_late(self):
+        with self.assertLogs("persimmonspoke", "INFO") as logs:
+            self.learn(35, age_s=LONGEST_AGE_S)
+        line = logs.records[0]
+        self.assertEqual((line.levelname, line.arrived_s), ("INFO", None))
+        self.assertEqual(self.state.late_count, 0)
+
 
 class TestBudget(unittest.TestCase):
     """Whatever fails, a change arrives early enough to be put into force in time."""
--- a/tests/cover/test_updates.py
+++ b/tests/cover/test_updates.py
@@ -7,6 +7,7 @@
 
 from persimmonspoke.internal.news.knowledge import Proof
 from persimmonspoke.internal.news.settings import UpdateSettings
+from persimmonspoke.internal.news.updates import RELAY_WATCH
 from persimmonspoke.internal.peers.revisions import Revision
 from tests.fakes import virtual_hub
 from tests.fakes.store import LATENCY_S, WatchGap
@@ -83,9 +84,17 @@
         cfg = UpdateSettings().within(DRAIN_S)
         listings = 2.25 * (START_S / cfg.read_s + 1) + len(PREFIXES)
         self.assertLessEqual(kinds.count("read"), 60 * most + relays * listings)
-        watches = 2.25 * START_S / cfg.watch_s + 2 * len(PREFIXES)
+        # Their watches end seldom, and no other host watches.
+        watches = len(PREFIXES) * (START_S / (RELAY_WATCH * cfg.watch_s) + 2)
         self.assertLessEqual(kinds.count("watch"), watches * relays)
 
+    def test_a_host_that_no_other_one_asks_lists_nothing_regularly(self):
+        fleet = self.start(30)
+        before = {host.process.name: host.store.lists for host in fleet.hosts}
+        eventlet.sleep(5)
+        listed = [h for h in fleet.hosts if h.store.lists > before[h.process.name]]
+        self.assertCountEqual(listed, fleet.relays())
+
     def test_an_outage_costs_each_host_one_cheap_call_a_second_at_most(self):
         fleet = self.start(30)
         fleet.platform.faults.down = True
