Take nothing from a relay that a newer proof shows to be gone

A target's entry goes at 4.007 s. front-c-1 starts again at 8.738 s and lists all targets, without that one. At 8.956 s a relay that is 5.016 s behind answers with everything that exists by its copy: 'target changed', unknown to ready. The host used it until 13.2 s.

Cause: objects of relays were compared with what is known by key alone. A host that has just started knows no deletions, so any object that its own listing lacks was new to it. Now an object that this host has never known is not taken if it is no newer than the proof that this host has of its kind: it was deleted by then. Ruled out: the dates of leaving targets (the entry had gone), and the news of other hosts (0.1 s).

--- a/src/persimmonspoke/internal/news/board.py
+++ b/src/persimmonspoke/internal/news/board.py
@@ -47,6 +47,10 @@
         found = self._objects.get(key)
         return found if found is not None and found.value else None
 
+    def has_known(self, key: str) -> bool:
+        """Return whether any version of the object was ever known, or its deletion."""
+        return key in self._objects
+
     def items(self, prefix: str) -> tuple[StoredObject, ...]:
         """Return the newest known objects whose keys start with `prefix`."""
         objects = self._kinds.get(prefix, self._objects)
--- a/src/persimmonspoke/internal/news/relay.py
+++ b/src/persimmonspoke/internal/news/relay.py
@@ -273,6 +273,8 @@
         sent_at = Instant(asked_at + reply.waited_s)  # at the earliest
         self._cache.observe_era(reply.era)
         for item in reply.items:
+            if self._is_deleted(item):
+                continue
             self._cache.observe(
                 StoredObject(item.key, item.value, item.version, item.era),
                 Instant(sent_at - item.age_s),
@@ -290,6 +292,17 @@
         self.confirmed_at = max(confirmed, self.confirmed_at or confirmed)
         return True
 
+    def _is_deleted(self, item):
+        """Return whether an object that this host lacks is proven not to exist.
+
+        The relay may be further behind the store than this host.
+        """
+        kind = item.key[: item.key.find("/") + 1]
+        proof = self._knowledge.proof(kind)
+        if proof is None or self._cache.has_known(item.key):
+            return False
+        return (item.era, item.version) <= (proof.era, proof.revision)
+
     def _proofs(self, reply, sent_at):
         """Return what an answer proves of each kind.
 
--- a/tests/cover/test_knowledge.py
+++ b/tests/cover/test_knowledge.py
@@ -9,7 +9,7 @@
 from persimmonspoke.ids import HostId, Instant
 from persimmonspoke.internal.news.board import StoreCache
 from persimmonspoke.internal.news.knowledge import UNKNOWN_REVISION, Knowledge, Proof
-from persimmonspoke.internal.news.messages import NewsReply, NewsRequest
+from persimmonspoke.internal.news.messages import NewsItem, NewsReply, NewsRequest
 from persimmonspoke.internal.news.relay import UNKNOWN_AGE_S, RelayReader, serve_news
 from persimmonspoke.internal.news.watcher import StoreWatcher
 from persimmonspoke.internal.peers.api import PeerAddress
@@ -249,6 +249,19 @@
         self.assertIsNotNone(self.cache.get(LARGE.key))
         self.assertEqual(self.knowledge.proof(KIND).revision, 5)
 
+    # Guards against DRAIN: a target that had left was in use again, by a relay's copy.
+    def test_what_a_newer_proof_excludes_is_not_taken_from_a_relay(self):
+        self.knowledge.record(KIND, Proof(1, 9, self.clock.now()))
+        left = NewsItem("config/left", {"n": 1}, 9, era=1)
+        older = NewsItem("config/older", {"n": 1}, 12, era=0)
+        new = NewsItem("config/new", {"n": 1}, 10, era=1)
+        later = NewsItem("config/later", {"n": 1}, 3, era=2)
+        other = NewsItem("servers/t", {"n": 1}, 5, era=1)
+        items = (left, older, new, later, other)
+        self.apply(NewsReply(items, 9, 0.0, era=1, proofs=((KIND, 5, 3.0),)))
+        taken = {item.key for item in items if self.cache.get(item.key) is not None}
+        self.assertEqual(taken, {new.key, later.key, other.key})
+
     def test_a_complete_answer_that_proves_nothing_is_asked_for_again(self):
         self.cache.observe(LARGE)
         eventlet.sleep(1)
--- a/tests/cover/test_updates.py
+++ b/tests/cover/test_updates.py
@@ -410,6 +410,31 @@
         self.assertFalse(new.knows("servers/t3"))
         self.assertEqual(new.cache.get("config/main").value, {"version": 2})
 
+    # Guards against DRAIN: a host that had just listed all targets took one that it
+    # lacked from a relay that the store did not reach, and used it again.
+    def test_a_restarted_host_takes_nothing_back_from_the_old_copy_of_a_relay(self):
+        fleet = self.start(30)
+        relays = fleet.relays()
+        for relay in relays:
+            relay.store.faults.silent = True
+        eventlet.sleep(5)
+        fleet.put("servers/t3", None)
+        fleet.put("servers/t4", {"state": "draining"})
+        old = fleet.others()[0]
+        old.kill()
+        # It reads the store before a relay has answered it.
+        machines = [relay.process.machine for relay in relays]
+        fleet.network.cut([old.process.machine], machines)
+        new = UpdateHost(fleet, fleet.hosts.index(old), run=2)
+        fleet.hosts.append(new)
+        eventlet.sleep(0.5)
+        fleet.network.heal()
+        for _ in range(100):
+            eventlet.sleep(0.05)
+            self.assertFalse(new.knows("servers/t3"))
+        state = new.cache.get("servers/t4").value["state"]
+        self.assertEqual((new.updates.caught_up(), state), (True, "draining"))
+
     def test_a_host_that_starts_during_an_outage_uses_what_relays_know(self):
         fleet = self.start(10)
         fleet.platform.faults.down = True
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -21,6 +21,7 @@
 from tests.fakes.process import GateKind
 
 LATENCY_S = 0.003
+STEP_S = 0.05  # between two looks at a gap that goes on
 MAX_VALUE_BYTES = 1_000_000
 
 
@@ -241,7 +242,8 @@
                 left = ends - virtual_hub.now()
                 if gap is not WatchGap.SILENT and (found.items or left <= LATENCY_S):
                     return found
-                self.platform.wait(max(left - LATENCY_S, LATENCY_S))
+                is_over = left <= LATENCY_S  # and the answer is withheld
+                self.platform.wait(STEP_S if is_over else left - LATENCY_S)
 
         return self._call("watch", work, answer_deadline or deadline)
 
