Note at once that a starting host has read the store

Readiness at start asks whether the copy was just proven. It was looked at only when the platform asked, so a host whose relays reach no store could miss the moment after its own listing, now that its watches prove nothing; it then stayed unready. Found by test_a_restarted_host_takes_nothing_back, which failed before on that.

--- a/src/persimmonspoke/internal/news/updates.py
+++ b/src/persimmonspoke/internal/news/updates.py
@@ -283,6 +283,7 @@
         while True:
             self._choose_source()
             self.last_outage_at()
+            self.caught_up()  # the listing at the start may be the only proof for long
             now = self._clock.now()
             left_s = self._stale_at() - now
             pause_s = min(max(left_s, MIN_MODE_PERIOD_S), MAX_MODE_PERIOD_S)
