Draw targets that go and hosts that restart beside lost relays

The series of test_drawn_updates; a write is seen also where its deletion is known by nothing at all.

--- a/tests/cover/test_drawn_updates.py
+++ b/tests/cover/test_drawn_updates.py
@@ -30,6 +30,16 @@
 offsets = st.sampled_from([0.0, 0.1, 0.35, 0.6, 0.85])
 
 
+def is_seen(stored, known):
+    """Return whether a host that has `known` under the key has heard of a write.
+
+    A deletion may be known without its version, or by nothing at all.
+    """
+    if not stored.value and (known is None or not known.value):
+        return True
+    return known is not None and known.order >= stored.order
+
+
 class Updates(RuleBasedStateMachine):
     """A fleet whose disturbances overlap; each rule ends with a pause."""
 
@@ -85,6 +95,26 @@
         self.let_target_leave()
         self.run_for(pause_s)
 
+    @rule(pause_s=seconds)
+    def target_goes(self, pause_s):
+        key = f"servers/t{self.leaving % 20}"
+        self.leaving += 1
+        if key in self.fleet.platform._objects:
+            self.write(key, None)
+        self.run_for(pause_s)
+
+    @rule(number=st.integers(0, 29), pause_s=seconds)
+    def host_restarts(self, number, pause_s):
+        old = self.fleet.hosts[number]
+        if old not in self.fleet.relays():
+            old.kill()
+            self.runs += 1
+            new = UpdateHost(self.fleet, old.number, self.runs)
+            self.out_of_touch_at[new.process.name] = virtual_hub.now()
+            self.fleet.hosts[number] = new
+            self.fleet.known = tuple(host.me for host in self.fleet.hosts)
+        self.run_for(pause_s)
+
     @rule(gap=st.sampled_from(WatchGap), config_s=offsets, leaves_s=offsets)
     def watches_hear_nothing(self, gap, config_s, leaves_s):
         """Make changes meanwhile; drop the history at the end."""
@@ -168,11 +198,13 @@
     def unseen(self, host):
         """Return the writes that a host has neither got nor got the successors of."""
         known = host.cache.snapshot()
-        return [
-            (at, stored)
-            for at, stored in self.writes[-40:]
-            if stored.key not in known or known[stored.key].order < stored.order
-        ]
+        unseen, seen_keys = [], set()
+        for at, stored in reversed(self.writes[-40:]):
+            if stored.key in seen_keys or is_seen(stored, known.get(stored.key)):
+                seen_keys.add(stored.key)
+            else:
+                unseen.append((at, stored))
+        return unseen[::-1]
 
     def check_proofs(self, host, unseen):
         """Assert that no proof is later than the first change that a host lacks."""
