--- a/tests/cover/test_knowledge.py
+++ b/tests/cover/test_knowledge.py
@@ -156,6 +156,56 @@
             self.assertEqual((store.lists, store.watches[0][0]), (lists, begins))
 
 
+class _SlowStore(_Store):
+    """Takes long to list; remembers how long it was given."""
+
+    LIST_S = 0.2
+
+    def __init__(self, clock, *answers):
+        super().__init__(clock, *answers)
+        self.given_s = []
+
+    def list(self, prefix, deadline):
+        self.given_s.append(round(deadline - self._clock.now(), 3))
+        eventlet.sleep(self.LIST_S)
+        return super().list(prefix, deadline)
+
+
+class TestListings(unittest.TestCase):
+    def read(self, took_s=0.0):
+        """Let a watcher list once; return the store, the proof and when it began."""
+        clock, knowledge = HubClock(), Knowledge()
+        store, began_at = _SlowStore(clock), clock.now()
+        path = mock.Mock(took_s=took_s)
+        watcher = StoreWatcher(
+            store, StoreCache(clock), clock, Timers(), KIND, path, knowledge
+        )
+        task = eventlet.spawn(watcher.run_reads, 2.0, 0.4)
+        eventlet.sleep(1.0)
+        task.kill()
+        return store, knowledge.proof(KIND), began_at
+
+    # Guards against CONFIG and DRAIN: changes made while the answer was on its way.
+    def test_a_listing_proves_nothing_later_than_its_question(self):
+        _, proof, began_at = self.read()
+        self.assertEqual(proof.at, began_at)
+
+    def test_a_slow_store_is_given_twice_the_time_at_most(self):
+        for took_s, given_s in ((0.0, 0.4), (0.1, 0.6), (5.0, 0.8)):
+            store, _, _ = self.read(took_s)
+            self.assertEqual(store.given_s, [given_s])
+
+    def test_a_watch_goes_on_from_what_a_later_listing_has_proven(self):
+        clock, knowledge = HubClock(), Knowledge()
+        store = _Store(clock, Listing((), 7), Listing((), 7))
+        watcher = StoreWatcher(
+            store, StoreCache(clock), clock, Timers(), KIND, None, knowledge
+        )
+        watcher.read_all()
+        knowledge.record(KIND, Proof(0, 12, clock.now()))
+        self.assertEqual(watcher._watch(7), 12)
+
+
 class _LateStore(_Store):
     """Answers the first watch at once, over a link that takes long."""
 
--- a/tests/cover/test_leaving_targets.py
+++ b/tests/cover/test_leaving_targets.py
@@ -140,6 +140,14 @@
         self.state.refresh()
         self.assertEqual(self.state.leaving_since("one"), left_at)
 
+    def test_a_later_start_that_leaves_does_so_from_its_own_instant(self):
+        self.says("one", age_s=1.0)
+        left_at = self.clock.now()
+        value = target_value(state="draining", born=BORN_MS + 5000)
+        self.cache.observe(StoredObject("servers/one", value, 90), left_at)
+        self.state.refresh()
+        self.assertEqual(self.state.leaving_since("one"), left_at)
+
     def test_a_later_start_is_free_of_it(self):
         self.says("one")
         self.put_target("one", born=BORN_MS + 5000)
