Give orders a connection that the keeper of key ranges can see

Cause: an order is protected by a fence only in the process that remembers it, and one connection reaches one process.

Change: the port `RangeOrders` opens connections, and `OrderConnection` sends orders on one of them. The pool moves to `ranges/connections.py`, unchanged in what it decides: one idle connection a target, and one that was closed unannounced is a failed order.

The fakes get the same connections: each reaches one life of a fake target, ends with it, and late orders never reach the next life. Tests that cleared a target's memory by hand now restart it, which ends its connections.

The tests of the adapter that were changed check the same, on connections; that a failed one is closed is new.

--- a/src/persimmonspoke/internal/ranges/api.py
+++ b/src/persimmonspoke/internal/ranges/api.py
@@ -37,20 +37,40 @@
     fence: int
 
 
-class RangeOrders(Protocol):
-    """Sends orders to targets.
+class OrderConnection(Protocol):
+    """A connection for orders, which reaches one process for as long as it is open.
 
-    Raises `TargetUnreachable` or `TargetRefusedConnection` (nothing was sent),
+    One order at a time can be in progress on it.  Its methods raise
     `OrderOutcomeUnknown` (no answer in time; no part of the order arrives later),
-    `OrderConnectionLost` (the target may have restarted) or `TargetFenced`.
+    `OrderConnectionLost` (the target may have restarted) or `TargetFenced`.  It is
+    closed after an order without an answer.
+
+    Attributes
+    ----------
+    opened_at : Instant
+        When it had been opened; the process at the other end had started before.
     """
 
-    def grant(
-        self, target: TargetAddress, order: RangeGrant, deadline: Instant
-    ) -> None:
-        """Grant keys to a target, or renew its grant."""
+    opened_at: Instant
+
+    def is_open(self) -> bool:
+        """Return whether it can be used, as far as is known without an order."""
+
+    def grant(self, order: RangeGrant, deadline: Instant) -> None:
+        """Grant keys to the target, or renew its grant."""
 
-    def release(
-        self, target: TargetAddress, order: RangeRelease, deadline: Instant
-    ) -> str | None:
+    def release(self, order: RangeRelease, deadline: Instant) -> str | None:
         """Take keys back; return the handover for the next holder, if any."""
+
+    def close(self) -> None:
+        """Close it; an order in progress fails."""
+
+
+class RangeOrders(Protocol):
+    """Opens connections for orders to targets."""
+
+    def connect(self, target: TargetAddress, deadline: Instant) -> OrderConnection:
+        """Open a connection to whichever process listens at a target's address.
+
+        Raises `TargetUnreachable` or `TargetRefusedConnection`.
+        """
--- a/src/persimmonspoke/internal/ranges/granter.py
+++ b/src/persimmonspoke/internal/ranges/granter.py
@@ -14,7 +14,7 @@
 )
 from persimmonspoke.ids import Instant, TargetId
 from persimmonspoke.internal.clock import Clock
-from persimmonspoke.internal.ranges.api import RangeGrant, RangeOrders, RangeRelease
+from persimmonspoke.internal.ranges.api import RangeGrant, RangeRelease
 from persimmonspoke.internal.ranges.ranges import MIN_KEY, KeyRange
 from persimmonspoke.internal.ranges.settings import RangeSettings
 from persimmonspoke.internal.routing.config import TargetRecord
@@ -60,13 +60,11 @@
         address: TargetAddress,
         cfg: RangeSettings,
         clock: Clock,
-        orders: RangeOrders,
     ):
         self._granters = granters
         self._ledger = granters.ledger
         self._cfg = cfg
         self._clock = clock
-        self._orders = orders
         self._wake = Event()
         # Counts failures, after each of which the process at the address may differ.
         self._incarnation = 0
@@ -150,7 +148,7 @@
         try:
             self._granters.check_lease()
             deadline = Instant(self._clock.now() + self._cfg.order_s)
-            self._orders.release(self.address, order, deadline)
+            self._granters.connections(self.address).release(order, deadline)
         except (TargetError, AuthorityLapsed) as exc:
             log.debug("ranges: target still silent", extra={"reason": str(exc)})
             return
@@ -280,7 +278,7 @@
         try:
             # No other task runs between this check and the sending of the order.
             self._granters.check_lease()
-            self._orders.grant(self.address, order, deadline)
+            self._granters.connections(self.address).grant(order, deadline)
         finally:
             del self._in_flight[order_id]
             self._granted_until = max(
--- a/src/persimmonspoke/internal/ranges/granters.py
+++ b/src/persimmonspoke/internal/ranges/granters.py
@@ -8,6 +8,10 @@
 from persimmonspoke.internal.fleet.leadership import Leadership
 from persimmonspoke.internal.fleet.messages import GrantLeft
 from persimmonspoke.internal.ranges.api import RangeOrders
+from persimmonspoke.internal.ranges.connections import (
+    OrderConnections,
+    TargetConnections,
+)
 from persimmonspoke.internal.ranges.granter import Granter, Responsiveness
 from persimmonspoke.internal.ranges.ledger import Ledger
 from persimmonspoke.internal.ranges.planner import EligibleTarget
@@ -51,7 +55,7 @@
         self._clock = clock
         self._leadership = leadership
         self._state = state
-        self._orders = orders
+        self._connections = OrderConnections(orders, clock)
         self._tasks = tasks
         self.paths = paths
         self._granters: dict[tuple[ServiceId, TargetId], Granter] = {}
@@ -62,8 +66,16 @@
         """Drop all granters, for a new epoch in which this host leads."""
         self._granters = {}
 
+    def close_connections(self) -> None:
+        """Close all connections for orders, because this host no longer leads."""
+        self._connections.close()
+
     # Methods that granters call.
 
+    def connections(self, address: TargetAddress) -> TargetConnections:
+        """Return the connections for orders to a target at an address."""
+        return self._connections.to(address)
+
     def check_lease(self) -> None:
         """Raise `AuthorityLapsed` unless this host may give orders now."""
         self._leadership.check()
@@ -119,9 +131,7 @@
         restarted = granter is not None and granter.born_ms != record.born_ms
         if granter is None or granter.address != address or restarted:
             replaced = granter
-            granter = Granter(
-                self, record, address, self._cfg, self._clock, self._orders
-            )
+            granter = Granter(self, record, address, self._cfg, self._clock)
             if replaced is not None:
                 replaced.is_replaced = True
                 if not restarted:
--- a/src/persimmonspoke/internal/ranges/keeper.py
+++ b/src/persimmonspoke/internal/ranges/keeper.py
@@ -89,7 +89,6 @@
             cfg,
             clock,
             state,
-            orders,
             self.ledger,
             self.granters,
             self._loads,
@@ -172,6 +171,7 @@
     def stop(self) -> None:
         """End all tasks and transfers, because this host no longer leads."""
         self._tasks.end_all()
+        self.granters.close_connections()
         self.ledger.clear_transfers()
 
     def _on_takeover(self):
--- a/src/persimmonspoke/internal/ranges/mover.py
+++ b/src/persimmonspoke/internal/ranges/mover.py
@@ -13,7 +13,7 @@
 )
 from persimmonspoke.ids import Instant, ServiceId, TargetId
 from persimmonspoke.internal.clock import Clock
-from persimmonspoke.internal.ranges.api import RangeOrders, RangeRelease
+from persimmonspoke.internal.ranges.api import RangeRelease
 from persimmonspoke.internal.ranges.cold_shares import split_by_limit
 from persimmonspoke.internal.ranges.granters import Granters
 from persimmonspoke.internal.ranges.ledger import Ledger, Transfer
@@ -57,7 +57,6 @@
         cfg: RangeSettings,
         clock: Clock,
         state: RoutingState,
-        orders: RangeOrders,
         ledger: Ledger,
         granters: Granters,
         loads: Loads,
@@ -67,7 +66,6 @@
         self._cfg = cfg
         self._clock = clock
         self._state = state
-        self._orders = orders
         self._ledger = ledger
         self._granters = granters
         self._loads = loads
@@ -406,7 +404,8 @@
                 deadline = Instant(self._clock.now() + self._cfg.release_s)
                 self._granters.check_lease()
                 try:
-                    handover = self._orders.release(address, order, deadline)
+                    connections = self._granters.connections(address)
+                    handover = connections.release(order, deadline)
                     self._granters.record_answer(service, piece.owner)
                     return handover
                 except TargetError as exc:
--- a/src/persimmonspoke/platform/orders.py
+++ b/src/persimmonspoke/platform/orders.py
@@ -27,34 +27,38 @@
 
 HANDOVER = "Persimmonspoke-Handover"
 CONNECT_S = 0.5  # connecting within one region takes milliseconds
-MAX_IDLE_PER_TARGET = 1
-MAX_IDLE_S = 30.0  # a target that owns keys gets orders several times a second
 READ_BYTES = 16 * 1024
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 _CONNECTION_ERRORS = (HTTPError, HTTPException, OSError, ValueError)
 
 
-class HttpRangeOrders:
-    """Implements `persimmonspoke.internal.ranges.api.RangeOrders`.
+class HttpOrderConnection:
+    """Implements `persimmonspoke.internal.ranges.api.OrderConnection`."""
 
-    Parameters
-    ----------
-    notices : TargetNotices
-        Receives what answers say of their targets.
-    """
-
-    def __init__(self, clock: Clock, notices: TargetNotices | None = None):
+    def __init__(
+        self,
+        target: TargetAddress,
+        conn: TargetConnection,
+        clock: Clock,
+        notices: TargetNotices,
+    ):
+        self._target = target
+        self._conn = conn
         self._clock = clock
-        self._notices = no_notices() if notices is None else notices
-        # By target, since one at the address of another is another process.
-        self._idle: dict[TargetAddress, list[TargetConnection]] = {}
-        self._next_tidy_at = Instant(clock.now() + MAX_IDLE_S)
-
-    def grant(
-        self, target: TargetAddress, order: RangeGrant, deadline: Instant
-    ) -> None:
-        """Grant keys to a target, or renew a grant."""
+        self._notices = notices
+        self.opened_at = clock.now()
+
+    def is_open(self) -> bool:
+        """Return whether it is open and no bytes are unread."""
+        return self._conn.is_reusable()
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._conn.drop()
+
+    def grant(self, order: RangeGrant, deadline: Instant) -> None:
+        """Grant keys to the target, or renew a grant."""
         body = {
             "from": order.first,
             "to": order.last,
@@ -63,23 +67,19 @@
         }
         if order.handover is not None:
             body["handover"] = order.handover
-        self._call(target, "/grant", body, deadline)
+        self._call("/grant", body, deadline)
 
-    def release(
-        self, target: TargetAddress, order: RangeRelease, deadline: Instant
-    ) -> str | None:
+    def release(self, order: RangeRelease, deadline: Instant) -> str | None:
         """Revoke keys; return the handover for their next holder, if any."""
         body = {"from": order.first, "to": order.last, "fence": order.fence}
-        return self._call(target, "/release", body, deadline)
+        return self._call("/release", body, deadline)
 
-    def forget(self, target: TargetAddress) -> None:
-        """Close the idle connections to a target that will get no more orders."""
-        for conn in self._idle.pop(target, ()):
+    def _call(self, path, body, deadline):
+        conn = self._conn
+        if not conn.is_reusable():
             conn.drop()
-
-    def _call(self, target, path, body, deadline):
-        conn = self._connection(target, deadline)
-        incarnation = self._notices.incarnation_of(target.target_id)
+            raise OrderConnectionLost("the target closed the connection unannounced")
+        incarnation = self._notices.incarnation_of(self._target.target_id)
         timer = eventlet.Timeout(max(0.0, deadline - self._clock.now()))
         conn.allow_bytes(MAX_HEAD_BYTES)
         try:
@@ -105,7 +105,6 @@
             raise
         finally:
             timer.cancel()
-        self._return_to_pool(target, conn)
         if resp.status == 409:
             raise TargetFenced(f"{path}: the target has seen a higher fence")
         if resp.status != 200:
@@ -114,35 +113,25 @@
         headers.read_notices(resp.status, resp.headers, incarnation, self._notices)
         return resp.headers.get(HANDOVER)
 
-    def _connection(self, target, deadline):
-        idle = self._idle.get(target, [])
-        if idle:
-            conn = idle.pop()
-            if conn.is_reusable():
-                return conn
-            conn.drop()
-            raise OrderConnectionLost("the target closed the connection unannounced")
-        left_s = min(CONNECT_S, deadline - self._clock.now())
-        return connect(target.ip, target.port, left_s)
 
-    def _return_to_pool(self, target, conn):
-        idle = self._idle.setdefault(target, [])
-        if conn.sock is None or len(idle) >= MAX_IDLE_PER_TARGET:
-            conn.drop()
-        else:
-            conn.answered_at = self._clock.now()
-            idle.append(conn)
-        self._drop_unused()
-
-    def _drop_unused(self):
-        """Close the connections to targets that have had no order for `MAX_IDLE_S`."""
-        now = self._clock.now()
-        if now < self._next_tidy_at:
-            return
-        self._next_tidy_at = Instant(now + MAX_IDLE_S)
-        for target, conns in list(self._idle.items()):
-            if all(now - conn.answered_at > MAX_IDLE_S for conn in conns):
-                self.forget(target)
+class HttpRangeOrders:
+    """Implements `persimmonspoke.internal.ranges.api.RangeOrders`.
+
+    Parameters
+    ----------
+    notices : TargetNotices
+        Receives what answers say of their targets.
+    """
+
+    def __init__(self, clock: Clock, notices: TargetNotices | None = None):
+        self._clock = clock
+        self._notices = no_notices() if notices is None else notices
+
+    def connect(self, target: TargetAddress, deadline: Instant) -> HttpOrderConnection:
+        """Open a connection to whichever process listens at a target's address."""
+        left_s = min(CONNECT_S, deadline - self._clock.now())
+        conn = connect(target.ip, target.port, left_s)
+        return HttpOrderConnection(target, conn, self._clock, self._notices)
 
 
 def _read_to_end(resp):
--- a/tests/cover/test_cold_targets_load.py
+++ b/tests/cover/test_cold_targets_load.py
@@ -378,8 +378,7 @@
     def restart(self, per_s):
         services = {SERVICE: RoutedService(SERVICE, 100, True, self.cold_s, per_s)}
         target = self.fleet.targets["t0"]
-        target.holds.clear()
-        target.fences.clear()
+        target.restart()
         self.fleet.records["t0"] = record("t0", born_ms=2)
         for host in self.fleet.hosts:
             host.warmups.update(self.fleet.records, services, lambda target_id: None)
--- a/tests/cover/test_evacuations.py
+++ b/tests/cover/test_evacuations.py
@@ -684,7 +684,7 @@
         self.fleet.records["t0"] = restarted
         restarted_at = virtual_hub.now()
         self.fleet.run_for(GRACE_S)
-        acquired = [at for at, _, _ in self.fleet.targets["t0"].acquisitions]
+        acquired = [at for at, *_ in self.fleet.targets["t0"].acquisitions]
         self.assertLess(max(acquired), restarted_at)
         self.assertEqual(self.in_data_centre("a"), set())
         self.assertEqual(self.fleet.unheld_keys(), [])
--- a/tests/cover/test_ranges.py
+++ b/tests/cover/test_ranges.py
@@ -300,16 +300,17 @@
         self.send_grant, orders.grant = orders.grant, self.grant
         self.answers_to_lose = 0
 
-    def grant(self, target, order, deadline):
-        if target.target_id == "t0":
+    def grant(self, conn, order, deadline):
+        if conn.address.target_id == "t0":
             self.fences.append(order.fence)
             if self.answers_to_lose:
                 self.answers_to_lose -= 1
                 self.earlier_fences = set(self.fences)
                 self.fences.clear()
                 eventlet.sleep(0.35)
+                conn.close()
                 raise OrderOutcomeUnknown("no answer in time")
-        self.send_grant(target, order, deadline)
+        self.send_grant(conn, order, deadline)
 
     def test_after_a_lost_answer_no_range_is_granted_under_an_earlier_fence(self):
         self.fleet.run_for(1)
@@ -330,8 +331,7 @@
     def test_a_target_that_restarts_under_its_id_gets_higher_fences(self):
         target = self.fleet.targets["t0"]
         before = max(fence for fence, _ in target.holds.values())
-        target.holds.clear()
-        target.fences.clear()
+        target.restart()
         self.fleet.records["t0"] = record("t0", born_ms=2)
         self.fleet.run_for(2)
         self.assert_all_held()
--- a/tests/cover/test_succession.py
+++ b/tests/cover/test_succession.py
@@ -354,8 +354,7 @@
         target, first = self.fleet.targets["t0"], self.fleet.leader()
         before = max(fence for fence, _ in target.holds.values())
         first.kill()
-        target.crash()
-        target.down = False
+        target.restart()
         self.successor_of(first)
         self.fleet.run_for(1)
         self.assertTrue(target.holds)
@@ -377,10 +376,10 @@
                 sent_to = []
                 grant = leader.orders.grant
 
-                def record_and_grant(to, order, deadline, sent=sent_to, grant=grant):
-                    if to.target_id == "t0":
-                        sent.append(to.ip)
-                    grant(to, order, deadline)
+                def record_and_grant(conn, order, deadline, sent=sent_to, grant=grant):
+                    if conn.address.target_id == "t0":
+                        sent.append(conn.address.ip)
+                    grant(conn, order, deadline)
 
                 leader.orders.grant = record_and_grant
                 self.fleet.records["t0"] = replace(found, **change)
--- a/tests/fakes/range_fleet.py
+++ b/tests/fakes/range_fleet.py
@@ -313,25 +313,22 @@
         return leading[0] if leading else None
 
     def fence_violations(self):
-        """Return acquisitions of a key under a fence not above those of other targets.
+        """Return acquisitions of a key under a fence not above those of other holders.
 
-        As the platform defines it, a grant that a target has had before does not count:
-        it may be executed late, after its time, even by a target that has restarted.
+        These are other targets and other lives of the same target.
         """
         acquisitions = sorted(
-            (at, key, fence, name)
+            (at, key, fence, (name, life))
             for name, target in self.targets.items()
-            for at, key, fence in target.acquisitions
+            for at, key, fence, life in target.acquisitions
         )
-        highest, low, known = {}, [], set()
-        for at, key, fence, name in acquisitions:
-            if (key, fence, name) in known:
-                continue
-            known.add((key, fence, name))
-            others = {n: f for n, f in highest.get(key, {}).items() if n != name}
-            if any(fence <= other for other in others.values()):
-                low.append((at, key, fence, name))
-            highest.setdefault(key, {})[name] = fence
+        highest, low = {}, []
+        for at, key, fence, holder in acquisitions:
+            others = [f for h, f in highest.get(key, {}).items() if h != holder]
+            if any(fence <= other for other in others):
+                low.append((at, key, fence, *holder))
+            known = highest.setdefault(key, {})
+            known[holder] = max(fence, known.get(holder, 0))
         return low
 
     def unheld_keys(self):
--- a/tests/fakes/range_targets.py
+++ b/tests/fakes/range_targets.py
@@ -1,5 +1,6 @@
 """Fake targets that hold key ranges under grants, as the platform's targets do."""
 
+import contextlib
 import random
 from dataclasses import dataclass, field
 
@@ -53,8 +54,10 @@
     uncounted : dict of int to float
         Time until which a hold of the key does not count as one, because its order
         arrived just after the pause of its sender had ended.
-    acquisitions : list of (float, int, int)
-        Time, key and fence of each grant under a fence that is new for the key.
+    acquisitions : list of (float, int, int, int)
+        Time, key, fence and life of each grant under a fence that is new for the key.
+    life : int
+        Number of the present process; one that has ended takes its memory with it.
     """
 
     name: str
@@ -70,6 +73,7 @@
     uncounted: dict = field(default_factory=dict)
     orders: list = field(default_factory=list)
     acquisitions: list = field(default_factory=list)
+    life: int = 1
 
     def is_late(self):
         """Draw whether the next order is delayed and not answered."""
@@ -84,7 +88,9 @@
         for key in keys:
             # A grant that is executed after its end gives no key.
             if self.fences.get(key, 0) < order.fence and end > virtual_hub.now():
-                self.acquisitions.append((virtual_hub.now(), key, order.fence))
+                self.acquisitions.append(
+                    (virtual_hub.now(), key, order.fence, self.life)
+                )
             self.fences[key] = order.fence
             if uncounted and key not in self.held():
                 self.uncounted[key] = end
@@ -100,9 +106,20 @@
     def crash(self):
         """End the process, and with it its holds and what it knows of fences."""
         self.down = True
+        self.life += 1
         self.holds.clear()
+        self.uncounted.clear()
         self.fences.clear()
 
+    def start(self):
+        """Start the next process, under the same id at the same address."""
+        self.down = False
+
+    def restart(self):
+        """End the process and start the next one at once."""
+        self.crash()
+        self.start()
+
     def counted_keys(self):
         """Return the keys of `held` whose holds count."""
         now = virtual_hub.now()
@@ -115,7 +132,7 @@
 
 
 class FakeRangeOrders:
-    """Orders of one process to all targets; implements `RangeOrders`.
+    """Connections of one process to all targets; implements `RangeOrders`.
 
     Parameters
     ----------
@@ -142,61 +159,123 @@
         self._reaches = reaches
         self._is_refused = is_refused
         self._listening = {} if listening is None else listening
-        # Names of the processes at the other ends of this one's connections.
-        self._connected: dict[str, str] = {}
+        self.opened = 0
 
-    def grant(self, target, order, deadline):
-        """Grant keys to a target, or renew its grant."""
-        found = self._target(target)
+    def connect(self, target, deadline):
+        """Open a connection to the process that listens where a target has been."""
+        self._process.gate(GateKind.ORDER, sending=True)
+        eventlet.sleep(LATENCY_S)
+        name = self._listening.get(target.target_id, target.target_id)
+        found = self._targets[name]
+        if found.down:
+            raise TargetRefusedConnection("nothing listens")
+        if not self._reaches(target.target_id) and self._is_refused():
+            raise TargetRefusedConnection("nothing listens")
+        if found.silent or not self._reaches(target.target_id):
+            eventlet.sleep(0.5)
+            raise TargetUnreachable("no connection")
+        self.opened += 1
+        return FakeOrderConnection(self, target, found, self._process)
+
+    def grant(self, conn, order, deadline):
+        """Grant keys over a connection; tests replace this method."""
+        found = self._peer(conn, deadline)
         if found.is_late():
             arrived = virtual_hub.now()
             eventlet.spawn_after(
-                found.late_s, _grant_ignoring_refusal, found.grant, order, arrived
+                found.late_s, _grant_late, found, found.life, order, arrived
             )
-            self._wait_until(deadline)
-            raise OrderOutcomeUnknown("no answer in time")
+            self._lose_answer(conn, deadline)
         found.grant(order, virtual_hub.now(), self._thawed_recently())
         eventlet.sleep(LATENCY_S)
 
-    def release(self, target, order, deadline):
-        """Revoke a target's grant."""
-        found = self._target(target)
+    def release(self, conn, order, deadline):
+        """Release keys over a connection; tests replace this method."""
+        found = self._peer(conn, deadline)
         if found.is_late():
-            eventlet.spawn_after(found.late_s, found.release, order)
-            self._wait_until(deadline)
-            raise OrderOutcomeUnknown("no answer in time")
+            eventlet.spawn_after(found.late_s, _release_late, found, found.life, order)
+            self._lose_answer(conn, deadline)
         handover = found.release(order)
+        life = found.life
         eventlet.sleep(LATENCY_S + found.work_s)
+        if found.life != life:
+            conn.close()
+            raise OrderConnectionLost("the process at the other end has ended")
         return handover
 
     def _thawed_recently(self):
         return virtual_hub.now() - self._process.resumed_at <= THAW_GRACE_S
 
-    def _target(self, address):
+    def _peer(self, conn, deadline):
+        """Return the process at the other end of a connection, which an order reaches.
+
+        Raise as `OrderConnection` does if none is reached.
+        """
         # A pause can begin between the last check and the first byte.
         self._process.gate(GateKind.ORDER, sending=True)
-        name = self._listening.get(address.target_id, address.target_id)
-        found = self._targets[name]
         eventlet.sleep(LATENCY_S)
-        if found.down:
-            raise TargetRefusedConnection("nothing listens")
-        if self._connected.setdefault(address.target_id, name) != name:
-            del self._connected[address.target_id]
+        if not conn.is_open():
+            conn.close()
             raise OrderConnectionLost("the process at the other end has ended")
-        if not self._reaches(address.target_id) and self._is_refused():
-            raise TargetRefusedConnection("nothing listens")
-        if found.silent or not self._reaches(address.target_id):
-            eventlet.sleep(0.5)
-            raise TargetUnreachable("no connection")
-        return found
+        if conn.peer.silent or not self._reaches(conn.address.target_id):
+            if self._is_refused():
+                conn.close()
+                raise OrderConnectionLost("the connection was reset")
+            self._lose_answer(conn, deadline)
+        return conn.peer
+
+    def _lose_answer(self, conn, deadline):
+        left_s = deadline - self._process.local(virtual_hub.now())
+        eventlet.sleep(max(0.0, left_s / self._process.rate))
+        conn.close()
+        raise OrderOutcomeUnknown("no answer in time")
+
+
+class FakeOrderConnection:
+    """A connection to one life of a fake target; implements `OrderConnection`.
+
+    Attributes
+    ----------
+    peer : FakeRangeTarget
+        The target whose process is at the other end.
+    """
 
-    def _wait_until(self, deadline):
-        eventlet.sleep(max(0.0, deadline - virtual_hub.now()))
+    def __init__(self, orders, address, peer, process):
+        self._orders = orders
+        self.address = address
+        self.peer = peer
+        self._life = peer.life
+        self._is_closed = False
+        self.opened_at = process.local(virtual_hub.now())
+
+    def is_open(self):
+        """Return whether neither end has closed it."""
+        return not (self._is_closed or self.peer.down or self.peer.life != self._life)
+
+    def close(self):
+        """Close it at this end."""
+        self._is_closed = True
+
+    def grant(self, order, deadline):
+        """Grant keys to the target."""
+        self._orders.grant(self, order, deadline)
+
+    def release(self, order, deadline):
+        """Revoke keys; return a handover."""
+        return self._orders.release(self, order, deadline)
+
+
+def _grant_late(target, life, order, arrived):
+    """Execute a late grant if the process that it has reached still runs.
+
+    Its sender is not informed of a refusal.
+    """
+    if target.life == life:
+        with contextlib.suppress(TargetFenced):
+            target.grant(order, arrived)
 
 
-def _grant_ignoring_refusal(grant, order, arrived):
-    """Execute a late grant; its sender is not informed of a refusal."""
-    try:
-        grant(order, arrived)
-    except TargetFenced:
-        return
+def _release_late(target, life, order):
+    """Execute a late release if the process that it has reached still runs."""
+    if target.life == life:
+        target.release(order)
--- a/tests/loopback/test_endless_bytes.py
+++ b/tests/loopback/test_endless_bytes.py
@@ -134,9 +134,13 @@
                 started_at = self.clock.now()
                 deadline = Instant(started_at + LEFT_S)
                 with self.assertRaises((OrderConnectionLost, OrderOutcomeUnknown)):
-                    orders.grant(to, RangeGrant(0, 9, 1, 1.0), deadline)
+                    orders.connect(to, deadline).grant(
+                        RangeGrant(0, 9, 1, 1.0), deadline
+                    )
                 with self.assertRaises((OrderConnectionLost, OrderOutcomeUnknown)):
-                    orders.release(to, RangeRelease(0, 9, 2), deadline)
+                    orders.connect(to, deadline).release(
+                        RangeRelease(0, 9, 2), deadline
+                    )
                 took_s = self.clock.now() - started_at
                 self.assertLessEqual(took_s, LEFT_S + MARGIN_S)
 
--- a/tests/loopback/test_platform_adapter.py
+++ b/tests/loopback/test_platform_adapter.py
@@ -21,9 +21,10 @@
 )
 from persimmonspoke.ids import Instant
 from persimmonspoke.internal.clock import SystemClock
+from persimmonspoke.internal.ranges import connections as connections_module
 from persimmonspoke.internal.ranges.api import RangeGrant, RangeRelease
+from persimmonspoke.internal.ranges.connections import OrderConnections
 from persimmonspoke.internal.targets.api import TargetAddress
-from persimmonspoke.platform import orders as platform_orders
 from persimmonspoke.platform.objects import ObjectStore
 from persimmonspoke.platform.orders import HttpRangeOrders
 from persimmonspoke.platform.settings_file import read_settings
@@ -308,17 +309,20 @@
         start_response(self.status, fields)
         return [b""]
 
+    def connect(self, target=None):
+        """Return a new connection to a target."""
+        return self.orders.connect(target or self.target, self.deadline())
+
     def test_a_connection_carries_any_number_of_orders(self):
+        conn = self.connect()
         for fence in range(1500):
-            order = RangeGrant(1, 5, fence, 2.5, None)
-            self.orders.grant(self.target, order, self.deadline())
+            conn.grant(RangeGrant(1, 5, fence, 2.5, None), self.deadline())
         self.assertEqual(len(self.received), 1500)
 
     def test_grants_and_releases_have_the_documented_form(self):
-        self.orders.grant(self.target, RangeGrant(1, 5, 7, 2.5, "h-0"), self.deadline())
-        handover = self.orders.release(
-            self.target, RangeRelease(2, 3, 8), self.deadline()
-        )
+        conn = self.connect()
+        conn.grant(RangeGrant(1, 5, 7, 2.5, "h-0"), self.deadline())
+        handover = conn.release(RangeRelease(2, 3, 8), self.deadline())
         self.assertEqual(handover, "h-1")
         self.assertEqual(
             self.received,
@@ -333,13 +337,17 @@
 
     def test_a_conflict_answer_raises_fenced(self):
         self.status = "409 Conflict"
+        conn = self.connect()
         with self.assertRaises(TargetFenced):
-            self.orders.grant(self.target, RangeGrant(1, 5, 7, 2.5), self.deadline())
+            conn.grant(RangeGrant(1, 5, 7, 2.5), self.deadline())
+        self.assertTrue(conn.is_open())
 
-    def test_no_answer_in_time_is_an_unknown_outcome(self):
+    def test_no_answer_in_time_is_an_unknown_outcome_and_closes_the_connection(self):
         self.pause_s = 0.5
+        conn = self.connect()
         with self.assertRaises(OrderOutcomeUnknown):
-            self.orders.grant(self.target, RangeGrant(1, 5, 7, 2.5), self.deadline(0.1))
+            conn.grant(RangeGrant(1, 5, 7, 2.5), self.deadline(0.1))
+        self.assertFalse(conn.is_open())
 
     # Guards against OWNER: a lost connection that nobody noticed, since a new target at
     # the same address had opened another one.
@@ -360,25 +368,27 @@
 
         task = eventlet.spawn(accept)
         self.addCleanup(task.kill)
-        crashed, new = TargetAddress("t", ip, port), TargetAddress("u", ip, port)
-        self.orders.grant(crashed, RangeGrant(1, 5, 7, 2.5), self.deadline())
+        connections = OrderConnections(self.orders, self.clock)
+        crashed = connections.to(TargetAddress("t", ip, port))
+        new = connections.to(TargetAddress("u", ip, port))
+        crashed.grant(RangeGrant(1, 5, 7, 2.5), self.deadline())
         accepted[0].shutdown(socket.SHUT_RDWR)
         eventlet.sleep(0.05)
-        self.orders.grant(new, RangeGrant(6, 9, 8, 2.5), self.deadline())
+        new.grant(RangeGrant(6, 9, 8, 2.5), self.deadline())
         with self.assertRaises(OrderConnectionLost):
-            self.orders.grant(crashed, RangeGrant(1, 5, 7, 2.5), self.deadline())
+            crashed.grant(RangeGrant(1, 5, 7, 2.5), self.deadline())
 
     # Guards against open files without end: each start of a target has a new id.
     def test_connections_to_targets_that_get_no_more_orders_are_closed(self):
         order = RangeGrant(1, 5, 7, 2.5)
-        with mock.patch.object(platform_orders, "MAX_IDLE_S", 0.05):
-            self.orders = HttpRangeOrders(self.clock)
+        with mock.patch.object(connections_module, "MAX_IDLE_S", 0.05):
+            connections = OrderConnections(self.orders, self.clock)
             old = self.target
-            self.orders.grant(old, order, self.deadline())
+            connections.to(old).grant(order, self.deadline())
             eventlet.sleep(0.1)
             new = TargetAddress("u", old.ip, old.port)
-            self.orders.grant(new, order, self.deadline())
-        self.assertEqual(list(self.orders._idle), [new])
+            connections.to(new).grant(order, self.deadline())
+        self.assertEqual(list(connections._by_address), [new])
 
     def test_a_closed_connection_is_reported_before_the_next_order_is_sent(self):
         listener = eventlet.listen(("127.0.0.1", 0))
@@ -391,11 +401,12 @@
             sock.close()
 
         eventlet.spawn(once)
-        target = TargetAddress("t", ip, port)
-        self.orders.grant(target, RangeGrant(1, 5, 7, 2.5), self.deadline())
+        conn = self.connect(TargetAddress("t", ip, port))
+        conn.grant(RangeGrant(1, 5, 7, 2.5), self.deadline())
         eventlet.sleep(0.05)
+        self.assertFalse(conn.is_open())
         with self.assertRaises(OrderConnectionLost):
-            self.orders.grant(target, RangeGrant(1, 5, 7, 2.5), self.deadline())
+            conn.grant(RangeGrant(1, 5, 7, 2.5), self.deadline())
 
 
 class TestSettingsFile(unittest.TestCase):
--- a/tests/loopback/test_status_codes.py
+++ b/tests/loopback/test_status_codes.py
@@ -169,7 +169,8 @@
                 self.subTest(line),
                 self.assertRaises((OrderConnectionLost, OrderOutcomeUnknown)),
             ):
-                orders.grant(address, RangeGrant(0, 9, 1, 1.0), deadline)
+                conn = orders.connect(address, deadline)
+                conn.grant(RangeGrant(0, 9, 1, 1.0), deadline)
 
     def test_others_are_lost_answers_to_orders_about_shards(self):
         for line in UNREADABLE:
--- a/tests/loopback/test_unframed_answers.py
+++ b/tests/loopback/test_unframed_answers.py
@@ -334,8 +334,9 @@
             address = TargetAddress("a", found.ip, found.port)
             orders = HttpRangeOrders(self.clock, self.notices)
             order = RangeGrant(0, 9, 1, 1.0, None)
+            deadline = Instant(self.clock.now() + 2)
             with contextlib.suppress(TargetFenced):
-                orders.grant(address, order, Instant(self.clock.now() + 2))
+                orders.connect(address, deadline).grant(order, deadline)
             self.assertEqual(len(self.leaving), heard)
 
     def test_it_speaks_for_the_start_that_the_request_was_sent_to(self):
--- a/tests/slow/test_range_schedules.py
+++ b/tests/slow/test_range_schedules.py
@@ -97,8 +97,7 @@
     def restart_target(self):
         target = self.target()
         born_ms = self.fleet.records[target.name].born_ms + 1
-        target.holds.clear()
-        target.fences.clear()
+        target.restart()
         self.fleet.records[target.name] = record(target.name, born_ms=born_ms)
 
     def isolate_host(self):
