Grant over a new connection only after a confirmation of the leader

What callers saw: keys of a target that had just started were served by it under a fence below the one with which the process before it had them (OWNER), while another host led.

Cause: a leader that is cut off from the store and the other hosts gives orders until its lease of 12 s ends; another one is elected after about 1.3 s. Only targets tell their fences apart, and one that starts again knows none.

Change: a grant goes over a connection only once the leader is confirmed after that connection was opened, by a write of the object that names it, or, while the store does not answer, by at least half of the other hosts (none of which knows of a later leader). The process at the other end then ran before any successor gave an order, and remembers. This compares no times, so it needs no bound on elections or clocks. Confirmations that are asked for together share a write, and replace the next periodic one. A grant that waits for one is no failed order: the target is not taken for silent.

Why not otherwise: a shorter lease stops keys in a store outage; a wait in the takeover leaves keys without an owner.

--- a/src/persimmonspoke/internal/fleet/leadership.py
+++ b/src/persimmonspoke/internal/fleet/leadership.py
@@ -27,6 +27,7 @@
 )
 from persimmonspoke.ids import Instant, TargetId, Version
 from persimmonspoke.internal.clock import Clock
+from persimmonspoke.internal.fleet.confirmations import Confirmations
 from persimmonspoke.internal.fleet.hosts import Hosts
 from persimmonspoke.internal.fleet.inquiries import NEVER_HEARD_S, LeaderInquiries
 from persimmonspoke.internal.fleet.messages import (
@@ -119,6 +120,9 @@
         self._last_read_at = LONG_AGO
         self._store_checked_at = LONG_AGO
         self._inquiries = LeaderInquiries(cfg, clock, link, hosts)
+        self._confirmations = Confirmations(
+            clock, self._confirm, self._is_confirmed_by_hosts
+        )
         self._lost: tuple | None = None
         self._lost_at = LONG_AGO
         self.store_answered_at = clock.now()
@@ -162,7 +166,7 @@
                 if self._is_forgotten():
                     self._renew_after_restoration()
                 elif self.leading:
-                    self._confirm()
+                    self._confirm_if_due()
                 else:
                     self._watch()
             except (StoreError, AuthorityLapsed, MalformedDocument) as exc:
@@ -170,8 +174,14 @@
                     "leader: the check of the leadership failed",
                     extra={"leading": self.leading, "reason": repr(exc)},
                 )
-            pause = self._cfg.confirm_s if self.leading else WATCH_PERIOD_S
-            self._pause_until(Instant(self._clock.now() + pause))
+            self._pause_until(self._next_check_at())
+
+    def _next_check_at(self):
+        now = self._clock.now()
+        if not self.leading:
+            return Instant(now + WATCH_PERIOD_S)
+        due_at = Instant(self._confirmations.written_at + self._cfg.confirm_s)
+        return due_at if due_at > now else Instant(now + self._cfg.confirm_s)
 
     def _pause_until(self, wake_at):
         """Sleep until `wake_at`, or until the store is known to have been restored."""
@@ -201,6 +211,24 @@
         if not self.may_order():
             raise AuthorityLapsed(f"this host does not lead in epoch {self.epoch}")
 
+    def check_led_at(self, moment: Instant, deadline: Instant) -> None:
+        """Return once it is certain that no later leader had been elected by `moment`.
+
+        All processes that ran at that moment know the fences of any later leader.
+
+        Raises
+        ------
+        AuthorityLapsed
+            Neither the store nor enough hosts have confirmed it by `deadline`, or this
+            host may not give orders.
+        """
+        self.check()
+        if not self._confirmations.wait_for(moment, deadline):
+            raise AuthorityLapsed(
+                f"this host is not confirmed as the leader of epoch {self.epoch}"
+            )
+        self.check()
+
     def on_not_leading(self, leader: PeerAddress) -> None:
         """Record that `leader` has answered that it does not lead."""
         if leader == self.leader:
@@ -390,6 +418,7 @@
             self.ownership = ownership
             self.lease_until = Instant(sent_at + self._cfg.lease_s)
             self.store_answered_at = sent_at
+            self._confirmations.on_written(sent_at)
             return
 
     def _confirm(self):
@@ -398,6 +427,22 @@
             if self.leading:
                 self._write(self.ownership.led_by(self._hosts.me(), self.epoch))
 
+    def _confirm_if_due(self):
+        """Confirm, unless another write has done so within `confirm_s`."""
+        if self._clock.now() - self._confirmations.written_at >= self._cfg.confirm_s:
+            self._confirm()
+
+    def _is_confirmed_by_hosts(self):
+        """Return whether at least half of the other hosts know of no later leader."""
+        epoch = self.epoch
+        survey = self._inquiries.survey(epoch)
+        if not self.leading or self.epoch != epoch:
+            return False
+        if survey.later is not None:
+            self.follow(survey.later.leader, survey.later.epoch)
+            return False
+        return survey.conclusive
+
     def _renew_after_restoration(self):
         """Store the ownership that this leader knows over that of an older copy.
 
@@ -474,6 +519,7 @@
         self.leader, self.epoch = self._hosts.me(), ownership.epoch
         self.lease_until = Instant(sent_at + self._cfg.lease_s)
         self.store_answered_at = sent_at
+        self._confirmations.on_written(sent_at)
         now = self._clock.now()
         self._former_end_at = {}
         for former in ownership.former:
--- a/src/persimmonspoke/internal/ranges/connections.py
+++ b/src/persimmonspoke/internal/ranges/connections.py
@@ -1,11 +1,21 @@
-"""The connections over which a host sends orders to targets."""
+"""The connections over which a host sends orders to targets.
+
+Only a target remembers which fences it has seen.  A leader that has been replaced can
+go on under its lease where its connections were open before, since the targets there
+know the fences of its successor.  On a new connection it may reach a process that knows
+none, so it sends no grant there before it is confirmed as the leader.
+"""
+
+import logging
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
 
 from persimmonspoke.errors import OrderConnectionLost
 from persimmonspoke.ids import Instant
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.ranges.api import (
     OrderConnection,
-    RangeGrant,
     RangeOrders,
     RangeRelease,
 )
@@ -14,72 +24,129 @@
 MAX_IDLE_PER_TARGET = 1
 MAX_IDLE_S = 30.0  # a target that owns keys gets orders several times a second
 
+log = logging.getLogger(__name__)
+
+CheckLedAt = Callable[[Instant, Instant], None]
+"""Checks that no later leader had been elected by a moment; gives up at a deadline."""
+
+
+@dataclass(slots=True, eq=False)
+class _Channel:
+    """A connection, and whether it was open while this host is known to have led."""
+
+    conn: OrderConnection
+    is_confirmed: bool = False
+
 
 class TargetConnections:
     """The connections for orders to one target at one address.
 
     Targets at one address share none: they are different processes.
 
+    Parameters
+    ----------
+    check_led_at : callable
+        Raises `AuthorityLapsed` if this host may have been replaced by then.
+
     Attributes
     ----------
     used_at : Instant
         When an order was last sent.
     """
 
-    def __init__(self, orders: RangeOrders, address: TargetAddress, clock: Clock):
+    def __init__(
+        self,
+        orders: RangeOrders,
+        address: TargetAddress,
+        clock: Clock,
+        check_led_at: CheckLedAt,
+    ):
         self._orders = orders
         self._address = address
         self._clock = clock
-        self._idle: list[OrderConnection] = []
+        self._check_led_at = check_led_at
+        self._idle: list[_Channel] = []
         self._is_closed = False
         self.used_at = clock.now()
 
-    def grant(self, order: RangeGrant, deadline: Instant) -> None:
-        """Send a grant; raise as `RangeOrders` and `OrderConnection` do."""
-        conn = self._take(deadline)
+    @contextmanager
+    def for_grant(
+        self, connect_by: Instant, confirm_by: Instant
+    ) -> Iterator[OrderConnection]:
+        """Lend a connection that may carry grants.
+
+        Raises
+        ------
+        TargetUnreachable, TargetRefusedConnection, OrderConnectionLost
+            No connection was opened by `connect_by`, or the last one has been closed.
+        AuthorityLapsed
+            This host was not confirmed as the leader by `confirm_by`.
+        """
+        channel = self._take(connect_by)
         try:
-            conn.grant(order, deadline)
+            if not channel.is_confirmed:
+                self._confirm(channel, confirm_by)
+            yield channel.conn
         finally:
-            self._give_back(conn)
+            self._give_back(channel)
 
     def release(self, order: RangeRelease, deadline: Instant) -> str | None:
-        """Send a release; return the handover, or raise as `grant` does."""
-        conn = self._take(deadline)
+        """Send a release; return the handover, or raise as `OrderConnection` does."""
+        channel = self._take(deadline)
         try:
-            return conn.release(order, deadline)
+            return channel.conn.release(order, deadline)
         finally:
-            self._give_back(conn)
+            self._give_back(channel)
 
     def close(self) -> None:
         """Close the idle connections, and those in use once their orders have ended."""
         self._is_closed = True
-        for conn in self._idle:
-            conn.close()
+        for channel in self._idle:
+            channel.conn.close()
         self._idle = []
 
     def _take(self, deadline):
         self.used_at = self._clock.now()
         if not self._idle:
-            return self._orders.connect(self._address, deadline)
-        conn = self._idle.pop()
-        if not conn.is_open():
-            conn.close()
+            return _Channel(self._orders.connect(self._address, deadline))
+        channel = self._idle.pop()
+        if not channel.conn.is_open():
+            channel.conn.close()
             raise OrderConnectionLost("the target closed the connection unannounced")
-        return conn
-
-    def _give_back(self, conn):
+        return channel
+
+    def _confirm(self, channel, confirm_by):
+        opened_at = channel.conn.opened_at
+        self._check_led_at(opened_at, confirm_by)
+        channel.is_confirmed = True
+        log.info(
+            "ranges: connection may carry grants",
+            extra={
+                "target": self._address.target_id,
+                "open_for_s": round(self._clock.now() - opened_at, 3),
+            },
+        )
+
+    def _give_back(self, channel):
         if self._is_closed or len(self._idle) >= MAX_IDLE_PER_TARGET:
-            conn.close()
-        elif conn.is_open():
-            self._idle.append(conn)
+            channel.conn.close()
+        elif channel.conn.is_open():
+            self._idle.append(channel)
 
 
 class OrderConnections:
-    """The connections for orders of one host to all targets."""
+    """The connections for orders of one host to all targets.
+
+    Parameters
+    ----------
+    check_led_at : callable
+        Raises `AuthorityLapsed` if this host may have been replaced by then.
+    """
 
-    def __init__(self, orders: RangeOrders, clock: Clock):
+    def __init__(self, orders: RangeOrders, clock: Clock, check_led_at: CheckLedAt):
         self._orders = orders
         self._clock = clock
+        self._check_led_at = check_led_at
         self._by_address: dict[TargetAddress, TargetConnections] = {}
         self._next_tidy_at = Instant(clock.now() + MAX_IDLE_S)
 
@@ -88,7 +155,9 @@
         self._close_unused()
         found = self._by_address.get(address)
         if found is None:
-            found = TargetConnections(self._orders, address, self._clock)
+            found = TargetConnections(
+                self._orders, address, self._clock, self._check_led_at
+            )
             self._by_address[address] = found
         return found
 
--- a/src/persimmonspoke/internal/ranges/granter.py
+++ b/src/persimmonspoke/internal/ranges/granter.py
@@ -1,6 +1,7 @@
 """Renews one target's grants, and tracks until when the target may hold keys."""
 
 import logging
+from contextlib import contextmanager
 from enum import Enum
 
 import eventlet
@@ -77,6 +78,7 @@
         self.running = False
         self.is_replaced = False
         self._granted_until = LONG_AGO
+        self._confirm_by = LONG_AGO
         self._in_flight: dict[object, Instant] = {}
         self._last_answer_at = clock.now()
         self.next_probe_at = LONG_AGO
@@ -105,7 +107,10 @@
 
     def _renew(self):
         while self._is_active():
-            renew_at = self._clock.now() + self._cfg.renew_s
+            now = self._clock.now()
+            renew_at = now + self._cfg.renew_s
+            # All grants of one round together wait no longer.
+            self._confirm_by = Instant(now + self._cfg.confirm_s)
             self._wake = Event()
             entries = self._ledger.grantable(self.service, self.target_id)
             fences = {entry.fence for entry in entries}
@@ -190,28 +195,12 @@
         """
         refused = sent = False
         for _ in range(MAX_ATTEMPTS):
-            if self.is_replaced:
-                return False
-            if (
-                refused
-                or self._incarnation_by_fence.get(entry.fence, self._incarnation)
-                != self._incarnation
-            ):
-                # An owner that never confirmed the range still needs the handover.
-                handover = (
-                    None if entry.fence in self._confirmed_fences else entry.handover
-                )
-                entry = self._ledger.renew_fence(
-                    self.service, entry, handover, transferring=transferring
-                )
-            if entry is None or not (
-                transferring or self._ledger.is_current(self.service, entry)
-            ):
-                return False
-            self._incarnation_by_fence.setdefault(entry.fence, self._incarnation)
             try:
-                with self._granters.paths.in_flight(self.address):
-                    self._send(entry, self._hold_s())
+                with self._connection(transferring) as conn:
+                    entry = self._sendable(entry, refused, transferring)
+                    if entry is None:
+                        return False
+                    self._send(conn, entry, self._hold_s())
             except TargetFenced:
                 log.info("ranges: grant refused", extra=self._log_fields(entry))
                 self._last_answer_at = self._clock.now()
@@ -231,6 +220,43 @@
             self._handle_no_answer(sent)
         return False
 
+    @contextmanager
+    def _connection(self, transferring):
+        """Lend a connection for one grant, as `TargetConnections.for_grant` does."""
+        now = self._clock.now()
+        connect_by = Instant(now + self._cfg.order_s)
+        confirm_by = self._confirm_by
+        if transferring:
+            confirm_by = Instant(now + self._cfg.confirm_s)
+        with (
+            self._granters.paths.in_flight(self.address),
+            self._granters.connections(self.address).for_grant(
+                connect_by, confirm_by
+            ) as conn,
+        ):
+            yield conn
+
+    def _sendable(self, entry, refused, transferring):
+        """Return a range under a fence that can be sent; None if it is outdated.
+
+        No other task may run between this and the sending of the order.
+        """
+        if self.is_replaced:
+            return None
+        sent_in = self._incarnation_by_fence.get(entry.fence, self._incarnation)
+        if refused or sent_in != self._incarnation:
+            # An owner that never confirmed the range still needs the handover.
+            handover = None if entry.fence in self._confirmed_fences else entry.handover
+            entry = self._ledger.renew_fence(
+                self.service, entry, handover, transferring=transferring
+            )
+        if entry is None or not (
+            transferring or self._ledger.is_current(self.service, entry)
+        ):
+            return None
+        self._incarnation_by_fence.setdefault(entry.fence, self._incarnation)
+        return entry
+
     def _hold_s(self):
         """Return the length of the next grant.
 
@@ -267,7 +293,7 @@
             "fence": entry.fence,
         }
 
-    def _send(self, entry, hold_s):
+    def _send(self, conn, entry, hold_s):
         order = RangeGrant(entry.first, entry.last, entry.fence, hold_s, entry.handover)
         max_hold_s = self._cfg.max_duration_s(hold_s)
         deadline = Instant(self._clock.now() + self._cfg.order_s)
@@ -278,7 +304,7 @@
         try:
             # No other task runs between this check and the sending of the order.
             self._granters.check_lease()
-            self._granters.connections(self.address).grant(order, deadline)
+            conn.grant(order, deadline)
         finally:
             del self._in_flight[order_id]
             self._granted_until = max(
--- a/src/persimmonspoke/internal/ranges/granters.py
+++ b/src/persimmonspoke/internal/ranges/granters.py
@@ -55,7 +55,7 @@
         self._clock = clock
         self._leadership = leadership
         self._state = state
-        self._connections = OrderConnections(orders, clock)
+        self._connections = OrderConnections(orders, clock, leadership.check_led_at)
         self._tasks = tasks
         self.paths = paths
         self._granters: dict[tuple[ServiceId, TargetId], Granter] = {}
--- a/src/persimmonspoke/internal/ranges/settings.py
+++ b/src/persimmonspoke/internal/ranges/settings.py
@@ -27,6 +27,9 @@
         Length of a grant to a target that has not answered for `doubt_s`.
     order_s : float
         Timeout of one grant.
+    confirm_s : float
+        How long grants wait until this host is confirmed as the leader, before they go
+        over a new connection.
     doubt_s : float
         Time without any answer after which a target gets only short grants.
     silent_s : float
@@ -75,6 +78,7 @@
     outage_hold_s: Seconds = 8.0
     probe_hold_s: Seconds = 1.0
     order_s: Seconds = 0.35
+    confirm_s: Seconds = 0.6
     doubt_s: Seconds = 1.0
     silent_s: Seconds = 2.4
     release_s: Seconds = 1.5
--- a/tests/cover/test_succession.py
+++ b/tests/cover/test_succession.py
@@ -5,7 +5,7 @@
 
 import eventlet
 
-from persimmonspoke.errors import MalformedDocument
+from persimmonspoke.errors import AuthorityLapsed, MalformedDocument
 from persimmonspoke.internal.peers.api import PeerAddress
 from persimmonspoke.internal.ranges.record import (
     OWNERSHIP_KEY,
@@ -224,6 +224,102 @@
         return decode(self.fleet.platform.get(OWNERSHIP_KEY).value)
 
 
+class TestTargetsWithoutMemory(SuccessionCase):
+    """Targets alone tell the fences of two leaders apart, until they start again."""
+
+    RESTARTS = 6
+
+    def setUp(self):
+        super().setUp()
+        self.first = self.fleet.leader()
+        self.others = [host for host in self.fleet.hosts if host is not self.first]
+
+    def restart_targets(self):
+        """Restart targets one after the other, where only the first leader reaches."""
+        for number in range(self.RESTARTS):
+            name = f"t{number % len(self.fleet.targets)}"
+            self.lose_paths(name, self.others)
+            self.fleet.targets[name].restart()
+            self.fleet.run_for(0.7)
+            for host in self.others:
+                host.lost_targets.clear()
+            self.fleet.run_for(0.3)
+
+    # Guards against OWNER: a leader that had been replaced granted keys, under fences
+    # below those of its successor, to targets that had just started and knew neither.
+    def test_a_leader_that_is_cut_off_grants_them_nothing(self):
+        self.cut_off(self.first)
+        self.successor_of(self.first)
+        self.fleet.run_for(0.5)
+        self.assertTrue(self.first.leadership.may_order())
+        self.restart_targets()
+        self.assertEqual(self.fleet.fence_violations()[:3], [])
+        self.reconnect(self.first)
+        self.fleet.run_for(8)
+        self.assertEqual(self.fleet.unheld_keys(), [])
+
+    def test_it_goes_on_where_its_connections_were_open_before(self):
+        self.cut_off(self.first)
+        self.lose_paths("t0", self.others)
+        second = self.successor_of(self.first)
+        self.fleet.run_for(5)
+        self.assertTrue(self.first.leadership.may_order())
+        self.assertTrue(second.leadership.may_order())
+        self.assertTrue(self.fleet.targets["t0"].held())
+
+    def test_a_leader_without_the_store_grants_them_keys_while_other_hosts_answer(self):
+        for silent in (False, True):
+            with self.subTest(silent=silent):
+                faults = self.fleet.platform.faults
+                faults.silent, faults.down = silent, not silent
+                self.fleet.run_for(2)
+                self.fleet.targets["t0"].restart()
+                self.fleet.run_for(self.fleet.leader().keeper._cfg.renew_s + 0.3)
+                self.assertEqual(self.fleet.unheld_keys(), [])
+                faults.silent = faults.down = False
+                self.fleet.run_for(2)
+
+    def test_so_it_does_if_a_third_of_the_other_hosts_has_ended(self):
+        self.others[0].kill()
+        self.fleet.platform.faults.silent = True
+        self.fleet.run_for(2)
+        self.fleet.targets["t0"].restart()
+        self.fleet.run_for(1.5)
+        self.assertEqual(self.fleet.unheld_keys(), [])
+
+    def test_one_that_neither_store_nor_other_hosts_confirm_does_not(self):
+        self.cut_off(self.first)
+        leadership = self.first.leadership
+        now = self.first.clock.now()
+        with self.assertRaises(AuthorityLapsed):
+            leadership.check_led_at(now, now + 1.0)
+        leadership.check_led_at(now - 2.0, now)
+
+    # Guards against a store call for each connection: those opened together share one.
+    def test_connections_that_are_opened_together_share_a_write(self):
+        leadership, clock = self.first.leadership, self.first.clock
+        self.fleet.run_for(0.2)
+        revision = self.fleet.platform.revision
+        tasks = [
+            eventlet.spawn_after(
+                0.005 * number,
+                lambda: leadership.check_led_at(clock.now(), clock.now() + 1.0),
+            )
+            for number in range(12)
+        ]
+        for task in tasks:
+            task.wait()
+        self.assertLessEqual(self.fleet.platform.revision - revision, 4)
+
+    def test_a_write_that_was_asked_for_replaces_the_next_periodic_one(self):
+        leadership, clock = self.first.leadership, self.first.clock
+        revision = self.fleet.platform.revision
+        for _ in range(12):
+            leadership.check_led_at(clock.now(), clock.now() + 1.0)
+            self.fleet.run_for(0.5)
+        self.assertLessEqual(self.fleet.platform.revision - revision, 13)
+
+
 class TestLossOfAllHosts(SuccessionCase):
     """All hosts lose power at once, and start again one after the other."""
 
--- a/tests/loopback/test_platform_adapter.py
+++ b/tests/loopback/test_platform_adapter.py
@@ -291,6 +291,10 @@
         self.assertEqual(store.heard_at, float("-inf"))
 
 
+def confirm_at_once(moment, deadline):
+    """Confirm this host as the leader; the argument of `OrderConnections`."""
+
+
 class TestRangeOrders(ServerCase):
     def setUp(self):
         super().setUp()
@@ -313,6 +317,12 @@
         """Return a new connection to a target."""
         return self.orders.connect(target or self.target, self.deadline())
 
+    def grant_over(self, connections, order):
+        """Send a grant over one of the connections to a target."""
+        deadline = self.deadline()
+        with connections.for_grant(deadline, deadline) as conn:
+            conn.grant(order, deadline)
+
     def test_a_connection_carries_any_number_of_orders(self):
         conn = self.connect()
         for fence in range(1500):
@@ -368,26 +378,26 @@
 
         task = eventlet.spawn(accept)
         self.addCleanup(task.kill)
-        connections = OrderConnections(self.orders, self.clock)
+        connections = OrderConnections(self.orders, self.clock, confirm_at_once)
         crashed = connections.to(TargetAddress("t", ip, port))
         new = connections.to(TargetAddress("u", ip, port))
-        crashed.grant(RangeGrant(1, 5, 7, 2.5), self.deadline())
+        self.grant_over(crashed, RangeGrant(1, 5, 7, 2.5))
         accepted[0].shutdown(socket.SHUT_RDWR)
         eventlet.sleep(0.05)
-        new.grant(RangeGrant(6, 9, 8, 2.5), self.deadline())
+        self.grant_over(new, RangeGrant(6, 9, 8, 2.5))
         with self.assertRaises(OrderConnectionLost):
-            crashed.grant(RangeGrant(1, 5, 7, 2.5), self.deadline())
+            self.grant_over(crashed, RangeGrant(1, 5, 7, 2.5))
 
     # Guards against open files without end: each start of a target has a new id.
     def test_connections_to_targets_that_get_no_more_orders_are_closed(self):
         order = RangeGrant(1, 5, 7, 2.5)
         with mock.patch.object(connections_module, "MAX_IDLE_S", 0.05):
-            connections = OrderConnections(self.orders, self.clock)
+            connections = OrderConnections(self.orders, self.clock, confirm_at_once)
             old = self.target
-            connections.to(old).grant(order, self.deadline())
+            self.grant_over(connections.to(old), order)
             eventlet.sleep(0.1)
             new = TargetAddress("u", old.ip, old.port)
-            connections.to(new).grant(order, self.deadline())
+            self.grant_over(connections.to(new), order)
         self.assertEqual(list(connections._by_address), [new])
 
     def test_a_closed_connection_is_reported_before_the_next_order_is_sent(self):
