Release what a restarted target holds before its keys go to others

What callers saw: two targets held the same keys for up to 2.4 s (OWNER), after the targets of a data centre had ended and started again, cold.

Cause: an entry with another start time was taken for the proof that nothing is held. But the new process listens before its entry arrives, and may have been granted keys by then: the leader repeats its release to the address every 0.2 s, and grants what is answered. Others then got a part of the keys of the cold target without a release.

Change: a target that has restarted is released like any other, at its address and at those where it was before, or its time passes; known holds stay known. Nothing is released if it keeps all its keys, so a calm restart costs no order. On related paths: the hold of a target that is cut off right after its restart, a target that returns at another address (another process may listen at the old one) or in another service (which even kept its keys), a restart in an evacuated data centre. Without the store a restarted owner keeps its keys; each attempt to deal them had held them up for a second.

--- a/src/persimmonspoke/internal/ranges/granter.py
+++ b/src/persimmonspoke/internal/ranges/granter.py
@@ -80,6 +80,7 @@
         self._granted_until = LONG_AGO
         self._confirm_by = LONG_AGO
         self._in_flight: dict[object, Instant] = {}
+        self._earlier_holds: dict[TargetAddress, Instant] = {}
         self._last_answer_at = clock.now()
         self.next_probe_at = LONG_AGO
         self.granted: set[tuple[int, int, int]] = set()
@@ -91,12 +92,35 @@
 
     @property
     def may_hold_until(self) -> Instant:
-        """Latest time until which the target may hold keys by orders of this host."""
-        return max(self._granted_until, *self._in_flight.values(), LONG_AGO)
+        """Latest time until which the target may hold keys by orders of this host.
 
-    def include_earlier_holds(self, until: Instant) -> None:
-        """Include holds, up to `until`, that were granted at an earlier address."""
-        self._granted_until = max(self._granted_until, until)
+        This includes what listens at its earlier addresses.
+        """
+        return max(
+            self._granted_until,
+            *self._in_flight.values(),
+            *self._earlier_holds.values(),
+            LONG_AGO,
+        )
+
+    def include_holds_of(self, replaced: "Granter") -> None:
+        """Include the holds by orders of the granter that this one replaces.
+
+        Orders go to an address, and a new start of the target does not end what another
+        process there holds, nor what it has itself been granted since.
+        """
+        self._earlier_holds = dict(replaced._earlier_holds)
+        until = max(replaced._granted_until, *replaced._in_flight.values(), LONG_AGO)
+        if replaced.address == self.address:
+            self._granted_until = until
+        else:
+            self._earlier_holds[replaced.address] = until
+
+    def earlier_addresses(self) -> tuple[TargetAddress, ...]:
+        """Return the earlier addresses where keys may still be held."""
+        now = self._clock.now()
+        self._earlier_holds = {a: t for a, t in self._earlier_holds.items() if t > now}
+        return tuple(self._earlier_holds)
 
     def run(self) -> None:
         """Renew the grants periodically until the target is silent."""
@@ -113,6 +137,9 @@
             self._confirm_by = Instant(now + self._cfg.confirm_s)
             self._wake = Event()
             entries = self._ledger.grantable(self.service, self.target_id)
+            if self.earlier_addresses():
+                # Until then the mover takes the keys back from there.
+                entries = ()
             fences = {entry.fence for entry in entries}
             self._incarnation_by_fence = {
                 f: n for f, n in self._incarnation_by_fence.items() if f in fences
--- a/src/persimmonspoke/internal/ranges/granters.py
+++ b/src/persimmonspoke/internal/ranges/granters.py
@@ -134,8 +134,7 @@
             granter = Granter(self, record, address, self._cfg, self._clock)
             if replaced is not None:
                 replaced.is_replaced = True
-                if not restarted:
-                    granter.include_earlier_holds(replaced.may_hold_until)
+                granter.include_holds_of(replaced)
             self._granters[key] = granter
         if not granter.running and granter.responsiveness is Responsiveness.ANSWERS:
             granter.running = True
@@ -152,6 +151,16 @@
             return None
         return TargetAddress(target_id, record.ip, record.port)
 
+    def earlier_addresses(
+        self, service: ServiceId, target_id: TargetId
+    ) -> tuple[TargetAddress, ...]:
+        """Return the earlier addresses of a target at which its keys may still be held.
+
+        Another process may listen there now.
+        """
+        granter = self.find(service, target_id)
+        return () if granter is None else granter.earlier_addresses()
+
     def held_until(self, service: ServiceId, target_id: TargetId) -> Instant:
         """Return until when a target that does not answer may hold keys.
 
--- a/src/persimmonspoke/internal/ranges/keeper.py
+++ b/src/persimmonspoke/internal/ranges/keeper.py
@@ -272,12 +272,11 @@
     def _must_move(self, service, entry):
         """Return whether a range must be granted anew, to its owner or to another."""
         record = self._state.targets.get(entry.owner)
-        if record is not None and record.born_ms != entry.born_ms:
-            return True
         if self.granters.is_silent(service, entry.owner):
             return True
         removed = record is None or record.service != service
-        if removed or record.state is TargetState.LEAVING:
+        restarted = not removed and record.born_ms != entry.born_ms
+        if removed or restarted or record.state is TargetState.LEAVING:
             # Without the store no new owner can be committed, so the owner stays.
             return self.granters.store_is_reachable()
         return False
--- a/src/persimmonspoke/internal/ranges/mover.py
+++ b/src/persimmonspoke/internal/ranges/mover.py
@@ -143,20 +143,23 @@
         """Transfer all ranges of one target with a single release and commit.
 
         The ranges of a target that has restarted are granted to it again, without
-        those that bring it more requests than it may get while it is cold; there is
-        nothing to release then.  So are those of a silent target that answers the
-        release.
+        those that bring it more requests than it may get while it is cold.  So are
+        those of a silent target that answers the release.  Nothing is released if the
+        process that listens at the target's address keeps all ranges.
         """
         first, last = entries[0].first, entries[-1].last
         record = self._state.targets.get(target_id)
         restarted = record is not None and record.born_ms != entries[0].born_ms
         try:
-            handover = None
-            if not restarted:
+            if restarted and self._keeps_all(service, record, entries):
+                handover, stays = None, True
+                new_ranges = [self.new_grant(e, record, None) for e in entries]
+            else:
+                # It may have taken orders since it started, before that was known.
                 whole = replace(entries[0], last=last)
                 handover = self.release(transfers, whole)
-            stays = self._stays(service, record, restarted)
-            new_ranges = self._assign(service, target_id, entries, stays, handover)
+                stays = self._stays(service, record, restarted)
+                new_ranges = self._assign(service, target_id, entries, stays, handover)
             self._ledger.commit(service, new_ranges)
             self.grant_all(service, new_ranges)
             log.info(
@@ -183,17 +186,25 @@
         finally:
             self._ledger.end_transfers(transfers)
 
+    def _keeps_all(self, service, record, entries):
+        """Return whether nobody else is to get the ranges of a restarted owner."""
+        return (
+            not self._granters.earlier_addresses(service, record.target_id)
+            and self._stays(service, record, restarted=True)
+            and not self._split_by_warmup(service, record.target_id, entries)[1]
+        )
+
     def _stays(self, service, record, restarted):
         """Return whether an owner that has restarted or been silent keeps its ranges.
 
         One in an evacuated data centre does only if no other target takes keys.
         """
-        if record is not None and record.state is TargetState.EVACUATED:
+        if record is None or record.service != service:
+            return False
+        if record.state is TargetState.EVACUATED:
             is_silent = self._granters.is_silent(service, record.target_id)
             return not is_silent and not self._granters.eligible_records(service)
-        return restarted or (
-            record is not None and self._granters.may_receive_keys(record)
-        )
+        return restarted or self._granters.may_receive_keys(record)
 
     def resolve_owners(self, service: ServiceId) -> None:
         """Take back all keys of a service, and grant them to their known owners.
@@ -386,7 +397,8 @@
     def release(self, transfers: list[Transfer], piece: KeyRange) -> str | None:
         """Release `piece` from its owner; return the owner's handover, if any.
 
-        If the owner does not answer, return None once its holds have lapsed.
+        Where the owner had another address before, so does what listens there now.  If
+        one of them does not answer, return once all holds have lapsed.
 
         Raises
         ------
@@ -396,34 +408,46 @@
         if piece.owner is None:
             return None
         service = transfers[0].service
-        address = self._granters.address(service, piece.owner)
+        current = self._granters.address(service, piece.owner)
         fence = self._ledger.next_fences()
+        handover, answered = None, set()
         while True:
-            if address is not None:
+            earlier = self._granters.earlier_addresses(service, piece.owner)
+            addresses = {current, *earlier}
+            for address in addresses - answered - {None}:
                 order = RangeRelease(piece.first, piece.last, fence)
-                deadline = Instant(self._clock.now() + self._cfg.release_s)
-                self._granters.check_lease()
                 try:
-                    connections = self._granters.connections(address)
-                    handover = connections.release(order, deadline)
-                    self._granters.record_answer(service, piece.owner)
-                    return handover
+                    result = self._send_release(address, order)
                 except TargetError as exc:
                     log.info(
                         "ranges: release unanswered",
                         extra={
                             "target": piece.owner,
+                            "ip": address.ip,
                             "fence": fence,
                             "reason": str(exc),
                         },
                     )
+                    continue
+                answered.add(address)
+                if address == current:
+                    handover = result
+                    self._granters.record_answer(service, piece.owner)
+            if addresses <= answered:
+                return handover
             until = self._granters.held_until(service, piece.owner)
             if self._clock.now() >= until:
-                return None
+                return handover
             self._ledger.set_opens_at(transfers, until)
             retry_at = Instant(self._clock.now() + self._cfg.retry_s)
             self._clock.sleep_until(Instant(min(retry_at, until)))
 
+    def _send_release(self, address, order):
+        """Send a release; return the handover, or raise as `OrderConnection` does."""
+        deadline = Instant(self._clock.now() + self._cfg.release_s)
+        self._granters.check_lease()
+        return self._granters.connections(address).release(order, deadline)
+
     def _combine_with_neighbours(self, service, transfer, new):
         """Combine a range with its owner's neighbouring ranges into one grant.
 
--- a/tests/cover/test_ranges.py
+++ b/tests/cover/test_ranges.py
@@ -478,7 +478,7 @@
         self.fleet.run_for(3)
         hosts = [h for h in self.fleet.hosts if h is not former]
         new = next(h for h in hosts if h.leadership.leading)
-        new.orders._reaches = lambda name: name != target
+        new.orders.reaches = lambda name: name != target
         return new
 
     def test_a_former_leader_that_is_cut_off_stops_before_its_keys_are_moved(self):
@@ -512,7 +512,7 @@
             h for h in self.fleet.hosts if h is not former and h.leadership.leading
         )
         # The new leader does not reach a target that the former one still grants to.
-        new.orders._reaches = lambda name: name != "t0"
+        new.orders.reaches = lambda name: name != "t0"
         self.fleet.run_for(5)
         self.assertIn("t0", self.routes_of(former))
         self.fleet.run_for(20)
--- a/tests/fakes/range_fleet.py
+++ b/tests/fakes/range_fleet.py
@@ -68,12 +68,15 @@
     ----------
     lost_targets : set of str
         Targets that this host can't reach, while it reaches the others.
+    resets_lost : bool
+        Whether its connections to those are reset and refused, not silent.
     """
 
     def __init__(self, fleet, number):
         self.process = FakeProcess(f"h{number}.{fleet.runs}", f"10.0.0.{number}")
         self.cut_how = None
         self.lost_targets = set()
+        self.resets_lost = False
         self.clock = FakeClock(self.process)
         address = PeerAddress(HostId(self.process.name), self.process.machine, 7000)
         self.store = FakeStore(fleet.platform, self.process)
@@ -181,13 +184,13 @@
         lost = found is not None and (found.silent or found.down)
         if self.reaches(target.target_id) and not lost:
             return True
-        if self.cut_how != "refused":
+        if not self.is_refused():
             eventlet.sleep(timeout_s)
         return False
 
     def is_refused(self):
         """Return whether connections on cut paths are refused instead of lost."""
-        return self.cut_how == "refused"
+        return self.cut_how == "refused" or self.resets_lost
 
     def alive(self):
         """Return whether the process is running, paused or not."""
--- a/tests/fakes/range_targets.py
+++ b/tests/fakes/range_targets.py
@@ -142,8 +142,9 @@
         Returns whether the process can connect to a target.
     is_refused : callable
         Returns whether a connection to a target that it can't reach is refused.
-    listening : dict of str to str, optional
-        Targets whose processes listen at the addresses of others, by these.
+    listening : dict, optional
+        Targets whose processes listen at the addresses of others, by these, or by
+        these and the IP number if only that address is meant.
     """
 
     def __init__(
@@ -156,8 +157,8 @@
     ):
         self._process = process
         self._targets = targets
-        self._reaches = reaches
-        self._is_refused = is_refused
+        self.reaches = reaches
+        self.is_refused = is_refused
         self._listening = {} if listening is None else listening
         self.opened = 0
 
@@ -165,13 +166,16 @@
         """Open a connection to the process that listens where a target has been."""
         self._process.gate(GateKind.ORDER, sending=True)
         eventlet.sleep(LATENCY_S)
-        name = self._listening.get(target.target_id, target.target_id)
+        name = self._listening.get(
+            (target.target_id, target.ip),
+            self._listening.get(target.target_id, target.target_id),
+        )
         found = self._targets[name]
         if found.down:
             raise TargetRefusedConnection("nothing listens")
-        if not self._reaches(target.target_id) and self._is_refused():
+        if not self.reaches(target.target_id) and self.is_refused():
             raise TargetRefusedConnection("nothing listens")
-        if found.silent or not self._reaches(target.target_id):
+        if found.silent or not self.reaches(target.target_id):
             eventlet.sleep(0.5)
             raise TargetUnreachable("no connection")
         self.opened += 1
@@ -217,8 +221,8 @@
         if not conn.is_open():
             conn.close()
             raise OrderConnectionLost("the process at the other end has ended")
-        if conn.peer.silent or not self._reaches(conn.address.target_id):
-            if self._is_refused():
+        if conn.peer.silent or not self.reaches(conn.address.target_id):
+            if self.is_refused():
                 conn.close()
                 raise OrderConnectionLost("the connection was reset")
             self._lose_answer(conn, deadline)
@@ -249,7 +253,10 @@
         self.opened_at = process.local(virtual_hub.now())
 
     def is_open(self):
-        """Return whether neither end has closed it."""
+        """Return whether neither end has closed it, and no path has reset it."""
+        orders = self._orders
+        if orders.is_refused() and not orders.reaches(self.address.target_id):
+            return False
         return not (self._is_closed or self.peer.down or self.peer.life != self._life)
 
     def close(self):
