Draw processes at addresses, connections and late entries in the successions

Change: each target is a slot, an address with one process after the other under the same id or a new one. They start after 0 to 0.6 s, their entries come 0 to 1 s after they listen, and may be cold under load. New rules restart several at once, one that is giving up keys, and all of them while a leader is cut off; entries lapse and return.

--- a/tests/cover/test_drawn_successions.py
+++ b/tests/cover/test_drawn_successions.py
@@ -1,6 +1,8 @@
-"""Drawn series of leaders that end, targets that crash, and stores that are restored.
+"""Drawn series of leaders that end, targets that restart, and restored stores.
 
-What a leader owes the fleet has to outlive it; see docs/decisions/successors.md.  The
+What a leader owes the fleet has to outlive it, and what it has granted at an address
+may outlive the process there; see docs/decisions/successors.md.  Each target is a slot:
+an address with one process after the other, whose entries come after they listen.  The
 examples are pinned; set PERSIMMONSPOKE_EXAMPLES to a number for as many fresh ones.
 """
 
@@ -20,6 +22,8 @@
 )
 
 from persimmonspoke.internal.ranges.planner import whole_move
+from persimmonspoke.internal.routing.config import RoutedService
+from persimmonspoke.internal.targets.notices import Incarnation
 from tests.fakes.range_fleet import SERVICE, RangeFleet, record
 from tests.fakes.range_targets import FakeRangeTarget
 
@@ -28,12 +32,24 @@
 SETTLE_S = 3.0
 AWAY_S = 2.0  # until a host that has ended or a target that has crashed starts again
 NOTICED_S = 3.0  # until the store no longer names a target that has crashed
+COLD_S = 8.0
+COLD_PER_S = 4.0  # requests that a cold target may get
+LOADED_KEYS = 64
+LOAD_PER_S = 80.0
 OWNED_AGAIN_S = 34.0  # a lease, the longest grants, and as much for one more leader
 PINNED_EXAMPLES = 30
 STEPS = 10
 
 seconds = st.sampled_from([0.0, 0.1, 0.4, 1.0, 2.5, 6.0])
-target_ids = st.sampled_from([f"t{number}" for number in range(TARGETS)])
+delays = st.sampled_from([0.0, 0.05, 0.3, 0.7])
+slots = st.integers(0, TARGETS - 1)
+ways_or_none = st.sampled_from(["dies", "resigns", "stays", "stays"])
+restarts = st.tuples(
+    st.booleans(),  # under the same id
+    st.sampled_from([0.0, 0.05, 0.2, 0.6]),  # until the next process listens
+    st.sampled_from([0.0, 0.1, 0.4, 1.0]),  # from then until its entry is known
+    st.booleans(),  # cold
+)
 
 
 class Successions(RuleBasedStateMachine):
@@ -42,11 +58,18 @@
     def __init__(self):
         super().__init__()
         self.fleet = RangeFleet(hosts=HOSTS, targets=TARGETS)
-        self.crashed = set()
+        self.ids = [[f"t{slot}"] for slot in range(TARGETS)]
+        self.starts = 0
         self.is_cut = False
         self.restored = 0
+        self.loading = eventlet.spawn(self.load)
         self.fleet.run_for(SETTLE_S)
 
+    def ranges(self):
+        """Return the ranges as the leader knows them, or None."""
+        leader = self.newest_leader()
+        return leader and leader.keeper.ledger.map(SERVICE)
+
     def leaders(self):
         """Return the running hosts that may give orders."""
         return [
@@ -116,12 +139,13 @@
 
     @precondition(lambda self: not self.is_cut)
     @rule(
-        target_id=target_ids,
+        slot=slots,
         how=st.sampled_from(["dies", "resigns", "steps aside"]),
         pause_s=seconds,
     )
-    def cut_leader_off_and_end_the_next(self, target_id, how, pause_s):
+    def cut_leader_off_and_end_the_next(self, slot, how, pause_s):
         """Leave a target to a leader that is cut off, and end its successor."""
+        target_id = self.ids[slot][-1]
         cut = self.cut_newest_leader_off()
         for host in self.fleet.hosts:
             if host is not cut:
@@ -143,8 +167,9 @@
         self.heal()
         self.fleet.run_for(pause_s)
 
-    @rule(target_id=target_ids, pause_s=seconds)
-    def lose_paths_to_a_target(self, target_id, pause_s):
+    @rule(slot=slots, pause_s=seconds)
+    def lose_paths_to_a_target(self, slot, pause_s):
+        target_id = self.ids[slot][-1]
         oldest = min(self.leaders(), key=lambda h: h.leadership.epoch, default=None)
         for host in self.fleet.hosts:
             if host is not oldest:
@@ -157,45 +182,121 @@
             host.lost_targets.clear()
         self.fleet.run_for(pause_s)
 
-    @rule(
-        target_id=target_ids,
-        same_id=st.booleans(),
-        away_s=st.sampled_from([0.0, 0.4, 1.0, 6.0]),
-        how=st.sampled_from(["dies", "resigns", "stays"]),
-        pause_s=seconds,
-    )
-    def crash_target(self, target_id, same_id, away_s, how, pause_s):
-        """Crash a target, and perhaps end the leader that has noticed it."""
-        if target_id not in self.crashed:
-            self.crashed.add(target_id)
-            self.fleet.targets[target_id].crash()
-            born_ms = 1 + len(self.crashed)
-            name = f"{target_id}.{born_ms}"
-            eventlet.spawn_after(away_s, self.start_target, target_id, name)
-            change = self.register_again if same_id else self.replace_record
-            eventlet.spawn_after(NOTICED_S + away_s, change, target_id, name, born_ms)
-            if how != "stays":
-                self.fleet.run_for(0.2)
-                self.end_newest_leader(how)
+    @rule(slot=slots, restart=restarts, how=ways_or_none, pause_s=seconds)
+    def restart_a_target(self, slot, restart, how, pause_s):
+        """End the process of a slot, and perhaps the leader that has noticed it."""
+        self.restart(slot, *restart)
+        if how != "stays":
+            self.fleet.run_for(0.2)
+            self.end_newest_leader(how)
         self.fleet.run_for(pause_s)
 
-    def start_target(self, crashed, name):
-        """Start another process at the address of a crashed target."""
-        self.fleet.targets[name] = FakeRangeTarget(name)
-        self.fleet.listening[crashed] = name
+    @rule(chosen=st.sets(slots, min_size=2), restart=restarts, pause_s=seconds)
+    def restart_targets_together(self, chosen, restart, pause_s):
+        for slot in sorted(chosen):
+            self.restart(slot, *restart)
+        self.fleet.run_for(pause_s)
 
-    def register_again(self, crashed, name, born_ms):
-        """Let the store name the new process under the old id."""
-        self.fleet.records[crashed] = record(crashed, born_ms=born_ms)
+    @rule(slot=slots, restart=restarts, delay_s=delays, pause_s=seconds)
+    def restart_a_target_that_gives_up_keys(self, slot, restart, delay_s, pause_s):
+        """End a process whose release or grant is in progress."""
+        process = self.process_of(slot)
+        process.work_s = 0.8
+        ranges = self.ranges()
+        owned = ranges.owned_by(self.ids[slot][-1]) if ranges else ()
+        if owned:
+            self.move(owned[0].first, self.ids[(slot + 1) % TARGETS][-1])
+            self.move(owned[-1].first, self.ids[(slot + 2) % TARGETS][-1])
+        self.fleet.run_for(delay_s)
+        self.restart(slot, *restart)
+        self.fleet.run_for(pause_s)
 
-    def replace_record(self, crashed, name, born_ms):
-        """Let the store name the new process under its own id."""
-        self.fleet.records.pop(crashed, None)
-        self.fleet.records[name] = record(name, born_ms=born_ms)
+    @precondition(lambda self: not self.is_cut)
+    @rule(restart=restarts, delay_s=delays, pause_s=seconds)
+    def cut_leader_off_and_restart_targets(self, restart, delay_s, pause_s):
+        """Restart targets which the leader that is cut off may reach first."""
+        cut = self.cut_newest_leader_off()
+        self.wait_for_another_than(cut)
+        self.fleet.run_for(0.5 + delay_s)
+        for slot in range(TARGETS):
+            self.restart(slot, *restart)
+            self.fleet.run_for(0.25)
+        self.fleet.run_for(pause_s)
 
-    @rule(target_id=target_ids, late_s=st.sampled_from([0.0, 0.2, 1.0]))
-    def delay_orders(self, target_id, late_s):
-        target = self.fleet.targets[target_id]
+    @rule(slot=slots, away_s=delays, pause_s=seconds)
+    def lose_an_entry(self, slot, away_s, pause_s):
+        """Let the entry of a process that runs lapse, and return."""
+        found = self.fleet.records.pop(self.ids[slot][-1], None)
+        if found is not None:
+            eventlet.spawn_after(away_s, self.put_back, slot, found)
+        self.fleet.run_for(pause_s)
+
+    def put_back(self, slot, found):
+        """Put back an entry, unless another process has started since."""
+        if self.ids[slot][-1] == found.target_id:
+            known = self.fleet.records.get(found.target_id)
+            if known is None or known.born_ms < found.born_ms:
+                self.fleet.records[found.target_id] = found
+
+    def process_of(self, slot):
+        """Return the process that listens at a slot's address, or was the last."""
+        return self.fleet.targets[self.ids[slot][-1]]
+
+    def restart(self, slot, same_id, down_s, entry_late_s, is_cold):
+        """End the process at an address; another one starts there after a while.
+
+        It listens before its entry is known.
+        """
+        process = self.process_of(slot)
+        if process.down:
+            return
+        process.crash()
+        process.work_s = 0.0
+        self.starts += 1
+        eventlet.spawn_after(
+            down_s, self.start_process, slot, same_id, entry_late_s, is_cold
+        )
+
+    def start_process(self, slot, same_id, entry_late_s, is_cold):
+        """Start the next process, under the same id or a new one."""
+        before = self.ids[slot][-1]
+        if same_id:
+            self.fleet.targets[before].start()
+        else:
+            name = f"t{slot}.{self.starts}"
+            self.fleet.targets[name] = FakeRangeTarget(name)
+            self.fleet.listening.update(dict.fromkeys(self.ids[slot], name))
+            self.ids[slot].append(name)
+            eventlet.spawn_after(NOTICED_S, self.fleet.records.pop, before, None)
+        born_ms = 1 + self.starts
+        eventlet.spawn_after(
+            entry_late_s, self.publish, self.ids[slot][-1], born_ms, is_cold
+        )
+
+    def publish(self, target_id, born_ms, is_cold):
+        """Let the store name the new process, unless a later one is known."""
+        known = self.fleet.records.get(target_id)
+        if known is not None and known.born_ms >= born_ms:
+            return
+        self.fleet.records[target_id] = record(target_id, born_ms=born_ms)
+        services = {SERVICE: RoutedService(SERVICE, 100, True, COLD_S, COLD_PER_S)}
+        for host in self.fleet.hosts:
+            host.warmups.update(self.fleet.records, services, lambda name: None)
+            if is_cold:
+                host.warmups.record(Incarnation(target_id, born_ms), COLD_S)
+
+    def load(self):
+        """Report requests for keys of all targets, so that cold ones have too many."""
+        while True:
+            for key in range(0, 65536, 65536 // LOADED_KEYS):
+                leader = self.newest_leader()
+                if leader is not None:
+                    leader.reporter.load_recorder.record_request(SERVICE, str(key))
+                eventlet.sleep(1 / LOAD_PER_S)
+
+    @rule(slot=slots, late_s=st.sampled_from([0.0, 0.2, 1.0]))
+    def delay_orders(self, slot, late_s):
+        target = self.process_of(slot)
         target.late_s, target.late_share = late_s, 0.4
 
     @precondition(lambda self: self.restored < 2)
@@ -208,12 +309,13 @@
     @precondition(lambda self: self.restored < 2)
     @rule(
         first=st.integers(0, 60000),
-        target_id=target_ids,
+        slot=slots,
         how=st.sampled_from(["dies", "resigns", "steps aside", "stays"]),
         pause_s=seconds,
     )
-    def restore_store_without_its_leader(self, first, target_id, how, pause_s):
+    def restore_store_without_its_leader(self, first, slot, how, pause_s):
         """Lose the leader, its last moves, and perhaps the one that finds the copy."""
+        target_id = self.ids[slot][-1]
         self.restored += 1
         for step in range(3):
             self.move((first + 9000 * step) % 60000, target_id)
@@ -226,9 +328,9 @@
             self.end_newest_leader(how)
         self.fleet.run_for(pause_s)
 
-    @rule(first=st.integers(0, 60000), target_id=target_ids, pause_s=seconds)
-    def move_keys(self, first, target_id, pause_s):
-        self.move(first, target_id)
+    @rule(first=st.integers(0, 60000), slot=slots, pause_s=seconds)
+    def move_keys(self, first, slot, pause_s):
+        self.move(first, self.ids[slot][-1])
         self.fleet.run_for(pause_s)
 
     def move(self, first, target_id):
@@ -263,12 +365,13 @@
                 host.process.resume()
                 host.lost_targets.clear()
             for target in self.fleet.targets.values():
-                target.late_s = 0.0
+                target.late_s = target.work_s = 0.0
             self.fleet.run_for(OWNED_AGAIN_S)
             self.no_key_has_two_holders_and_no_fence_goes_to_two()
             unheld = self.fleet.unheld_keys()[:3]
             assert unheld == [], f"keys without a holder: {unheld}"
         finally:
+            self.loading.kill()
             self.fleet.stop()
 
 
