Ask a silent store only periodically, and look at a connection once for each grant

While a leader waited for a confirmation, a store that refused calls got ten writes a second, and each grant looked at all connections to its target twice.

Change: after 1.5 s without an answer the store gets the periodic writes alone, and hosts are asked at once. A channel is dropped when the task that holds it finds it closed; its other users choose again.

Measured: TestConfirmations (2) is new, one of them red without the change; the drawn test, those of ranges, successions, restarts, bound fences and the loopback pool pass.

--- a/src/persimmonspoke/internal/fleet/confirmations.py
+++ b/src/persimmonspoke/internal/fleet/confirmations.py
@@ -13,7 +13,7 @@
 SPACING_S = 0.03  # between two writes; connections opened together share one
 STORE_FIRST_S = 0.1  # until other hosts are asked as well; the store takes milliseconds
 STORE_SILENT_S = 1.5  # longer than from one periodic write to the answer to the next
-RETRY_S = 0.1
+RETRY_S = 0.1  # while neither the store nor other hosts have confirmed
 
 LONG_AGO = Instant(float("-inf"))
 
@@ -62,7 +62,8 @@
     def wait_for(self, since: Instant, deadline: Instant) -> bool:
         """Wait for a confirmation about `since` or later; return whether there is one.
 
-        The store is asked first, and other hosts if it does not answer at once.
+        The store is asked first, and other hosts if it does not answer at once.  One
+        that has been silent gets no more than the periodic writes of the leader.
         """
         while self.confirmed_at < since:
             left_s = deadline - self._clock.now()
@@ -74,8 +75,11 @@
                 changed.wait()
         return True
 
+    def _store_is_silent(self):
+        return self._clock.now() - self.written_at >= STORE_SILENT_S
+
     def _request(self, since):
-        if not self._is_writing:
+        if not (self._is_writing or self._store_is_silent()):
             self._is_writing = True
             eventlet.spawn_n(self._confirm_by_store)
         if not self._is_asking:
@@ -94,17 +98,16 @@
     def _confirm_by_hosts(self, since):
         """Ask other hosts, unless the store confirms this host in time."""
         try:
-            store_age_s = self._clock.now() - self.written_at
-            if store_age_s < STORE_SILENT_S:
-                asked_at = Instant(self._clock.now() + STORE_FIRST_S)
-                self._clock.sleep_until(asked_at)
+            if not self._store_is_silent():
+                ask_at = Instant(self._clock.now() + STORE_FIRST_S)
+                self._clock.sleep_until(ask_at)
             if self.confirmed_at >= since:
                 return
             asked_at = self._clock.now()
             if self._ask_hosts():
                 log.info(
                     "leader: confirmed by other hosts",
-                    extra={"store_age_s": round(store_age_s, 3)},
+                    extra={"store_age_s": round(asked_at - self.written_at, 3)},
                 )
                 self._record(asked_at)
         finally:
--- a/src/persimmonspoke/internal/ranges/connections.py
+++ b/src/persimmonspoke/internal/ranges/connections.py
@@ -48,6 +48,19 @@
     ----------
     unsent : FenceSet
         Fences that no connection has carried.
+
+    Attributes
+    ----------
+    conn : OrderConnection or None
+        None until it has been opened.
+    is_confirmed : bool
+        Whether this host has been confirmed as the leader since it was opened.
+    has_ended : bool
+        Whether the connection was found to be closed.
+    lock : Semaphore
+        Held for each order.
+    users : int
+        Tasks that hold the lock or wait for it.
     """
 
     def __init__(self, unsent: FenceSet):
@@ -59,12 +72,6 @@
         self.lock = Semaphore(1)
         self.users = 0
 
-    def is_usable(self) -> bool:
-        """Return whether its connection is open, as far as is known, or will be."""
-        if self.has_ended:
-            return False
-        return self.users > 0 or (self.conn is not None and self.conn.is_open())
-
     def has_carried(self, fence: int) -> bool:
         """Return whether its connection has carried a fence, as far as it remembers."""
         return fence in self._fences
@@ -146,8 +153,8 @@
                         deadline = Instant(self._clock.now() + connect_s)
                         channel.conn = self._orders.connect(self._address, deadline)
                     elif channel.has_ended or not channel.conn.is_open():
-                        # Others may wait for it as well.
-                        channel.has_ended = True
+                        # Others may wait for it as well, and choose again.
+                        self._drop(channel)
                         continue
                     if not channel.is_confirmed:
                         self._confirm(channel, confirm_by)
@@ -155,7 +162,8 @@
                     return
             finally:
                 channel.users -= 1
-                self._drop_unusable()
+                if not channel.users and (channel.conn is None or self._is_closed):
+                    self._drop(channel)
 
     def release(self, order: RangeRelease, deadline: Instant) -> str | None:
         """Send a release; return the handover, or raise as `OrderConnection` does.
@@ -175,7 +183,8 @@
     def close(self) -> None:
         """Close the idle connections, and those in use once their orders have ended."""
         self._is_closed = True
-        self._drop_unusable()
+        for channel in [c for c in self._channels if not c.users]:
+            self._drop(channel)
         for conn in self._idle_for_releases:
             conn.close()
         self._idle_for_releases = []
@@ -185,7 +194,6 @@
 
         A new one is returned if all are in use, unless there are too many.
         """
-        self._drop_unusable()
         least_used = None
         for channel in self._channels:
             if channel.has_carried(fence):
@@ -198,15 +206,11 @@
             self._channels.append(least_used)
         return least_used
 
-    def _drop_unusable(self):
-        """Drop unused channels whose connection is closed, or all if this is."""
-        kept = []
-        for channel in self._channels:
-            if channel.is_usable() and not (self._is_closed and channel.users == 0):
-                kept.append(channel)
-            else:
-                channel.close()
-        self._channels = kept
+    def _drop(self, channel):
+        channel.has_ended = True
+        channel.close()
+        if channel in self._channels:
+            self._channels.remove(channel)
 
     def _take_for_release(self, deadline):
         while self._idle_for_releases:
--- a/tests/cover/test_succession.py
+++ b/tests/cover/test_succession.py
@@ -5,7 +5,13 @@
 
 import eventlet
 
-from persimmonspoke.errors import AuthorityLapsed, MalformedDocument
+from persimmonspoke.errors import (
+    AuthorityLapsed,
+    MalformedDocument,
+    StoreUnavailable,
+)
+from persimmonspoke.ids import Instant
+from persimmonspoke.internal.fleet.confirmations import Confirmations
 from persimmonspoke.internal.peers.api import PeerAddress
 from persimmonspoke.internal.ranges.record import (
     OWNERSHIP_KEY,
@@ -15,6 +21,7 @@
     encode,
 )
 from tests.fakes import virtual_hub
+from tests.fakes.process import FakeClock, FakeProcess
 from tests.fakes.range_fleet import RangeFleet, record
 
 SETTLE_S = 3.0
@@ -320,6 +327,45 @@
         self.assertLessEqual(self.fleet.platform.revision - revision, 13)
 
 
+class TestConfirmations(unittest.TestCase):
+    """Confirmations of a leader whose store refuses all writes."""
+
+    def setUp(self):
+        self.clock = FakeClock(FakeProcess("h", "10.0.0.1"))
+        self.written_at = []
+        self.hosts_answer = False
+        self.confirmations = Confirmations(
+            self.clock, self.write, lambda: self.hosts_answer
+        )
+        self.confirmations.on_written(self.clock.now())
+
+    def write(self):
+        self.written_at.append(self.clock.now())
+        raise StoreUnavailable("refused")
+
+    def wait(self, wait_s):
+        eventlet.sleep(0.01)
+        now = self.clock.now()
+        return self.confirmations.wait_for(now, Instant(now + wait_s))
+
+    # Guards against a leader that asks a store again and again that is away.
+    def test_a_silent_store_gets_no_writes_but_the_periodic_ones(self):
+        began_at = self.clock.now()
+        self.assertFalse(self.wait(6.0))
+        self.assertGreater(len(self.written_at), 0)
+        self.assertLess(max(self.written_at), began_at + 1.6)
+
+    def test_hosts_confirm_at_once_when_the_store_is_known_to_be_silent(self):
+        self.hosts_answer = True
+        began_at = self.clock.now()
+        self.assertTrue(self.wait(1.0))
+        self.assertGreaterEqual(self.clock.now() - began_at, 0.1)
+        eventlet.sleep(2.0)
+        began_at = self.clock.now()
+        self.assertTrue(self.wait(1.0))
+        self.assertLess(self.clock.now() - began_at, 0.02)
+
+
 class TestLossOfAllHosts(SuccessionCase):
     """All hosts lose power at once, and start again one after the other."""
 
