End a transfer only when the grants to all its receivers have ended

A grant that waits for a confirmation may be given up after 0.6 s; the transfer then ended while the grants to its other receivers went on, unprotected. Before, a grant was only given up when this host could give no order at all.

Change: grant_all waits for all of them before it raises.

--- a/src/persimmonspoke/internal/ranges/mover.py
+++ b/src/persimmonspoke/internal/ranges/mover.py
@@ -381,7 +381,11 @@
         return min(others, key=lambda r: (expected[r.target_id], r.target_id))
 
     def grant_all(self, service: ServiceId, new_ranges: list[KeyRange]) -> None:
-        """Grant ranges to their new owners, to all owners in parallel."""
+        """Grant ranges to their new owners, to all owners in parallel.
+
+        Return or raise once no grant is in progress any more: it would go on after the
+        end of the transfer that protects it.
+        """
         by_owner: dict[TargetId, list[KeyRange]] = {}
         for entry in new_ranges:
             by_owner.setdefault(entry.owner, []).append(entry)
@@ -391,8 +395,14 @@
             if record is not None:
                 granter = self._granters.granter(record)
                 tasks.append(eventlet.spawn(granter.grant_in_transfer, entries))
+        lapsed = None
         for task in tasks:
-            task.wait()
+            try:
+                task.wait()
+            except AuthorityLapsed as exc:
+                lapsed = exc
+        if lapsed is not None:
+            raise lapsed
 
     def release(self, transfers: list[Transfer], piece: KeyRange) -> str | None:
         """Release `piece` from its owner; return the owner's handover, if any.
--- a/tests/cover/test_bound_fences.py
+++ b/tests/cover/test_bound_fences.py
@@ -110,6 +110,34 @@
         )
 
 
+class TestTransfers(ReplacedProcessCase):
+    # Guards against OWNER: a grant went on after its transfer had ended, because that
+    # to another receiver had been given up.
+    def test_end_when_the_grants_to_all_receivers_have(self):
+        granters = self.leader.keeper.granters
+        piece = self.piece_of("t0")
+        middle = piece.first + 400
+        shares = (
+            (replace(piece, last=middle), "t1"),
+            (replace(piece, first=middle + 1), "t2"),
+        )
+        ended = []
+
+        def lapse(entries):
+            raise AuthorityLapsed("not confirmed")
+
+        def take_long(entries):
+            eventlet.sleep(0.3)
+            ended.append(self.leader.keeper.ledger.transfers_of(SERVICE))
+
+        granters.find(SERVICE, "t1").grant_in_transfer = lapse
+        granters.find(SERVICE, "t2").grant_in_transfer = take_long
+        self.leader.keeper.start_move(SERVICE, PlannedMove(piece, shares))
+        self.fleet.run_for(1)
+        self.assertEqual([len(transfers) for transfers in ended], [1])
+        self.assertEqual(self.leader.keeper.ledger.transfers_of(SERVICE), [])
+
+
 class TestFencesOfCalmTargets(ReplacedProcessCase):
     # Guards against renewals that cost a message to all hosts each.
     def test_stay_while_keys_move_and_grants_are_renewed(self):
