Keep the long gaps of the drawn restarts

The rule that was replaced let a target be away for up to 6 s, and its entry come 3 s late; the new one had at most 0.6 and 1 s. Both are drawn again. The pinned examples stay green, and red with the confirmation or the release taken out, and on the code before the bound fences.

--- a/tests/cover/test_drawn_successions.py
+++ b/tests/cover/test_drawn_successions.py
@@ -46,8 +46,8 @@
 ways_or_none = st.sampled_from(["dies", "resigns", "stays", "stays"])
 restarts = st.tuples(
     st.booleans(),  # under the same id
-    st.sampled_from([0.0, 0.05, 0.2, 0.6]),  # until the next process listens
-    st.sampled_from([0.0, 0.1, 0.4, 1.0]),  # from then until its entry is known
+    st.sampled_from([0.0, 0.05, 0.2, 0.6, 6.0]),  # until the next process listens
+    st.sampled_from([0.0, 0.1, 0.4, 1.0, 3.0]),  # from then until its entry is known
     st.booleans(),  # cold
 )
 
