--- a/tests/cover/test_partial_cuts.py
+++ b/tests/cover/test_partial_cuts.py
@@ -52,7 +52,7 @@
 
 
 class TestSuccessorsThatNobodyHears(PartialCutCase):
-    """One host reaches the store and no other host; all others reach only each other."""
+    """One host reaches the store and no other; all others reach only each other."""
 
     hosts = 5
 
