Test more ways in which other hosts confirm a leader that has been replaced

In the fleet of the tests, a host that the store turns away now reads no records of other hosts; hosts can be added.

--- a/tests/cover/test_partial_cuts.py
+++ b/tests/cover/test_partial_cuts.py
@@ -6,9 +6,13 @@
 
 import unittest
 
+from persimmonspoke.internal.fleet.hosts import HOSTS_PREFIX
+from persimmonspoke.internal.fleet.settings import FleetSettings
 from persimmonspoke.internal.ranges.planner import whole_move
-from tests.cover.test_succession import SuccessionCase
-from tests.fakes.range_fleet import SERVICE
+from persimmonspoke.internal.ranges.record import OWNERSHIP_KEY, decode
+from tests.cover.test_succession import SETTLE_S, SuccessionCase
+from tests.fakes.process import GateKind
+from tests.fakes.range_fleet import SERVICE, RangeFleet
 
 REACHED_S = 1.0  # from a takeover until all targets know the fences of the new leader
 GRANTED_S = 2.0  # enough for three rounds of renewals
@@ -19,6 +23,9 @@
 
     def setUp(self):
         super().setUp()
+        self.find_leader()
+
+    def find_leader(self):
         self.first = self.fleet.leader()
         self.others = [host for host in self.fleet.hosts if host is not self.first]
 
@@ -66,6 +73,163 @@
         self.assertTrue(self.first.leadership.may_order())
         self.assert_one_holder()
 
+    # Guards against OWNER: the same with a host that has started since the store last
+    # answered the leader, so that it asks all hosts that it knows, and all confirm it.
+    def test_nor_if_the_successor_is_a_host_that_it_does_not_know(self):
+        self.turn_away(self.fleet.hosts)
+        self.fleet.run_for(0.5)
+        added = self.fleet.add_host(self.cut)
+        self.move_and_restart(self.successor_of(self.first))
+        self.assertTrue(added.leadership.leading)
+        self.assertTrue(self.first.leadership.may_order())
+        self.assert_one_holder()
+
+    # Guards against OWNER: the same with a host whose earlier run is known to be dead.
+    def test_nor_if_the_successor_is_the_next_run_of_a_host_that_has_ended(self):
+        last = self.others[-1]
+        self.turn_away(self.fleet.hosts)
+        last.kill()
+        self.fleet.targets["t3"].restart()
+        self.fleet.run_for(0.7)
+        self.cut([last])
+        next_run = self.fleet.restart(last)
+        self.move_and_restart(self.successor_of(self.first))
+        self.assertTrue(next_run.leadership.leading)
+        self.assertTrue(self.first.leadership.may_order())
+        self.assert_one_holder()
+
+
+class TestHostsInTwoParts(PartialCutCase):
+    """The leader and half of the others don't reach the store; the rest do."""
+
+    # Guards against OWNER: as many hosts as the leader needs confirmed it, while the
+    # others followed the next one.
+    def test_the_half_without_the_store_confirms_nobody(self):
+        for hosts in (3, 5, 9):
+            with self.subTest(hosts=hosts):
+                self.fleet.stop()
+                self.fleet = RangeFleet(hosts=hosts)
+                self.fleet.run_for(SETTLE_S)
+                self.find_leader()
+                half = [self.first, *self.others[: hosts // 2]]
+                self.turn_away(half)
+                self.cut(half)
+                self.move_and_restart(self.successor_of(self.first))
+                self.assertTrue(self.first.leadership.may_order())
+                self.assert_one_holder()
+
+    # Guards against OWNER: a leader that asks some hosts of many met none that follow
+    # its successor.
+    def test_nor_do_those_that_are_chosen_among_many(self):
+        self.fleet.stop()
+        self.fleet = RangeFleet(hosts=9, cfg=FleetSettings(inquiries=3))
+        self.fleet.run_for(SETTLE_S)
+        self.find_leader()
+        asked = self.first.leadership._inquiries._sample(self.first.hosts.known_hosts())
+        names = {entry.name for entry in asked}
+        half = [h for h in self.others if h.hosts.my_entry.name in names]
+        self.turn_away([self.first, *half])
+        self.cut([self.first, *half])
+        self.move_and_restart(self.successor_of(self.first))
+        self.assertTrue(self.first.leadership.may_order())
+        self.assert_one_holder()
+
+    # Guards against OWNER: hosts that had said that they don't hear the leader, and so
+    # let another one lead, confirmed it when they heard it again.
+    def test_those_that_have_let_another_host_lead_do_not(self):
+        half = self.others[:2]
+        self.turn_away([self.first, *half])
+        self.cut([self.first])
+        self.wait_for_takeover()
+        self.fleet.network.heal()
+        self.cut([self.first, *half])
+        second = self.successor_of(self.first)
+        self.assertNotEqual(half[0].leadership.leader, second.hosts.me())
+        self.move_and_restart(second)
+        self.assertTrue(self.first.leadership.may_order())
+        self.assert_one_holder()
+
+    def wait_for_takeover(self):
+        """Wait until the store names another leader, of which no host has heard yet."""
+        for _ in range(20000):
+            leader = decode(self.fleet.platform.get(OWNERSHIP_KEY).value).leader
+            if leader != self.first.hosts.me():
+                return
+            self.fleet.run_for(0.0005)
+        self.fail("no other host takes over")
+
+
+class TestSuccessorsThatHaveStopped(PartialCutCase):
+    """A leader that was cut off hears again a host that has led in between."""
+
+    hosts = 2
+
+    # Guards against OWNER: a host that had led in a later epoch, and led no longer,
+    # counted as one that knows of no later leader.
+    def test_confirm_no_leader_before_them(self):
+        for how in ("resigns", "steps aside"):
+            with self.subTest(how=how):
+                self.fleet.stop()
+                self.fleet = RangeFleet(hosts=self.hosts)
+                self.fleet.run_for(SETTLE_S)
+                self.find_leader()
+                self.turn_away([self.first])
+                self.cut([self.first])
+                second = self.successor_of(self.first)
+                self.fleet.run_for(REACHED_S)
+                second.leadership.may_lead = lambda: False
+                if how == "resigns":
+                    self.end_leadership(second, how)
+                else:
+                    second.leadership.step_aside("test")
+                self.fleet.run_for(0.1)
+                self.fleet.network.heal()
+                self.fleet.targets["t0"].restart()
+                self.fleet.run_for(GRANTED_S)
+                self.assert_one_holder()
+
+    # Guards against OWNER: the next run of such a host counted as well, though it has
+    # not read who leads.
+    def test_nor_does_their_next_run(self):
+        self.turn_away([self.first])
+        self.cut([self.first])
+        second = self.successor_of(self.first)
+        self.fleet.run_for(REACHED_S)
+        second.kill()
+        next_run = self.fleet.restart(second)
+        self.turn_away([next_run])
+        for stored in self.fleet.platform.list(HOSTS_PREFIX).items:
+            next_run.cache.observe(stored)  # as relays tell it
+        self.fleet.network.heal()
+        self.fleet.run_for(REACHED_S)
+        self.fleet.targets["t0"].restart()
+        self.fleet.run_for(GRANTED_S)
+        self.assertTrue(self.first.leadership.may_order())
+        self.assert_one_holder()
+
+
+class TestLeadersThatAreFrozen(PartialCutCase):
+    """A leader stands still between its confirmation and the order that needs it."""
+
+    # Guards against OWNER: an order that was confirmed before a pause is sent after it.
+    def test_send_nothing_that_a_later_process_takes(self):
+        for kind in (GateKind.PEER, GateKind.ORDER):
+            with self.subTest(kind=kind):
+                self.fleet.stop()
+                self.fleet = RangeFleet(hosts=4)
+                self.fleet.run_for(SETTLE_S)
+                self.find_leader()
+                self.turn_away([self.first])
+                self.fleet.run_for(1.6)
+                self.fleet.targets["t0"].restart()
+                self.first.process.pause_at(kind)
+                second = self.successor_of(self.first)
+                self.move_and_restart(second)
+                self.assertTrue(self.first.process.paused)
+                self.first.process.resume()
+                self.fleet.run_for(GRANTED_S)
+                self.assert_one_holder()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/fakes/range_fleet.py
+++ b/tests/fakes/range_fleet.py
@@ -205,9 +205,10 @@
 
     def _read_hosts(self, fleet):
         while True:
-            self.cache.observe_era(fleet.platform.era)
-            for stored in fleet.platform.list(HOSTS_PREFIX).items:
-                self.cache.observe(stored)
+            if not (self.store.faults.silent or self.store.faults.down):
+                self.cache.observe_era(fleet.platform.era)
+                for stored in fleet.platform.list(HOSTS_PREFIX).items:
+                    self.cache.observe(stored)
             eventlet.sleep(0.1)
 
 
@@ -352,6 +353,15 @@
         self.hosts[number].start(self)
         return self.hosts[number]
 
+    def add_host(self, prepare=lambda hosts: None):
+        """Start a host on a new machine; `prepare` is called with a list of it."""
+        host = RangeHost(self, len(self.hosts))
+        host.leadership.first_start = False
+        self.hosts.append(host)
+        prepare([host])
+        host.start(self)
+        return host
+
     def _detect_double_holds(self):
         """Record every key that two targets hold at one time."""
         while True:
