Test that a new leader releases keys at the addresses that targets have left

Two failures on this code, however the leader before has ended: a target that starts again elsewhere, in its service or in another one, while another process of the service listens where it was and has taken its grants. A lapsed entry holds: its keys wait for all earlier grants.

The drawn successions get a second test, whose draws come beside those of the first one, which stay: the store serves some hosts only, or loses answers; single paths between hosts are cut, each way by itself; targets change their address, which goes to another service later, or are replaced by plan while they drain.

--- a/tests/cover/test_drawn_successions.py
+++ b/tests/cover/test_drawn_successions.py
@@ -22,10 +22,11 @@
 )
 
 from persimmonspoke.internal.ranges.planner import whole_move
-from persimmonspoke.internal.routing.config import RoutedService
+from persimmonspoke.internal.routing.config import RoutedService, TargetState
 from persimmonspoke.internal.targets.notices import Incarnation
 from tests.fakes.range_fleet import SERVICE, RangeFleet, record
 from tests.fakes.range_targets import FakeRangeTarget
+from tests.fakes.store import WriteFate
 
 HOSTS = 4
 TARGETS = 4
@@ -36,6 +37,7 @@
 COLD_PER_S = 4.0  # requests that a cold target may get
 LOADED_KEYS = 64
 LOAD_PER_S = 80.0
+REUSED_S = 2.0  # until the address of a target goes to another service
 OWNED_AGAIN_S = 34.0  # a lease, the longest grants, and as much for one more leader
 PINNED_EXAMPLES = 30
 STEPS = 10
@@ -43,6 +45,7 @@
 seconds = st.sampled_from([0.0, 0.1, 0.4, 1.0, 2.5, 6.0])
 delays = st.sampled_from([0.0, 0.05, 0.3, 0.7])
 slots = st.integers(0, TARGETS - 1)
+hosts = st.integers(0, HOSTS - 1)
 ways_or_none = st.sampled_from(["dies", "resigns", "stays", "stays"])
 restarts = st.tuples(
     st.booleans(),  # under the same id
@@ -375,12 +378,173 @@
             self.fleet.stop()
 
 
-class TestDrawnSuccessions(unittest.TestCase):
-    # Guards against OWNER: whatever a leader knew that its successors do not.
-    def test_no_key_has_two_holders_and_all_have_one_again(self):
+class PartialCuts(Successions):
+    """The same beside cuts of single paths, and targets that change their address.
+
+    The store may serve some hosts only, or lose answers.  Where a target has been,
+    nothing listens at first, and later a process of another service.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.ips = [self.fleet.records[f"t{slot}"].ip for slot in range(TARGETS)]
+        self.moves = 0
+
+    @rule(chosen=st.sets(hosts, min_size=1), refuses=st.booleans(), pause_s=seconds)
+    def turn_hosts_away(self, chosen, refuses, pause_s):
+        """Let the store serve the other hosts only."""
+        self.is_cut = True
+        self.turn_away([self.fleet.hosts[number] for number in chosen], refuses)
+        self.fleet.run_for(pause_s)
+
+    def turn_away(self, chosen, refuses=False):
+        for host in chosen:
+            host.store.faults.silent, host.store.faults.down = not refuses, refuses
+
+    @rule(pairs=st.sets(st.tuples(hosts, hosts), min_size=1), pause_s=seconds)
+    def cut_single_paths(self, pairs, pause_s):
+        """Cut paths between hosts, each in one direction."""
+        self.is_cut = True
+        for source, destination in pairs:
+            if source != destination:
+                machines = (
+                    {self.fleet.hosts[number].process.machine}
+                    for number in (source, destination)
+                )
+                self.fleet.network.cut(*machines, both=False)
+        self.fleet.run_for(pause_s)
+
+    @precondition(lambda self: not self.is_cut)
+    @rule(
+        others=st.sets(st.integers(0, HOSTS - 2)),
+        serves=st.sampled_from(["the rest", "the rest", "a host", "nobody"]),
+        slot=slots,
+        moves=st.sampled_from([0, 1, 6]),  # six are all keys that a target had at first
+        loses_paths=st.booleans(),
+        delay_s=delays,
+        restart=restarts,
+        pause_s=seconds,
+    )
+    def part_hosts_and_restart_targets(
+        self, others, serves, slot, moves, loses_paths, delay_s, restart, pause_s
+    ):
+        """Cut the leader and some hosts from the rest; move keys, restart targets."""
+        leader = self.newest_leader()
+        if leader is None:
+            return
+        self.is_cut = True
+        rest = [host for host in self.fleet.hosts if host is not leader]
+        part = [leader, *(rest[number] for number in sorted(others))]
+        rest = [host for host in rest if host not in part]
+        served = {"the rest": rest, "a host": rest[:1], "nobody": []}[serves]
+        self.turn_away([host for host in self.fleet.hosts if host not in served])
+        self.fleet.network.cut(
+            {host.process.machine for host in part},
+            {host.process.machine for host in rest},
+        )
+        if served:
+            self.wait_for_another_than(leader)
+            self.wait_for_another_than(leader)  # without others it takes twice as long
+            self.fleet.run_for(0.5)
+        for step in range(moves):
+            self.move(slot * 16384 + 3001 * step, self.ids[(slot + 1) % TARGETS][-1])
+            self.fleet.run_for(0.05)
+        self.fleet.run_for(delay_s)
+        for number in range(TARGETS):
+            if loses_paths:
+                for host in rest:
+                    host.lost_targets.add(self.ids[(slot + number) % TARGETS][-1])
+            self.restart((slot + number) % TARGETS, *restart)
+            self.fleet.run_for(0.25)
+        self.fleet.run_for(pause_s)
+
+    @rule(
+        number=hosts,
+        fates=st.lists(st.sampled_from(WriteFate), max_size=4),
+        silent_s=delays,
+        extra_s=st.sampled_from([0.0, 0.0, 0.2, 0.7]),
+        pause_s=seconds,
+    )
+    def lose_answers_of_the_store(self, number, fates, silent_s, extra_s, pause_s):
+        """Lose answers to writes of a host, and let the store be slow or silent."""
+        faults = self.fleet.hosts[number].store.faults
+        faults.lost.extend(fates)
+        faults.late_s = 1.5
+        if not faults.silent:
+            faults.silent = silent_s > 0
+            eventlet.spawn_after(silent_s, setattr, faults, "silent", False)
+        faults.extra_s = extra_s
+        eventlet.spawn_after(1.0, setattr, faults, "extra_s", 0.0)
+        self.fleet.run_for(pause_s)
+
+    @rule(slot=slots, restart=restarts, how=ways_or_none, pause_s=seconds)
+    def restart_a_target_elsewhere(self, slot, restart, how, pause_s):
+        """Start the next process of a target, under its id, at another address."""
+        if not self.process_of(slot).down:
+            self.leave_address(slot)
+            _, *rest = restart
+            self.restart(slot, True, *rest)
+        if how != "stays":
+            self.fleet.run_for(0.2)
+            self.end_newest_leader(how)
+        self.fleet.run_for(pause_s)
+
+    def leave_address(self, slot):
+        """Let nothing listen at a slot's address, and give the slot another one."""
+        self.moves += 1
+        name = f"other{self.moves}"
+        self.fleet.targets[name] = FakeRangeTarget(name, down=True)
+        self.fleet.strangers.add(name)
+        for target_id in self.ids[slot]:
+            self.fleet.listening.setdefault((target_id, self.ips[slot]), name)
+        eventlet.spawn_after(REUSED_S, self.fleet.targets[name].start)
+        self.ips[slot] = f"10.1.1.{self.moves}"
+
+    def publish(self, target_id, born_ms, is_cold):
+        super().publish(target_id, born_ms, is_cold)
+        slot = next(n for n, ids in enumerate(self.ids) if target_id in ids)
+        found = self.fleet.records[target_id]
+        self.fleet.records[target_id] = replace(found, ip=self.ips[slot])
+
+    @rule(
+        slot=slots,
+        is_told=st.booleans(),
+        lasts_s=st.sampled_from([2.5, 6.0]),
+        how=ways_or_none,
+        pause_s=seconds,
+    )
+    def replace_a_target_by_plan(self, slot, is_told, lasts_s, how, pause_s):
+        """Start another target elsewhere; the one before drains and then ends."""
+        before = self.ids[slot][-1]
+        if before in self.fleet.records and not self.process_of(slot).down:
+            self.starts += 1
+            name = f"t{slot}.{self.starts}"
+            self.fleet.targets[name] = FakeRangeTarget(name)
+            self.moves += 1
+            self.ids[slot], self.ips[slot] = [name], f"10.1.1.{self.moves}"
+            self.publish(name, 1 + self.starts, False)
+            found = self.fleet.records.pop(before)
+            if is_told:
+                self.fleet.records[before] = replace(found, state=TargetState.LEAVING)
+                eventlet.spawn_after(lasts_s, self.fleet.records.pop, before, None)
+            eventlet.spawn_after(lasts_s, self.fleet.targets[before].crash)
+        if how != "stays":
+            self.fleet.run_for(0.2)
+            self.end_newest_leader(how)
+        self.fleet.run_for(pause_s)
+
+    def heal(self):
+        super().heal()
+        for host in self.fleet.hosts:
+            host.store.faults.down = False
+            host.store.faults.lost.clear()
+
+
+class DrawnCase(unittest.TestCase):
+    def run_drawn(self, machine):
         fresh = os.environ.get("PERSIMMONSPOKE_EXAMPLES")
         run_state_machine_as_test(
-            Successions,
+            machine,
             settings=settings(
                 max_examples=int(fresh or PINNED_EXAMPLES),
                 stateful_step_count=STEPS,
@@ -394,5 +558,18 @@
         )
 
 
+class TestDrawnSuccessions(DrawnCase):
+    # Guards against OWNER: whatever a leader knew that its successors do not.
+    def test_no_key_has_two_holders_and_all_have_one_again(self):
+        self.run_drawn(Successions)
+
+
+class TestDrawnPartialCuts(DrawnCase):
+    # Guards against OWNER: two leaders that different hosts take for the only one, and
+    # processes at addresses where others have been.
+    def test_no_key_has_two_holders_and_all_have_one_again(self):
+        self.run_drawn(PartialCuts)
+
+
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/tests/cover/test_earlier_addresses.py
@@ -0,0 +1,97 @@
+"""A new leader, and the addresses to which its predecessor has sent grants.
+
+A target starts again at another address, under its id, while another process listens at
+the one before; grants went there until the new entry was known.
+"""
+
+import unittest
+from dataclasses import replace
+
+from tests.cover.test_succession import SETTLE_S, SuccessionCase
+from tests.fakes.range_fleet import SERVICE, RangeFleet
+from tests.fakes.range_targets import FakeRangeTarget
+
+RENEWED_S = 0.8  # enough for a round of renewals
+OVER_S = 24.0  # a lease, the longest grants, and the time until keys are granted anew
+WAYS = ("dies", "restarts", "resigns", "steps aside")
+
+
+class EarlierAddressCase(SuccessionCase):
+    hosts = 3
+
+    def start(self):
+        """Start a fleet; another process takes the grants for t0 where t0 has been."""
+        self.fleet.stop()
+        self.fleet = RangeFleet(hosts=self.hosts)
+        self.fleet.run_for(SETTLE_S)
+        self.first = self.fleet.leader()
+        self.found = self.fleet.records["t0"]
+        self.fleet.targets["t0"].crash()
+        self.other = self.fleet.targets["u"] = FakeRangeTarget("u")
+        self.fleet.listening["t0", self.found.ip] = "u"
+        self.fleet.run_for(RENEWED_S)
+        self.assertTrue(self.other.held())
+
+    def end_first(self, how):
+        if how == "steps aside":
+            self.first.leadership.may_lead = lambda: False
+            self.first.leadership.step_aside("test")
+        else:
+            self.end_leadership(self.first, how)
+
+    def publish(self, **changes):
+        """Let t0 start again, and all hosts learn of its new entry."""
+        self.fleet.targets["t0"].start()
+        self.fleet.records["t0"] = replace(
+            self.found, ip="10.1.0.9", born_ms=2, **changes
+        )
+
+    def assert_one_holder(self):
+        self.fleet.run_for(OVER_S)
+        self.assertEqual(self.fleet.double_holds[:3], [])
+        self.assertEqual(self.fleet.fence_violations()[:3], [])
+        self.assertEqual(self.fleet.unheld_keys()[:3], [])
+
+
+class TestSuccessors(EarlierAddressCase):
+    # Guards against OWNER: the next leader granted the keys at the new address, and
+    # knew of no grants at the one before.
+    def test_release_keys_where_a_target_has_been(self):
+        for how in WAYS:
+            for is_known_before in (False, True):
+                with self.subTest(leader=how, is_known_before=is_known_before):
+                    self.start()
+                    if is_known_before:
+                        self.other.silent = True  # so the leader waits
+                        self.publish()
+                        self.fleet.run_for(0.05)
+                    self.end_first(how)
+                    if not is_known_before:
+                        self.publish()
+                    self.assert_one_holder()
+
+    # Guards against OWNER: what listens where a target is now, in another service, had
+    # answered that it holds nothing.
+    def test_release_keys_where_a_target_has_been_that_serves_another_service(self):
+        for how in WAYS:
+            with self.subTest(leader=how):
+                self.start()
+                self.end_first(how)
+                self.publish(service="other")
+                self.assert_one_holder()
+
+    def test_wait_for_grants_to_a_target_without_an_entry(self):
+        for how in WAYS:
+            with self.subTest(leader=how):
+                self.start()
+                self.end_first(how)
+                del self.fleet.records["t0"]
+                self.assert_one_holder()
+                self.assertNotIn("t0", self.owners())
+
+    def owners(self):
+        return self.fleet.leader().keeper.ledger.map(SERVICE).owners()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/fakes/range_fleet.py
+++ b/tests/fakes/range_fleet.py
@@ -228,6 +228,8 @@
         Targets of other services.
     listening : dict of str to str
         Targets whose processes listen at the addresses of others, by these.
+    strangers : set of str
+        Processes of other services, whose keys are others than those of the targets.
     revision : Revision
         Layout of messages that hosts read and write that are started from now on.
     """
@@ -252,6 +254,7 @@
             f"t{number}": FakeRangeTarget(f"t{number}") for number in range(targets)
         }
         self.listening = {}
+        self.strangers = set()
         names = list(self.targets)[:registered]
         self.evacuations = {}
         self.records = {
@@ -316,6 +319,10 @@
         leading = [h for h in self.hosts if h.leadership.may_order()]
         return leading[0] if leading else None
 
+    def _own_targets(self):
+        """Return the names and targets of the service."""
+        return [(n, t) for n, t in self.targets.items() if n not in self.strangers]
+
     def fence_violations(self):
         """Return acquisitions of a key under a fence not above those of other holders.
 
@@ -323,7 +330,7 @@
         """
         acquisitions = sorted(
             (at, key, fence, (name, life))
-            for name, target in self.targets.items()
+            for name, target in self._own_targets()
             for at, key, fence, life in target.acquisitions
         )
         highest, low = {}, []
@@ -337,7 +344,7 @@
 
     def unheld_keys(self):
         """Return the sampled keys that no target holds at present."""
-        held = set().union(*(t.held() for t in self.targets.values()))
+        held = set().union(*(target.held() for _, target in self._own_targets()))
         return [key for key in SAMPLED_KEYS if key not in held]
 
     def run_for(self, seconds):
@@ -366,7 +373,7 @@
         """Record every key that two targets hold at one time."""
         while True:
             seen = {}
-            for name, target in self.targets.items():
+            for name, target in self._own_targets():
                 for key in target.counted_keys():
                     if key in seen:
                         self.double_holds.append(
