Let a drawn target that was replaced by plan get no entry any more

Without it the entry of a process that had ended was published at an address that a process of another service has, and was never removed; a drawn example ended with keys that only this process held.

--- a/tests/cover/test_drawn_successions.py
+++ b/tests/cover/test_drawn_successions.py
@@ -501,8 +501,11 @@
         self.ips[slot] = f"10.1.1.{self.moves}"
 
     def publish(self, target_id, born_ms, is_cold):
+        slots_of = [n for n, ids in enumerate(self.ids) if target_id in ids]
+        if not slots_of:
+            return  # it has been replaced by plan
         super().publish(target_id, born_ms, is_cold)
-        slot = next(n for n, ids in enumerate(self.ids) if target_id in ids)
+        slot = slots_of[0]
         found = self.fleet.records[target_id]
         self.fleet.records[target_id] = replace(found, ip=self.ips[slot])
 
