Test that a target whose entry returns gets all of its keys again

Mover.release reads the target's address once; a new leader that knows no entry at that moment waits for the end of all holds without asking anybody, and each renewal of another range of the same target prolongs that wait.

--- a/tests/cover/test_earlier_addresses.py
+++ b/tests/cover/test_earlier_addresses.py
@@ -7,6 +7,7 @@
 import unittest
 from dataclasses import replace
 
+from persimmonspoke.internal.ranges.planner import whole_move
 from tests.cover.test_succession import SETTLE_S, SuccessionCase
 from tests.fakes.range_fleet import SERVICE, RangeFleet
 from tests.fakes.range_targets import FakeRangeTarget
@@ -93,5 +94,25 @@
         return self.fleet.leader().keeper.ledger.map(SERVICE).owners()
 
 
+class TestEntriesThatReturn(SuccessionCase):
+    """The entry of a target that is well is missing while another host takes over."""
+
+    RETURNED_S = 6.0  # all grants of before have ended by then
+
+    # Guards against keys without an owner until the next change of the leader: their
+    # release went on without an address, and each grant of another range prolonged it.
+    def test_bring_back_the_owner_of_all_keys(self):
+        first = self.fleet.leader()
+        found = self.fleet.records.pop("t0")
+        first.kill()
+        second = self.successor_of(first)
+        self.fleet.run_for(0.15)
+        self.fleet.records["t0"] = found
+        piece = second.keeper.ledger.map(SERVICE).owned_by("t1")[0]
+        second.keeper.start_move(SERVICE, whole_move(piece, "t0"))
+        self.fleet.run_for(self.RETURNED_S)
+        self.assertEqual(self.fleet.unheld_keys()[:3], [])
+
+
 if __name__ == "__main__":
     unittest.main()
