Test that grants of an earlier epoch are not repeated in a later one

Fails on this code: Mover.grant_all starts a task for each receiver, which is not ended with the move when its host stops leading. If the host leads again while the first attempt waits for its answer, the second one gets a new fence of the new epoch without a look at the present owner; two targets hold the keys.

--- a/tests/cover/test_pending_writes.py
+++ b/tests/cover/test_pending_writes.py
@@ -84,6 +84,46 @@
         self.assert_owners_stay()
 
 
+class TestGrantsOfAnEarlierEpoch(SuccessionCase):
+    """A host leads again while a grant of its earlier epoch waits for an answer."""
+
+    # Guards against OWNER: the second attempt of a move's grant went on in the next
+    # epoch of its host, under a new fence and past the owner that the key had by then.
+    def test_are_not_repeated_in_the_later_one(self):
+        first = self.fleet.leader()
+        second = next(h for h in self.fleet.hosts if h is not first)
+        owned = first.keeper.ledger.map(SERVICE).owned_by("t0")[0]
+        piece = replace(owned, last=owned.first + 900)
+        target = self.fleet.targets["t1"]
+        target.late_s = 2.0
+        self.start_move(first, piece, "t1")
+        self.fleet.run_for(0.03)
+        self.assertEqual(self.owner_of(first, piece), "t1")
+        target.late_s = 0.0
+        self.take_over(second)
+        self.fleet.run_for(0.06)
+        self.start_move(second, piece, "t2")
+        self.fleet.run_for(0.06)
+        self.assertEqual(self.owner_of(second, piece), "t2")
+        second.leadership.step_aside("test")
+        self.take_over(first)
+        self.fleet.run_for(3)
+        self.assertEqual(self.fleet.double_holds[:3], [])
+        self.assertEqual(self.owner_of(first, piece), "t2")
+
+    def take_over(self, host):
+        stored = self.fleet.platform.get(OWNERSHIP_KEY)
+        host.leadership._take_over(decode(stored.value), stored.version)
+
+    def start_move(self, host, piece, target_id):
+        found = host.keeper.ledger.map(SERVICE).find(piece.first)
+        moved = replace(piece, owner=found.owner, fence=found.fence)
+        host.keeper.start_move(SERVICE, whole_move(moved, target_id))
+
+    def owner_of(self, host, piece):
+        return host.keeper.ledger.map(SERVICE).find(piece.first).owner
+
+
 class TestLocalChanges(SuccessionCase):
     """Fences and combined ranges change in the leader's copy, between its writes."""
 
