Measure how long keys have no holder while targets and leaders restart

Cause: the table of docs/decisions/successors.md came from a script that was not kept, so the changes of this work could not be compared with it.

--- a/tests/fakes/range_targets.py
+++ b/tests/fakes/range_targets.py
@@ -145,6 +145,11 @@
     listening : dict, optional
         Targets whose processes listen at the addresses of others, by these, or by
         these and the IP number if only that address is meant.
+
+    Attributes
+    ----------
+    opened, sent : int
+        Number of connections opened, and of orders sent.
     """
 
     def __init__(
@@ -161,6 +166,7 @@
         self.is_refused = is_refused
         self._listening = {} if listening is None else listening
         self.opened = 0
+        self.sent = 0
 
     def connect(self, target, deadline):
         """Open a connection to the process that listens where a target has been."""
@@ -217,6 +223,7 @@
         """
         # A pause can begin between the last check and the first byte.
         self._process.gate(GateKind.ORDER, sending=True)
+        self.sent += 1
         eventlet.sleep(LATENCY_S)
         if not conn.is_open():
             conn.close()
--- a/tools/measure/__main__.py
+++ b/tools/measure/__main__.py
@@ -15,6 +15,7 @@
     "tools.measure.ownership",
     "tools.measure.schedules",
     "tools.measure.even_load",
+    "tools.measure.successions",
 )
 
 
