Let all known hosts confirm a leader without the store, not half of them

What callers saw: two targets answered for the same keys, for up to the leader's lease of 12 s. Cause: a host that reaches the store alone takes over 3.5 s after the last write. The hosts on the other side of the cut, whom the store turns away, have not heard of it, and half of them confirmed the leader before. It then granted moved keys, under lower fences, to a target that had started again and knew neither leader. A host that had led and resigned, and the next run of one that had led, confirmed it as well: an answer without a leader counted whatever its epoch. Change: all hosts with a record or on the last list are asked, not a sample, and each has to answer from the epoch of the asking leader. Large fleets are asked less often, by reports_per_s. A test asserted that keys are granted in an outage while one of three followers has ended. Whether that one has ended can't be told from its being cut off, as a cut may refuse connections, so the test asked for a break of the rule. It now asserts that nothing is granted on a new connection meanwhile, that the other targets keep theirs, and that all keys are back 1.5 s after the store.

--- a/src/persimmonspoke/internal/fleet/inquiries.py
+++ b/src/persimmonspoke/internal/fleet/inquiries.py
@@ -29,10 +29,14 @@
         The answer that names the leader of the latest epoch; None if none is later.
     conclusive : bool
         Whether at least half of the hosts that were asked have answered.
+    unanimous : bool
+        Whether all known hosts have answered, each from the epoch asked about.  A host
+        needs only the store to be elected, so one without an answer may lead.
     """
 
     later: LeaderKnown | None
     conclusive: bool
+    unanimous: bool
 
 
 class LeaderInquiries:
@@ -111,14 +115,18 @@
         return None
 
     def survey(self, epoch: int) -> "Survey":
-        """Ask some hosts, all at once, for a leader of a later epoch than `epoch`."""
-        asked = self._sample(self._hosts.known_hosts())
+        """Ask all hosts, all at once, for a leader of a later epoch than `epoch`."""
+        asked = self._hosts.known_hosts()
         calls = [eventlet.spawn(self._ask_or_none, e.address) for e in asked]
         answers = [found for call in calls if (found := call.wait()) is not None]
         later = [a for a in answers if a.leader is not None and a.epoch > epoch]
+        # A host that has led in a later epoch and resigned names no leader.  One that
+        # has just started may not know what an earlier run on its machine has done.
+        same = [answer for answer in answers if answer.epoch == epoch]
         return Survey(
             max(later, key=lambda answer: answer.epoch, default=None),
             2 * len(answers) >= len(asked),
+            len(same) == len(asked),
         )
 
     def candidate_rank(self, leader: PeerAddress | None) -> int:
--- a/src/persimmonspoke/internal/fleet/leadership.py
+++ b/src/persimmonspoke/internal/fleet/leadership.py
@@ -125,6 +125,7 @@
         )
         self._lost: tuple | None = None
         self._lost_at = LONG_AGO
+        self._next_survey_at = LONG_AGO
         self.store_answered_at = clock.now()
         self._resigned = False
         self.leader: PeerAddress | None = None
@@ -433,15 +434,18 @@
             self._confirm()
 
     def _is_confirmed_by_hosts(self):
-        """Return whether at least half of the other hosts know of no later leader."""
+        """Return whether no other host can have been elected since this one was."""
         epoch = self.epoch
+        self._clock.sleep_until(self._next_survey_at)
+        pause_s = len(self._hosts.known_hosts()) / self._cfg.reports_per_s
+        self._next_survey_at = Instant(self._clock.now() + pause_s)
         survey = self._inquiries.survey(epoch)
         if not self.leading or self.epoch != epoch:
             return False
         if survey.later is not None:
             self.follow(survey.later.leader, survey.later.epoch)
             return False
-        return survey.conclusive
+        return survey.unanimous
 
     def _renew_after_restoration(self):
         """Store the ownership that this leader knows over that of an older copy.
--- a/tests/cover/test_succession.py
+++ b/tests/cover/test_succession.py
@@ -286,11 +286,18 @@
                 faults.silent = faults.down = False
                 self.fleet.run_for(2)
 
-    def test_so_it_does_if_a_third_of_the_other_hosts_has_ended(self):
+    # Guards against OWNER: a host that does not answer may have been elected, also one
+    # whose connections are refused, because a cut may refuse them.
+    def test_it_waits_for_the_store_while_one_of_the_other_hosts_does_not_answer(self):
         self.others[0].kill()
         self.fleet.platform.faults.silent = True
         self.fleet.run_for(2)
         self.fleet.targets["t0"].restart()
+        self.fleet.run_for(3)
+        self.assertEqual(self.fleet.targets["t0"].held(), set())
+        held = [target.held() for target in self.fleet.targets.values()]
+        self.assertTrue(all(held[1:]))
+        self.fleet.platform.faults.silent = False
         self.fleet.run_for(1.5)
         self.assertEqual(self.fleet.unheld_keys(), [])
 
