Name the target in each order, so that another at its address refuses it

Cause: an address goes to a target of another service 2 s after its target has ended, and the entry of that one lasts longer. Change: orders carry the header that requests carry, with the target's id; any other target answers 421 and does not execute them. That is no answer of the target: it stays silent, and its hold runs out. Ruled out: the health path on each new connection waits for a slot; time alone leaves targets that were silent without their keys.

--- a/src/persimmonspoke/errors.py
+++ b/src/persimmonspoke/errors.py
@@ -232,6 +232,10 @@
     """The target refused an order or a request with an outdated epoch."""
 
 
+class TargetMismatch(TargetError):
+    """Another target listens at the address; it has not executed the order."""
+
+
 class TargetShed(TargetError):
     """The target reported that it shed the request; the request did not run."""
 
--- a/src/persimmonspoke/internal/ranges/api.py
+++ b/src/persimmonspoke/internal/ranges/api.py
@@ -42,8 +42,9 @@
 
     One order at a time can be in progress on it.  Its methods raise
     `OrderOutcomeUnknown` (no answer in time; no part of the order arrives later),
-    `OrderConnectionLost` (the target may have restarted) or `TargetFenced`.  It is
-    closed after an order without an answer.
+    `OrderConnectionLost` (the target may have restarted), `TargetFenced` or
+    `TargetMismatch` (another target is at the other end).  It is closed after an order
+    that was not answered by its target.
 
     Attributes
     ----------
--- a/src/persimmonspoke/platform/orders.py
+++ b/src/persimmonspoke/platform/orders.py
@@ -1,4 +1,8 @@
-"""Sends orders about keys to targets in the platform's protocol."""
+"""Sends orders about keys to targets in the platform's protocol.
+
+Each order names its target, because an address is given to other targets, also of other
+services, while the entry of the one before is still known.
+"""
 
 import json
 import socket
@@ -12,6 +16,7 @@
     OrderConnectionLost,
     OrderOutcomeUnknown,
     TargetFenced,
+    TargetMismatch,
 )
 from persimmonspoke.ids import Instant
 from persimmonspoke.internal.clock import Clock
@@ -87,7 +92,10 @@
                 "POST",
                 path,
                 body=json.dumps(body).encode(),
-                headers={"Content-Type": "application/json"},
+                headers={
+                    "Content-Type": "application/json",
+                    headers.EXPECTED_TARGET: self._target.target_id,
+                },
                 preload_content=False,
             )
             resp = conn.getresponse()
@@ -105,6 +113,9 @@
             raise
         finally:
             timer.cancel()
+        if resp.status == 421:
+            conn.drop()
+            raise TargetMismatch(f"{path}: another target listens at the address")
         if resp.status == 409:
             raise TargetFenced(f"{path}: the target has seen a higher fence")
         if resp.status != 200:
--- a/tests/fakes/key_process.py
+++ b/tests/fakes/key_process.py
@@ -13,6 +13,8 @@
 import threading
 import time
 
+from persimmonspoke.platform.headers import EXPECTED_TARGET
+
 KEY_COUNT = 65536
 BACKLOG = 64
 
@@ -54,14 +56,18 @@
     def _serve(self, sock):
         with contextlib.suppress(OSError), sock, sock.makefile("rb") as stream:
             while line := stream.readline():
-                length = 0
+                length, named = 0, self._name
                 while (field := stream.readline()) not in (b"\r\n", b""):
                     name, _, value = field.partition(b":")
                     if name.lower() == b"content-length":
                         length = int(value)
+                    elif name.decode().lower() == EXPECTED_TARGET.lower():
+                        named = value.decode().strip()
                 body = stream.read(length)
                 path = line.split()[1].decode()
-                status = self._execute(path, json.loads(body or b"{}"))
+                status = 421
+                if named == self._name:
+                    status = self._execute(path, json.loads(body or b"{}"))
                 head = f"HTTP/1.1 {status} -\r\nContent-Length: 0\r\n\r\n"
                 sock.sendall(head.encode())
 
--- a/tests/loopback/test_platform_adapter.py
+++ b/tests/loopback/test_platform_adapter.py
@@ -16,6 +16,7 @@
     StoreMissing,
     StoreUnavailable,
     TargetFenced,
+    TargetMismatch,
 )
 from persimmonspoke.ids import Instant
 from persimmonspoke.internal.clock import SystemClock
@@ -300,6 +301,7 @@
     def app(self, environ, start_response):
         body = environ["wsgi.input"].read(int(environ["CONTENT_LENGTH"]))
         self.received.append((environ["PATH_INFO"], json.loads(body)))
+        self.named = environ.get("HTTP_PERSIMMONSPOKE_TARGET_INSTANCE")
         eventlet.sleep(self.pause_s)
         fields = [("Content-Length", "0"), ("Persimmonspoke-Handover", "h-1")]
         start_response(self.status, fields)
@@ -338,6 +340,24 @@
             conn.grant(RangeGrant(1, 5, 7, 2.5), self.deadline())
         self.assertTrue(conn.is_open())
 
+    # Guards against OWNER: an address goes to other targets, which must not take orders
+    # that are meant for the one before.
+    def test_orders_name_their_target_and_another_one_there_is_a_mismatch(self):
+        orders = (
+            ("grant", RangeGrant(1, 5, 7, 2.5)),
+            ("release", RangeRelease(1, 5, 8)),
+        )
+        for name, order in orders:
+            with self.subTest(name):
+                conn = self.connect()
+                self.status = "200 OK"
+                getattr(conn, name)(order, self.deadline())
+                self.assertEqual(self.named, self.target.target_id)
+                self.status = "421 Misdirected Request"
+                with self.assertRaises(TargetMismatch):
+                    getattr(conn, name)(order, self.deadline())
+                self.assertFalse(conn.is_open())
+
     def test_no_answer_in_time_is_an_unknown_outcome_and_closes_the_connection(self):
         self.pause_s = 0.5
         conn = self.connect()
