End the grants of an epoch with it, also if the same host leads in the next one

Cause: the grants of a move run in tasks of their own, which go on when the move is ended. If its host leads on after a restoration of the store, such a task was refused, renewed its fence in the ledger of the new epoch without a check, and took keys back that had gone to another target: two holders for 1.8 s. Change: the granters of the epoch before count as replaced, so whichever task holds one sends nothing. Ruled out: ending these tasks with the move, which does as well for this test, but not for those of later. Measured: test_ended_epochs failed before and passes.

--- a/src/persimmonspoke/internal/ranges/granters.py
+++ b/src/persimmonspoke/internal/ranges/granters.py
@@ -65,7 +65,12 @@
         self.reconcile_soon: Callable[[], None] = lambda: None
 
     def reset(self) -> None:
-        """Drop all granters, for a new epoch in which this host leads."""
+        """Drop all granters, for a new epoch in which this host leads.
+
+        What still runs for the epoch before then sends no more grants.
+        """
+        for granter in self._granters.values():
+            granter.is_replaced = True
         self._granters = {}
 
     def close_connections(self) -> None:
