Repeat no write of the ownership in a later epoch of the same host

Cause: a write without an answer is repeated while its host may give orders. If another host has led in between and this one leads again within the second that the call takes, the repetition used the version of the new epoch and the content of the old one: it put back owners of the past, and moved keys got a second holder. A late answer to such a write undid version and content, so the next write met a conflict and the host stopped. Change: a write ends with the epoch of its content.

--- a/src/persimmonspoke/internal/fleet/leadership.py
+++ b/src/persimmonspoke/internal/fleet/leadership.py
@@ -384,7 +384,8 @@
     def _write(self, ownership):
         """Write the object, and repeat until the outcome is known.
 
-        The caller holds the write lock.
+        The caller holds the write lock.  Raise `AuthorityLapsed` if the epoch of
+        `ownership` has ended, also if this host leads again by then.
         """
         unresolved = False
         while True:
@@ -402,19 +403,23 @@
                 )
             except StoreOutcomeUnknown:
                 unresolved = True
+                self._check_epoch(ownership)
                 self.check()
                 continue
             except StoreUnavailable:
                 # An earlier attempt may still take effect, so the write must go on.
                 if not unresolved:
                     raise
+                self._check_epoch(ownership)
                 self.check()
                 continue
             except StoreConflict as exc:
+                self._check_epoch(ownership)
                 if self._is_forgotten():
                     raise AuthorityLapsed("the store was restored") from exc
                 self._stop("the object has another writer")
                 raise AuthorityLapsed("another host took over") from exc
+            self._check_epoch(ownership)
             self._version = stored.version
             self.ownership = ownership
             self.lease_until = Instant(sent_at + self._cfg.lease_s)
@@ -422,6 +427,11 @@
             self._confirmations.on_written(sent_at)
             return
 
+    def _check_epoch(self, ownership):
+        """Raise `AuthorityLapsed` if the epoch of `ownership` has ended."""
+        if self.epoch != ownership.epoch:
+            raise AuthorityLapsed(f"epoch {ownership.epoch} has ended")
+
     def _confirm(self):
         """Write the object again; this renews the lease and shows a living leader."""
         with self._write_lock:
