Keep local changes of the ownership that are made during a write

Cause: a write sets the leader's copy to what it has stored, and so undid fences and combined ranges that had been set meanwhile. A combined range is protected by the transfer of one of its parts: without it the other part went to another target, and a second attempt to grant the combined range took it back, under a higher fence. Change: local changes made since a write began are applied again to what it has stored. Measured: TestLocalChanges failed before and passes.

--- a/src/persimmonspoke/internal/fleet/leadership.py
+++ b/src/persimmonspoke/internal/fleet/leadership.py
@@ -133,6 +133,8 @@
         self.leading = False
         self.lease_until = LONG_AGO
         self.ownership: Ownership | None = None
+        # Local changes since the last write of the object began.
+        self._changes_since_write: list[Callable[[Ownership], Ownership]] = []
         self._former_end_at: dict[PeerAddress | None, Instant] = {}
         self.former_grants_end_at: dict[TargetId, Instant] = {}
         self.first_start = True
@@ -275,6 +277,7 @@
         """
         self.check()
         self.ownership = change(self.ownership)
+        self._changes_since_write.append(change)
 
     def check_store(self) -> None:
         """Test whether the store answers this host.
@@ -388,6 +391,7 @@
         `ownership` has ended, also if this host leads again by then.
         """
         unresolved = False
+        self._changes_since_write = []
         while True:
             sent_at = self._clock.now()
             deadline = Instant(sent_at + self._cfg.store_call_s)
@@ -421,6 +425,8 @@
                 raise AuthorityLapsed("another host took over") from exc
             self._check_epoch(ownership)
             self._version = stored.version
+            for change in self._changes_since_write:
+                ownership = change(ownership)
             self.ownership = ownership
             self.lease_until = Instant(sent_at + self._cfg.lease_s)
             self.store_answered_at = sent_at
