Look a target up again once it has released its keys

Cause: the entry of a target that was to keep its keys may lapse while the release waits for its work. The transfer then failed with a KeyError, and its keys had no owner until the next one. Change: the entry that is known after the release decides.

--- a/src/persimmonspoke/internal/ranges/mover.py
+++ b/src/persimmonspoke/internal/ranges/mover.py
@@ -158,6 +158,7 @@
                 # It may have taken orders since it started, before that was known.
                 whole = replace(entries[0], last=last)
                 handover = self.release(transfers, whole)
+                record = self._state.targets.get(target_id)
                 stays = self._stays(service, record, restarted)
                 new_ranges = self._assign(service, target_id, entries, stays, handover)
             self._ledger.commit(service, new_ranges)
--- a/tests/cover/test_restarted_targets.py
+++ b/tests/cover/test_restarted_targets.py
@@ -171,6 +171,20 @@
         self.assert_all_held()
 
 
+    # Guards against a transfer that fails: the entry of a target that was to keep its
+    # keys had lapsed by the time that the target had released them.
+    def test_keys_of_a_target_whose_entry_lapses_during_its_release_go_to_others(self):
+        self.restart_before_its_entry()
+        self.target.work_s = 0.5
+        self.publish_entry(ip="10.1.0.9")
+        self.fleet.run_for(0.3)
+        with self.assertNoLogs("persimmonspoke", "ERROR"):
+            del self.fleet.records["t0"]
+            self.fleet.run_for(3)
+        self.assertNotIn("t0", self.owners())
+        self.assert_all_held()
+
+
 class TestEvacuatedTargets(RestartCase):
     """A target in an evacuated data centre loses its keys when it starts again."""
 
