Log connection, process, confirmation and hold's end of each order

No logic changes here.

Grants (first ones, refused and unanswered ones) and releases name these now. The leader logs each confirmation that was asked for, by the store or by how many of how many hosts, who was not heard and who knew of a later leader; a takeover names the addresses of former leaders.

--- a/src/persimmonspoke/internal/fleet/confirmations.py
+++ b/src/persimmonspoke/internal/fleet/confirmations.py
@@ -2,6 +2,8 @@
 
 import logging
 from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
 
 import eventlet
 from eventlet.event import Event
@@ -20,6 +22,39 @@
 log = logging.getLogger(__name__)
 
 
+class ConfirmationSource(Enum):
+    """Who has confirmed a leader."""
+
+    STORE = "store"
+    HOSTS = "hosts"
+
+
+@dataclass(frozen=True, slots=True)
+class Confirmation:
+    """Evidence that no later leader had been elected when it was asked for.
+
+    Attributes
+    ----------
+    heard, asked : int
+        Number of other hosts that answered and that were asked; 0 if it is the store's.
+    """
+
+    asked_at: Instant
+    source: ConfirmationSource
+    heard: int = 0
+    asked: int = 0
+
+    def log_fields(self, now: Instant) -> dict:
+        """Return the fields of a log line about what this confirmation allowed."""
+        fields = {
+            "confirmed_by": self.source.value,
+            "confirmed_age_s": round(now - self.asked_at, 3),
+        }
+        if self.source is ConfirmationSource.HOSTS:
+            fields["confirmed_by_hosts"] = [self.heard, self.asked]
+        return fields
+
+
 class Confirmations:
     """Confirms, on request, that this host has led until now.
 
@@ -40,6 +75,10 @@
         When the last successful write of the object was sent.
     confirmed_at : Instant
         Latest moment of which a confirmation is known.
+    latest : Confirmation or None
+        The confirmation of that moment.
+    surveyed : tuple of int
+        Hosts that answered and that were asked, as last noted by `ask_hosts`.
     """
 
     def __init__(
@@ -53,11 +92,13 @@
         self._is_asking = False
         self.written_at = LONG_AGO
         self.confirmed_at = LONG_AGO
+        self.latest: Confirmation | None = None
+        self.surveyed = (0, 0)
 
     def on_written(self, sent_at: Instant) -> None:
         """Record a successful write of the object, which was sent at `sent_at`."""
         self.written_at = max(self.written_at, sent_at)
-        self._record(sent_at)
+        self._record(Confirmation(sent_at, ConfirmationSource.STORE))
 
     def wait_for(self, since: Instant, deadline: Instant) -> bool:
         """Wait for a confirmation about `since` or later; return whether there is one.
@@ -89,7 +130,13 @@
     def _confirm_by_store(self):
         try:
             self._clock.sleep_until(Instant(self.written_at + SPACING_S))
+            asked_at = self._clock.now()
             self._write()
+            if self.written_at >= asked_at:
+                log.info(
+                    "leader: confirmed by the store",
+                    extra={"took_s": round(self._clock.now() - asked_at, 3)},
+                )
         except (StoreError, AuthorityLapsed) as exc:
             log.info("leader: not confirmed", extra={"reason": repr(exc)})
         finally:
@@ -105,16 +152,23 @@
                 return
             asked_at = self._clock.now()
             if self._ask_hosts():
+                heard, asked = self.surveyed
                 log.info(
                     "leader: confirmed by other hosts",
-                    extra={"store_age_s": round(asked_at - self.written_at, 3)},
+                    extra={
+                        "store_age_s": round(asked_at - self.written_at, 3),
+                        "heard": heard,
+                        "asked": asked,
+                    },
                 )
-                self._record(asked_at)
+                source = ConfirmationSource.HOSTS
+                self._record(Confirmation(asked_at, source, heard, asked))
         finally:
             self._is_asking = False
 
-    def _record(self, asked_at):
-        if asked_at > self.confirmed_at:
-            self.confirmed_at = asked_at
+    def _record(self, confirmation):
+        if confirmation.asked_at > self.confirmed_at:
+            self.confirmed_at = confirmation.asked_at
+            self.latest = confirmation
             changed, self._changed = self._changed, Event()
             changed.send(None)
--- a/src/persimmonspoke/internal/fleet/inquiries.py
+++ b/src/persimmonspoke/internal/fleet/inquiries.py
@@ -6,7 +6,7 @@
 import eventlet
 
 from persimmonspoke.errors import PeerError
-from persimmonspoke.ids import Instant, Version
+from persimmonspoke.ids import HostId, Instant, Version
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.fleet.hosts import Hosts
 from persimmonspoke.internal.fleet.messages import LeaderKnown, LeaderQuery
@@ -29,10 +29,30 @@
         The answer that names the leader of the latest epoch; None if none is later.
     conclusive : bool
         Whether at least half of the hosts that were asked have answered.
+    asked : int
+        Number of hosts that were asked.
+    unheard : tuple of HostId
+        Those that did not answer.
+    later_known_by : HostId or None
+        The host that named the later leader.
     """
 
     later: LeaderKnown | None
     conclusive: bool
+    asked: int
+    unheard: tuple[HostId, ...]
+    later_known_by: HostId | None
+
+    def log_fields(self) -> dict:
+        """Return the fields of a log line about this survey."""
+        later = self.later
+        return {
+            "heard": self.asked - len(self.unheard),
+            "asked": self.asked,
+            "unheard": list(self.unheard),
+            "later": later and [later.leader.host_id, later.epoch],
+            "later_known_by": self.later_known_by,
+        }
 
 
 class LeaderInquiries:
@@ -114,11 +134,25 @@
         """Ask some hosts, all at once, for a leader of a later epoch than `epoch`."""
         asked = self._sample(self._hosts.known_hosts())
         calls = [eventlet.spawn(self._ask_or_none, e.address) for e in asked]
-        answers = [found for call in calls if (found := call.wait()) is not None]
-        later = [a for a in answers if a.leader is not None and a.epoch > epoch]
+        found = [
+            (e.address.host_id, c.wait()) for e, c in zip(asked, calls, strict=True)
+        ]
+        answers = [(name, answer) for name, answer in found if answer is not None]
+        later_known_by, later = max(
+            (
+                (name, answer)
+                for name, answer in answers
+                if answer.leader is not None and answer.epoch > epoch
+            ),
+            key=lambda item: item[1].epoch,
+            default=(None, None),
+        )
         return Survey(
-            max(later, key=lambda answer: answer.epoch, default=None),
+            later,
             2 * len(answers) >= len(asked),
+            len(asked),
+            tuple(name for name, answer in found if answer is None),
+            later_known_by,
         )
 
     def candidate_rank(self, leader: PeerAddress | None) -> int:
--- a/src/persimmonspoke/internal/fleet/leadership.py
+++ b/src/persimmonspoke/internal/fleet/leadership.py
@@ -27,7 +27,10 @@
 )
 from persimmonspoke.ids import Instant, TargetId, Version
 from persimmonspoke.internal.clock import Clock
-from persimmonspoke.internal.fleet.confirmations import Confirmations
+from persimmonspoke.internal.fleet.confirmations import (
+    Confirmation,
+    Confirmations,
+)
 from persimmonspoke.internal.fleet.hosts import Hosts
 from persimmonspoke.internal.fleet.inquiries import NEVER_HEARD_S, LeaderInquiries
 from persimmonspoke.internal.fleet.messages import (
@@ -123,6 +126,7 @@
         self._confirmations = Confirmations(
             clock, self._confirm, self._is_confirmed_by_hosts
         )
+        self._last_survey: dict | None = None
         self._lost: tuple | None = None
         self._lost_at = LONG_AGO
         self.store_answered_at = clock.now()
@@ -211,10 +215,11 @@
         if not self.may_order():
             raise AuthorityLapsed(f"this host does not lead in epoch {self.epoch}")
 
-    def check_led_at(self, moment: Instant, deadline: Instant) -> None:
+    def check_led_at(self, moment: Instant, deadline: Instant) -> Confirmation | None:
         """Return once it is certain that no later leader had been elected by `moment`.
 
-        All processes that ran at that moment know the fences of any later leader.
+        All processes that ran at that moment know the fences of any later leader.  The
+        confirmation that is returned is for logs.
 
         Raises
         ------
@@ -227,7 +232,9 @@
             raise AuthorityLapsed(
                 f"this host is not confirmed as the leader of epoch {self.epoch}"
             )
+        confirmation = self._confirmations.latest
         self.check()
+        return confirmation
 
     def on_not_leading(self, leader: PeerAddress) -> None:
         """Record that `leader` has answered that it does not lead."""
@@ -386,6 +393,7 @@
         The caller holds the write lock.
         """
         unresolved = False
+        before = self.ownership
         while True:
             sent_at = self._clock.now()
             deadline = Instant(sent_at + self._cfg.store_call_s)
@@ -414,6 +422,14 @@
                     raise AuthorityLapsed("the store was restored") from exc
                 self._stop("the object has another writer")
                 raise AuthorityLapsed("another host took over") from exc
+            if self.ownership is not before:
+                log.info(
+                    "leader: a write has replaced changes made meanwhile",
+                    extra={
+                        "epoch": self.epoch,
+                        "took_s": round(self._clock.now() - sent_at, 3),
+                    },
+                )
             self._version = stored.version
             self.ownership = ownership
             self.lease_until = Instant(sent_at + self._cfg.lease_s)
@@ -436,6 +452,8 @@
         """Return whether at least half of the other hosts know of no later leader."""
         epoch = self.epoch
         survey = self._inquiries.survey(epoch)
+        self._log_survey(survey, epoch)
+        self._confirmations.surveyed = survey.asked - len(survey.unheard), survey.asked
         if not self.leading or self.epoch != epoch:
             return False
         if survey.later is not None:
@@ -443,6 +461,17 @@
             return False
         return survey.conclusive
 
+    def _log_survey(self, survey, epoch):
+        """Log a survey whose outcome is not that of the one before.
+
+        Surveys are repeated every 0.1 s until one confirms this host.
+        """
+        fields = {"epoch": epoch, "conclusive": survey.conclusive}
+        fields |= survey.log_fields()
+        if fields != self._last_survey:
+            self._last_survey = fields
+            log.info("leader: other hosts asked", extra=fields)
+
     def _renew_after_restoration(self):
         """Store the ownership that this leader knows over that of an older copy.
 
@@ -483,6 +512,7 @@
                     "stored_epoch": stored.epoch,
                     "stored_era": stored.era,
                     "conclusive": survey.conclusive,
+                    **survey.log_fields(),
                     "former": _log_rows(former),
                     "store_version": self._version,
                 },
@@ -754,6 +784,7 @@
                 "store_version": self._version,
                 "era": era,
                 "owners_uncertain": self.owners_uncertain,
+                **_grant_fields(self._grants_left()),
             },
         )
         self._begin_epoch()
@@ -817,7 +848,7 @@
                 "leader: a former leader has stopped",
                 extra={
                     "host": address.host_id,
-                    "grants": len(grants),
+                    **_grant_fields(grants),
                     "former": _log_rows(self._former_left()),
                 },
             )
@@ -837,6 +868,15 @@
                 f"epoch {message.epoch} has ended; this is epoch {self.epoch}"
             )
         grants = self._grants_left()
+        if grants:
+            log.info(
+                "leader: grants reported to a later leader",
+                extra={
+                    "leader": message.leader.host_id,
+                    "epoch": message.epoch,
+                    **_grant_fields(grants),
+                },
+            )
         self.follow(message.leader, message.epoch)
         return NewLeaderSeen(self._hosts.me().host_id, grants)
 
@@ -851,8 +891,18 @@
 
 
 def _log_rows(former):
-    """Return host and time left of each former leader, for a log line."""
+    """Return host, time left and address of each former leader, for a log line."""
     return [
-        [entry.address.host_id if entry.address else None, round(entry.left_s, 2)]
+        [
+            entry.address.host_id if entry.address else None,
+            round(entry.left_s, 2),
+            f"{entry.address.ip}:{entry.address.port}" if entry.address else None,
+        ]
         for entry in former
     ]
+
+
+def _grant_fields(grants):
+    """Return number and longest time left of some grants, for a log line."""
+    longest_s = max((grant.left_s for grant in grants), default=0.0)
+    return {"grants": len(grants), "longest_grant_s": round(longest_s, 2)}
--- a/src/persimmonspoke/internal/ranges/api.py
+++ b/src/persimmonspoke/internal/ranges/api.py
@@ -49,9 +49,12 @@
     ----------
     opened_at : Instant
         When it had been opened; the process at the other end had started before.
+    local_port : int or None
+        Port of this end, by which logs of the other end tell connections apart.
     """
 
     opened_at: Instant
+    local_port: int | None
 
     def is_open(self) -> bool:
         """Return whether it can be used, as far as is known without an order."""
--- a/src/persimmonspoke/internal/ranges/granter.py
+++ b/src/persimmonspoke/internal/ranges/granter.py
@@ -17,6 +17,12 @@
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.ranges.api import RangeGrant, RangeRelease
 from persimmonspoke.internal.ranges.connections import MAX_GRANT_CONNECTIONS
+from persimmonspoke.internal.ranges.order_history import (
+    Outcome,
+    SentOrder,
+    address_fields,
+    outcome_of,
+)
 from persimmonspoke.internal.ranges.ranges import MIN_KEY, KeyRange
 from persimmonspoke.internal.ranges.settings import RangeSettings
 from persimmonspoke.internal.routing.config import TargetRecord
@@ -174,7 +180,9 @@
         try:
             self._granters.check_lease()
             deadline = Instant(self._clock.now() + self._cfg.order_s)
-            self._granters.connections(self.address).release(order, deadline)
+            self._granters.connections(self.address).release(
+                order, deadline, self.born_ms, log_level=logging.DEBUG
+            )
         except (TargetError, AuthorityLapsed) as exc:
             log.debug("ranges: target still silent", extra={"reason": str(exc)})
             return
@@ -197,7 +205,7 @@
         except AuthorityLapsed as exc:
             log.warning(
                 "ranges: grant not sent, this host may not give orders",
-                extra={"target": self.target_id, "reason": str(exc)},
+                extra={**address_fields(self.address), "reason": str(exc)},
             )
         return False
 
@@ -215,26 +223,25 @@
         """
         refused = sent = False
         for _ in range(MAX_ATTEMPTS):
+            order = None
             try:
                 with self._channel(entry.fence, transferring) as channel:
                     entry = self._sendable(channel, entry, refused, transferring)
                     if entry is None:
                         return False
-                    self._send(channel, entry, self._hold_s())
+                    order = self._new_order(channel, entry, self._hold_s())
+                    self._send(channel, order)
             except TargetFenced:
-                log.info("ranges: grant refused", extra=self._log_fields(entry))
+                self._log_failure("ranges: grant refused", entry, order)
                 self._last_answer_at = self._clock.now()
                 refused = True
             except TargetError as exc:
                 refused = False
                 sent = isinstance(exc, OrderOutcomeUnknown)
                 self._failures += 1
-                log.info(
-                    "ranges: grant unanswered",
-                    extra={**self._log_fields(entry), "reason": str(exc)},
-                )
+                self._log_failure("ranges: grant unanswered", entry, order, str(exc))
             else:
-                self._on_granted(entry)
+                self._on_granted(entry, order)
                 return True
         if not refused:
             self._handle_no_answer(sent)
@@ -265,7 +272,11 @@
             handover = None if entry.fence in self._confirmed_fences else entry.handover
             log.info(
                 "ranges: range gets a higher fence",
-                extra={**self._log_fields(entry), "refused": refused},
+                extra={
+                    **self._log_fields(entry),
+                    "conn": channel.number,
+                    "refused": refused,
+                },
             )
             entry = self._ledger.renew_fence(
                 self.service, entry, handover, transferring=transferring
@@ -312,32 +323,65 @@
             "fence": entry.fence,
         }
 
-    def _send(self, channel, entry, hold_s):
-        order = RangeGrant(entry.first, entry.last, entry.fence, hold_s, entry.handover)
-        max_hold_s = self._cfg.max_duration_s(hold_s)
-        deadline = Instant(self._clock.now() + self._cfg.order_s)
+    def _log_failure(self, message, entry, order, reason=None):
+        """Log a grant that was not taken, and the orders before it.
+
+        `order` is None if it was not sent, as when no connection was opened.
+        """
+        fields = {**address_fields(self.address), "born_ms": self.born_ms}
+        fields |= self._log_fields(entry) | {"reason": reason}
+        if order is not None:
+            fields |= order.log_fields(self.address)
+        log.info(message, extra=fields)
+        self._granters.log_latest_orders(self.address, message)
+
+    def _new_order(self, channel, entry, hold_s):
+        now = self._clock.now()
+        return SentOrder(
+            RangeGrant(entry.first, entry.last, entry.fence, hold_s, entry.handover),
+            channel.number,
+            channel.conn.opened_at,
+            channel.conn.local_port,
+            sent_at=now,
+            deadline=Instant(now + self._cfg.order_s),
+            born_ms=self.born_ms,
+            is_renewal=channel.has_carried(entry.fence),
+            confirmation=channel.confirmation,
+            lease_until=self._granters.lease_until,
+        )
+
+    def _send(self, channel, sent):
+        max_hold_s = self._cfg.max_duration_s(sent.order.hold_s)
         # Until it is answered, the order may take effect as late as its deadline;
         # also if this task is killed while it waits for the answer.
         order_id = object()
-        self._in_flight[order_id] = Instant(deadline + max_hold_s)
+        self._in_flight[order_id] = Instant(sent.deadline + max_hold_s)
         try:
             # No other task runs between this check and the sending of the order.
             self._granters.check_lease()
-            channel.grant(order, deadline)
+            sent.outcome = Outcome.INTERRUPTED
+            channel.grant(sent.order, sent.deadline)
+            sent.outcome = Outcome.TAKEN
+        except TargetError as exc:
+            sent.outcome = outcome_of(exc)
+            raise
         finally:
             del self._in_flight[order_id]
-            self._granted_until = max(
-                self._granted_until, Instant(self._clock.now() + max_hold_s)
-            )
+            sent.ended_at = self._clock.now()
+            sent.may_hold_until = Instant(sent.ended_at + max_hold_s)
+            self._granted_until = max(self._granted_until, sent.may_hold_until)
+            channel.history.record(sent)
 
-    def _on_granted(self, entry):
+    def _on_granted(self, entry, sent):
         self.record_answer()
         self._granters.paths.record_answer(self.target_id)
         self._confirmed_fences.add(entry.fence)
         key = (entry.first, entry.last, entry.fence)
         if key not in self.granted:
             self.granted.add(key)
-            self._granters.on_first_grant(self.service, entry)
+            self._granters.on_first_grant(
+                self.service, entry, sent.log_fields(self.address)
+            )
 
     def _mark_silent(self):
         if self.responsiveness is Responsiveness.SILENT:
@@ -346,7 +390,8 @@
         log.warning(
             "ranges: target is silent, its keys are taken back",
             extra={
-                "target": self.target_id,
+                **address_fields(self.address),
+                "born_ms": self.born_ms,
                 "service": self.service,
                 "may_hold_for_s": round(self.may_hold_until - self._clock.now(), 2),
                 "unanswered_for_s": round(self._clock.now() - self._last_answer_at, 2),
--- a/src/persimmonspoke/internal/ranges/granters.py
+++ b/src/persimmonspoke/internal/ranges/granters.py
@@ -14,8 +14,9 @@
 )
 from persimmonspoke.internal.ranges.granter import Granter, Responsiveness
 from persimmonspoke.internal.ranges.ledger import Ledger
+from persimmonspoke.internal.ranges.order_history import address_fields
 from persimmonspoke.internal.ranges.planner import EligibleTarget
-from persimmonspoke.internal.ranges.ranges import KeyRange
+from persimmonspoke.internal.ranges.ranges import MAX_KEY, MIN_KEY, KeyRange
 from persimmonspoke.internal.ranges.settings import RangeSettings
 from persimmonspoke.internal.ranges.tasks import LeaderTasks
 from persimmonspoke.internal.routing.config import TargetRecord, TargetState
@@ -78,10 +79,21 @@
         """Return the connections for orders to a target at an address."""
         return self._connections.to(address)
 
+    def log_latest_orders(self, address: TargetAddress, reason: str) -> None:
+        """Log the latest orders to a target at an address, if there were any."""
+        connections = self._connections.find(address)
+        if connections is not None:
+            connections.history.write(reason)
+
     def check_lease(self) -> None:
         """Raise `AuthorityLapsed` unless this host may give orders now."""
         self._leadership.check()
 
+    @property
+    def lease_until(self) -> Instant:
+        """End of this host's lease."""
+        return self._leadership.lease_until
+
     def hold_s(self) -> float:
         """Return the length of the next grants; longer while the store is silent."""
         if self.store_is_reachable():
@@ -93,16 +105,15 @@
         lease_s = self._leadership.lease_until - self._clock.now()
         return lease_s >= self._leadership.lease_s - MAX_CONFIRMATION_AGE_S
 
-    def on_first_grant(self, service: ServiceId, entry: KeyRange) -> None:
+    def on_first_grant(
+        self, service: ServiceId, entry: KeyRange, order_fields: dict
+    ) -> None:
         """Log that the owner of a range has confirmed its first grant."""
         log.info(
             "ranges: granted",
             extra={
+                **order_fields,
                 "service": service,
-                "target": entry.owner,
-                "first": entry.first,
-                "last": entry.last,
-                "fence": entry.fence,
                 "warm": entry.handover is not None,
                 "epoch": self._leadership.epoch,
             },
@@ -137,6 +148,7 @@
             if replaced is not None:
                 replaced.is_replaced = True
                 granter.include_holds_of(replaced)
+                self._log_replaced(replaced, granter)
             self._granters[key] = granter
         if not granter.running and granter.responsiveness is Responsiveness.ANSWERS:
             granter.running = True
@@ -175,6 +187,44 @@
         former = self._leadership.former_grants_end_at.get(target_id)
         return until if former is None else max(until, former)
 
+    def hold_fields(self, service: ServiceId, target_id: TargetId) -> dict:
+        """Return the log fields of what `held_until` takes into account."""
+        granter = self.find(service, target_id)
+        own = None if granter is None else granter.may_hold_until
+        former = self._leadership.former_grants_end_at.get(target_id)
+        return {
+            "own_grants_left_s": self._left_s(own),
+            "former_grants_left_s": self._left_s(former),
+            "former_leaders_left_s": self._left_s(
+                self._leadership.former_orders_end_at
+            ),
+        }
+
+    def _left_s(self, until):
+        """Return the time left until a moment; None if it has passed or is unknown."""
+        left_s = 0.0 if until is None else until - self._clock.now()
+        return round(left_s, 3) if left_s > 0 else None
+
+    def _log_replaced(self, replaced, granter):
+        """Log that a target has a new entry, with the latest orders by the old one."""
+        connections = self._connections.find(replaced.address)
+        orders = (
+            [] if connections is None else connections.history.rows(MIN_KEY, MAX_KEY)
+        )
+        log.info(
+            "ranges: target has a new entry",
+            extra={
+                "service": granter.service,
+                **address_fields(granter.address),
+                "born_ms": granter.born_ms,
+                "before_ip": replaced.address.ip,
+                "before_port": replaced.address.port,
+                "before_born_ms": replaced.born_ms,
+                "orders": orders,
+                "may_hold_for_s": self._left_s(granter.may_hold_until),
+            },
+        )
+
     def remaining_grants(self) -> tuple[GrantLeft, ...]:
         """Return the time left of each target's holds by orders of this host."""
         now = self._clock.now()
--- a/src/persimmonspoke/internal/ranges/mover.py
+++ b/src/persimmonspoke/internal/ranges/mover.py
@@ -420,20 +420,24 @@
         service = transfers[0].service
         current = self._granters.address(service, piece.owner)
         fence = self._ledger.next_fences()
-        handover, answered = None, set()
+        began = self._clock.now()
+        handover, answered, waits_for = None, set(), None
         while True:
             earlier = self._granters.earlier_addresses(service, piece.owner)
             addresses = {current, *earlier}
             for address in addresses - answered - {None}:
                 order = RangeRelease(piece.first, piece.last, fence)
                 try:
-                    result = self._send_release(address, order)
+                    result = self._send_release(service, address, order)
                 except TargetError as exc:
                     log.info(
                         "ranges: release unanswered",
                         extra={
                             "target": piece.owner,
                             "ip": address.ip,
+                            "port": address.port,
+                            "first": piece.first,
+                            "last": piece.last,
                             "fence": fence,
                             "reason": str(exc),
                         },
@@ -446,17 +450,36 @@
             if addresses <= answered:
                 return handover
             until = self._granters.held_until(service, piece.owner)
+            if waits_for is None:
+                waits_for = self._granters.hold_fields(service, piece.owner)
             if self._clock.now() >= until:
+                log.info(
+                    "ranges: keys taken back without an answer",
+                    extra={
+                        "service": service,
+                        "target": piece.owner,
+                        "first": piece.first,
+                        "last": piece.last,
+                        "fence": fence,
+                        "unanswered": _log_names(addresses - answered),
+                        "answered": _log_names(answered),
+                        "waited_s": round(self._clock.now() - began, 3),
+                        "waited_for": waits_for,
+                    },
+                )
                 return handover
             self._ledger.set_opens_at(transfers, until)
             retry_at = Instant(self._clock.now() + self._cfg.retry_s)
             self._clock.sleep_until(Instant(min(retry_at, until)))
 
-    def _send_release(self, address, order):
+    def _send_release(self, service, address, order):
         """Send a release; return the handover, or raise as `OrderConnection` does."""
         deadline = Instant(self._clock.now() + self._cfg.release_s)
         self._granters.check_lease()
-        return self._granters.connections(address).release(order, deadline)
+        record = self._state.targets.get(address.target_id)
+        born_ms = None if record is None else record.born_ms
+        connections = self._granters.connections(address)
+        return connections.release(order, deadline, born_ms)
 
     def _combine_with_neighbours(self, service, transfer, new):
         """Combine a range with its owner's neighbouring ranges into one grant.
@@ -487,3 +510,8 @@
             and not self._ledger.in_transfer(service, entry)
             and new.owner in self._state.targets
         )
+
+
+def _log_names(addresses):
+    """Return addresses for a log line; None stands for one that is not known."""
+    return sorted(str(a and f"{a.ip}:{a.port}") for a in addresses)
--- a/src/persimmonspoke/platform/orders.py
+++ b/src/persimmonspoke/platform/orders.py
@@ -48,6 +48,7 @@
         self._clock = clock
         self._notices = notices
         self.opened_at = clock.now()
+        self.local_port = conn.sock.getsockname()[1]
 
     def is_open(self) -> bool:
         """Return whether it is open and no bytes are unread."""
--- a/tests/fakes/range_targets.py
+++ b/tests/fakes/range_targets.py
@@ -251,6 +251,7 @@
         self._life = peer.life
         self._is_closed = False
         self.opened_at = process.local(virtual_hub.now())
+        self.local_port = None
 
     def is_open(self):
         """Return whether neither end has closed it, and no path has reset it."""
