--- a/src/persimmonspoke/internal/fleet/inquiries.py
+++ b/src/persimmonspoke/internal/fleet/inquiries.py
@@ -6,7 +6,7 @@
 import eventlet
 
 from persimmonspoke.errors import PeerError
-from persimmonspoke.ids import Instant, Version
+from persimmonspoke.ids import HostId, Instant, Version
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.fleet.hosts import Hosts
 from persimmonspoke.internal.fleet.messages import LeaderKnown, LeaderQuery
@@ -32,11 +32,31 @@
     unanimous : bool
         Whether all known hosts have answered, each from the epoch asked about.  A host
         needs only the store to be elected, so one without an answer may lead.
+    asked : int
+        Number of hosts that were asked.
+    unheard : tuple of HostId
+        Those that did not answer.
+    later_known_by : HostId or None
+        The host that named the later leader.
     """
 
     later: LeaderKnown | None
     conclusive: bool
     unanimous: bool
+    asked: int
+    unheard: tuple[HostId, ...]
+    later_known_by: HostId | None
+
+    def log_fields(self) -> dict:
+        """Return the fields of a log line about this survey."""
+        later = self.later
+        return {
+            "heard": self.asked - len(self.unheard),
+            "asked": self.asked,
+            "unheard": list(self.unheard),
+            "later": later and [later.leader.host_id, later.epoch],
+            "later_known_by": self.later_known_by,
+        }
 
 
 class LeaderInquiries:
@@ -118,15 +138,29 @@
         """Ask all hosts, all at once, for a leader of a later epoch than `epoch`."""
         asked = self._hosts.known_hosts()
         calls = [eventlet.spawn(self._ask_or_none, e.address) for e in asked]
-        answers = [found for call in calls if (found := call.wait()) is not None]
-        later = [a for a in answers if a.leader is not None and a.epoch > epoch]
+        found = [
+            (e.address.host_id, c.wait()) for e, c in zip(asked, calls, strict=True)
+        ]
+        answers = [(name, answer) for name, answer in found if answer is not None]
+        later_known_by, later = max(
+            (
+                (name, answer)
+                for name, answer in answers
+                if answer.leader is not None and answer.epoch > epoch
+            ),
+            key=lambda item: item[1].epoch,
+            default=(None, None),
+        )
         # A host that has led in a later epoch and resigned names no leader.  One that
         # has just started may not know what an earlier run on its machine has done.
-        same = [answer for answer in answers if answer.epoch == epoch]
+        same = [answer for _, answer in answers if answer.epoch == epoch]
         return Survey(
-            max(later, key=lambda answer: answer.epoch, default=None),
+            later,
             2 * len(answers) >= len(asked),
             len(same) == len(asked),
+            len(asked),
+            tuple(name for name, answer in found if answer is None),
+            later_known_by,
         )
 
     def candidate_rank(self, leader: PeerAddress | None) -> int:
--- a/tests/cover/test_restarted_targets.py
+++ b/tests/cover/test_restarted_targets.py
@@ -170,7 +170,6 @@
         self.fleet.run_for(3)
         self.assert_all_held()
 
-
     # Guards against a transfer that fails: the entry of a target that was to keep its
     # keys had lapsed by the time that the target had released them.
     def test_keys_of_a_target_whose_entry_lapses_during_its_release_go_to_others(self):
