Let all known hosts answer before a leader trusts its owners after a restoration

A leader that finds the store restored from an older copy asks whether another one has led meanwhile, and the answers of half of the hosts proved that none had. One that only the store had heard of went on under its lease, with keys that it had moved. Change: unless all known hosts answer from the leader's epoch, the owners are in doubt and are resolved. Measured: TestRestoredStores failed before and passes.

--- a/src/persimmonspoke/internal/fleet/inquiries.py
+++ b/src/persimmonspoke/internal/fleet/inquiries.py
@@ -27,8 +27,6 @@
     ----------
     later : LeaderKnown or None
         The answer that names the leader of the latest epoch; None if none is later.
-    conclusive : bool
-        Whether at least half of the hosts that were asked have answered.
     unanimous : bool
         Whether all known hosts have answered, each from the epoch asked about.  A host
         needs only the store to be elected, so one without an answer may lead.
@@ -41,7 +39,6 @@
     """
 
     later: LeaderKnown | None
-    conclusive: bool
     unanimous: bool
     asked: int
     unheard: tuple[HostId, ...]
@@ -156,7 +153,6 @@
         same = [answer for _, answer in answers if answer.epoch == epoch]
         return Survey(
             later,
-            2 * len(answers) >= len(asked),
             len(same) == len(asked),
             len(asked),
             tuple(name for name, answer in found if answer is None),
--- a/src/persimmonspoke/internal/fleet/leadership.py
+++ b/src/persimmonspoke/internal/fleet/leadership.py
@@ -502,7 +502,7 @@
                 return
             epoch = self.ownership.epoch_in(era)
             former, resolved = self._former_left(), self.ownership.resolved
-            if not survey.conclusive:
+            if not survey.unanimous:
                 # The store may have forgotten a leader that took over meanwhile.
                 former += (FormerLeader(None, self._max_orders_s),)
                 resolved = frozenset()
@@ -522,7 +522,7 @@
                     "epoch": epoch,
                     "stored_epoch": stored.epoch,
                     "stored_era": stored.era,
-                    "conclusive": survey.conclusive,
+                    "unanimous": survey.unanimous,
                     **survey.log_fields(),
                     "former": _log_rows(former),
                     "store_version": self._version,
--- a/tests/cover/test_partial_cuts.py
+++ b/tests/cover/test_partial_cuts.py
@@ -231,5 +231,33 @@
                 self.assert_one_holder()
 
 
+class TestRestoredStores(PartialCutCase):
+    """The store forgets a successor that the leader before can't hear."""
+
+    hosts = 5
+
+    # Guards against OWNER: half of the hosts proved that nobody else had led, so keys
+    # that the forgotten leader had moved were granted to their owners before.
+    def test_a_leader_that_leads_on_takes_back_what_the_successor_granted(self):
+        last = self.others[-1]
+        rest = [host for host in self.fleet.hosts if host is not last]
+        self.turn_away(rest)
+        self.cut([last])
+        began = self.first.clock.now()
+        second = self.successor_of(self.first)
+        self.fleet.run_for(REACHED_S)
+        piece = second.keeper.ledger.map(SERVICE).owned_by("t0")[0]
+        second.keeper.start_move(SERVICE, whole_move(piece, "t1"))
+        self.fleet.run_for(0.3)
+        self.turn_away([last])
+        self.fleet.platform.restore(self.first.clock.now() - began)
+        for host in rest:
+            host.store.faults.silent = False
+        self.fleet.run_for(4)
+        self.assertTrue(self.first.leadership.may_order())
+        self.assertTrue(second.leadership.may_order())
+        self.assertEqual(self.fleet.double_holds[:3], [])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tools/measure/successions.py
+++ b/tools/measure/successions.py
@@ -66,6 +66,9 @@
         faults.silent = True
         eventlet.spawn_after(OUTAGE_S, setattr, faults, "silent", False)
 
+    def restore_store(self):
+        self.fleet.platform.restore(2.0)
+
     def lose_follower(self, how):
         """Freeze or kill a host that does not lead."""
         leader = self.fleet.leader()
@@ -105,20 +108,26 @@
         run.pause(3.0),
         run.restart_target(0.2),
     ),
-    "the same with a frozen follower": lambda run: (
+    "the store is silent, with a frozen follower, the same": lambda run: (
         run.silence_store(),
         run.pause(1.0),
         run.lose_follower("freeze"),
         run.pause(2.0),
         run.restart_target(0.2),
     ),
-    "the same with a killed follower": lambda run: (
+    "the store is silent, with a killed follower, the same": lambda run: (
         run.silence_store(),
         run.pause(1.0),
         run.lose_follower("kill"),
         run.pause(2.0),
         run.restart_target(0.2),
     ),
+    "the store is restored": lambda run: run.restore_store(),
+    "the store is restored, with a frozen follower": lambda run: (
+        run.lose_follower("freeze"),
+        run.pause(1.0),
+        run.restore_store(),
+    ),
 }
 
 
