--- a/tests/fakes/range_targets.py
+++ b/tests/fakes/range_targets.py
@@ -10,6 +10,7 @@
     OrderConnectionLost,
     OrderOutcomeUnknown,
     TargetFenced,
+    TargetMismatch,
     TargetRefusedConnection,
     TargetUnreachable,
 )
@@ -58,6 +59,9 @@
         Time, key, fence and life of each grant under a fence that is new for the key.
     life : int
         Number of the present process; one that has ended takes its memory with it.
+    checks_name : bool
+        Whether it refuses orders that name another target, as those of a platform do.
+        One that does not shows what else protects its keys.
     """
 
     name: str
@@ -74,6 +78,7 @@
     orders: list = field(default_factory=list)
     acquisitions: list = field(default_factory=list)
     life: int = 1
+    checks_name: bool = False
 
     def is_late(self):
         """Draw whether the next order is delayed and not answered."""
@@ -145,6 +150,11 @@
     listening : dict, optional
         Targets whose processes listen at the addresses of others, by these, or by
         these and the IP number if only that address is meant.
+
+    Attributes
+    ----------
+    opened, sent : int
+        Number of connections opened, and of orders sent.
     """
 
     def __init__(
@@ -161,6 +171,7 @@
         self.is_refused = is_refused
         self._listening = {} if listening is None else listening
         self.opened = 0
+        self.sent = 0
 
     def connect(self, target, deadline):
         """Open a connection to the process that listens where a target has been."""
@@ -217,6 +228,7 @@
         """
         # A pause can begin between the last check and the first byte.
         self._process.gate(GateKind.ORDER, sending=True)
+        self.sent += 1
         eventlet.sleep(LATENCY_S)
         if not conn.is_open():
             conn.close()
@@ -226,6 +238,9 @@
                 conn.close()
                 raise OrderConnectionLost("the connection was reset")
             self._lose_answer(conn, deadline)
+        if conn.peer.checks_name and conn.address.target_id != conn.peer.name:
+            conn.close()
+            raise TargetMismatch("another target listens at the address")
         return conn.peer
 
     def _lose_answer(self, conn, deadline):
@@ -251,6 +266,7 @@
         self._life = peer.life
         self._is_closed = False
         self.opened_at = process.local(virtual_hub.now())
+        self.local_port = None
 
     def is_open(self):
         """Return whether neither end has closed it, and no path has reset it."""
