Test what target processes do with orders that were given up

A connection in the backlog of a process that ends, and an order on it, never reach the next process at the address. An order that was given up and reset is executed once a paused process runs again, however long that takes; so is the release that was sent after it.

--- a/tests/fakes/key_process.py
+++ b/tests/fakes/key_process.py
@@ -1,8 +1,8 @@
 """A target process that holds keys under grants, on a real socket.
 
-Run it with ``python -m tests.fakes.key_process NAME IP PORT LOG``.  It appends one line
-of JSON to LOG for each order that it executes.  Lines on its standard input control it:
-``close`` closes the listener, ``exit`` ends the process.
+Run it with ``python -m tests.fakes.key_process NAME IP PORT LOG BACKLOG``.  It appends
+one line of JSON to LOG for each order that it executes.  ``close`` on its standard
+input closes the listener, the end of the input ends the process.
 """
 
 import contextlib
@@ -14,18 +14,17 @@
 import time
 
 KEY_COUNT = 65536
-BACKLOG = 64
 
 
 class KeyProcess:
     """One life of a target.  The time of a grant counts from when it is read."""
 
-    def __init__(self, name, ip, port, log_path):
+    def __init__(self, name, ip, port, log_path, backlog):
         self._name = name
         self._log = open(log_path, "a", buffering=1)  # noqa: SIM115 - open until exit.
         self._lock = threading.Lock()
         self._seen = [0] * KEY_COUNT
-        self._listener = socket.create_server((ip, port), backlog=BACKLOG)
+        self._listener = socket.create_server((ip, port), backlog=backlog)
         self._note("up", port=self._listener.getsockname()[1])
 
     def run(self):
@@ -85,4 +84,5 @@
 
 
 if __name__ == "__main__":
-    KeyProcess(sys.argv[1], sys.argv[2], int(sys.argv[3]), sys.argv[4]).run()
+    name, ip, port, log_path, backlog = sys.argv[1:]
+    KeyProcess(name, ip, int(port), log_path, int(backlog)).run()
--- a/tests/fakes/socket_fleet.py
+++ b/tests/fakes/socket_fleet.py
@@ -35,14 +35,20 @@
 
 
 class TargetProcess:
-    """One life of a target as a process, and when it ended."""
+    """One life of a target as a process, and when it ended.
 
-    def __init__(self, name, service, port, log_path):
+    Parameters
+    ----------
+    backlog : int
+        Connections that wait to be accepted at most.
+    """
+
+    def __init__(self, name, service, port, log_path, backlog=64):
         self.name, self.service, self.ended_at = name, service, None
         self.log_path = log_path
         self._process = subprocess.Popen(
             [sys.executable, "-m", "tests.fakes.key_process", name, "127.0.0.1"]
-            + [str(port), str(log_path)],
+            + [str(port), str(log_path), str(backlog)],
             cwd=ROOT,
             stdin=subprocess.PIPE,
         )
@@ -71,6 +77,7 @@
     def pause(self):
         """Stop the process until it is resumed."""
         os.kill(self._process.pid, signal.SIGSTOP)
+        os.waitpid(self._process.pid, os.WUNTRACED)
 
     def resume(self):
         """Resume the process."""
@@ -153,10 +160,10 @@
         self._patches.close()
         self._folder.cleanup()
 
-    def start_process(self, name, service="stock", port=0):
+    def start_process(self, name, service="stock", port=0, backlog=64):
         """Start a target process, which is not registered yet."""
         log_path = pathlib.Path(self._folder.name) / f"{len(self.processes)}.log"
-        process = TargetProcess(name, service, port, log_path)
+        process = TargetProcess(name, service, port, log_path, backlog)
         self.processes.append(process)
         return process
 
