Show that an order is sent after its deadline

The leader records how long a target may hold keys from the order's deadline. A loop that stands still between reading its clock and sending sends the order all the same, so that the record is too early until the next turn of the loop.

--- a/tests/loopback/test_order_connections.py
+++ b/tests/loopback/test_order_connections.py
@@ -8,7 +8,11 @@
 import eventlet
 from eventlet.green import socket
 
-from persimmonspoke.errors import OrderConnectionLost, TargetRefusedConnection
+from persimmonspoke.errors import (
+    OrderConnectionLost,
+    TargetError,
+    TargetRefusedConnection,
+)
 from persimmonspoke.ids import Instant
 from persimmonspoke.internal.clock import SystemClock
 from persimmonspoke.internal.ranges import connections as connections_module
@@ -200,6 +204,16 @@
             self.grant(2, self.all.to(self.address("u")))
         self.assertEqual(list(self.all._by_address), [self.address("u")])
 
+    # Guards against OWNER: a leader that stood still after it had read its clock sent
+    # an order later than its record of when the hold ends allows for.
+    def test_an_order_is_not_sent_after_its_deadline(self):
+        conn = HttpRangeOrders(self.clock).connect(self.address("t"), self.deadline())
+        self.addCleanup(conn.close)
+        with self.assertRaises(TargetError):
+            conn.grant(RangeGrant(1, 5, 1, 2.5), self.deadline(-0.1))
+        eventlet.sleep(NOTICED_S)
+        self.assertEqual(self.target.seen, [])
+
     # Guards against a loop that opens connections without end.
     def test_a_target_that_closes_each_new_connection_ends_the_attempt(self):
         self.target.stop()
