--- a/src/persimmonspoke/internal/fleet/leadership.py
+++ b/src/persimmonspoke/internal/fleet/leadership.py
@@ -125,6 +125,7 @@
         )
         self._lost: tuple | None = None
         self._lost_at = LONG_AGO
+        self._next_survey_at = LONG_AGO
         self.store_answered_at = clock.now()
         self._resigned = False
         self.leader: PeerAddress | None = None
@@ -132,6 +133,8 @@
         self.leading = False
         self.lease_until = LONG_AGO
         self.ownership: Ownership | None = None
+        # Local changes since the last write of the object began.
+        self._changes_since_write: list[Callable[[Ownership], Ownership]] = []
         self._former_end_at: dict[PeerAddress | None, Instant] = {}
         self.former_grants_end_at: dict[TargetId, Instant] = {}
         self.first_start = True
@@ -274,6 +277,7 @@
         """
         self.check()
         self.ownership = change(self.ownership)
+        self._changes_since_write.append(change)
 
     def check_store(self) -> None:
         """Test whether the store answers this host.
@@ -383,9 +387,11 @@
     def _write(self, ownership):
         """Write the object, and repeat until the outcome is known.
 
-        The caller holds the write lock.
+        The caller holds the write lock.  Raise `AuthorityLapsed` if the epoch of
+        `ownership` has ended, also if this host leads again by then.
         """
         unresolved = False
+        self._changes_since_write = []
         while True:
             sent_at = self._clock.now()
             deadline = Instant(sent_at + self._cfg.store_call_s)
@@ -401,26 +407,37 @@
                 )
             except StoreOutcomeUnknown:
                 unresolved = True
+                self._check_epoch(ownership)
                 self.check()
                 continue
             except StoreUnavailable:
                 # An earlier attempt may still take effect, so the write must go on.
                 if not unresolved:
                     raise
+                self._check_epoch(ownership)
                 self.check()
                 continue
             except StoreConflict as exc:
+                self._check_epoch(ownership)
                 if self._is_forgotten():
                     raise AuthorityLapsed("the store was restored") from exc
                 self._stop("the object has another writer")
                 raise AuthorityLapsed("another host took over") from exc
+            self._check_epoch(ownership)
             self._version = stored.version
+            for change in self._changes_since_write:
+                ownership = change(ownership)
             self.ownership = ownership
             self.lease_until = Instant(sent_at + self._cfg.lease_s)
             self.store_answered_at = sent_at
             self._confirmations.on_written(sent_at)
             return
 
+    def _check_epoch(self, ownership):
+        """Raise `AuthorityLapsed` if the epoch of `ownership` has ended."""
+        if self.epoch != ownership.epoch:
+            raise AuthorityLapsed(f"epoch {ownership.epoch} has ended")
+
     def _confirm(self):
         """Write the object again; this renews the lease and shows a living leader."""
         with self._write_lock:
@@ -433,15 +450,18 @@
             self._confirm()
 
     def _is_confirmed_by_hosts(self):
-        """Return whether at least half of the other hosts know of no later leader."""
+        """Return whether no other host can have been elected since this one was."""
         epoch = self.epoch
+        self._clock.sleep_until(self._next_survey_at)
+        pause_s = len(self._hosts.known_hosts()) / self._cfg.reports_per_s
+        self._next_survey_at = Instant(self._clock.now() + pause_s)
         survey = self._inquiries.survey(epoch)
         if not self.leading or self.epoch != epoch:
             return False
         if survey.later is not None:
             self.follow(survey.later.leader, survey.later.epoch)
             return False
-        return survey.conclusive
+        return survey.unanimous
 
     def _renew_after_restoration(self):
         """Store the ownership that this leader knows over that of an older copy.
