Take the keys of a target whose address another one has at once

Cause: since orders name their target, the release of a target that was replaced at its address is answered 421. Measured: test_keys_of_a_target_that_is_replaced_at_once_do_not_wait_for_its_holds failed before and passes.

--- a/src/persimmonspoke/internal/ranges/mover.py
+++ b/src/persimmonspoke/internal/ranges/mover.py
@@ -10,6 +10,7 @@
     NoOwnerYet,
     StoreError,
     TargetError,
+    TargetMismatch,
 )
 from persimmonspoke.ids import Instant, ServiceId, TargetId
 from persimmonspoke.internal.clock import Clock
@@ -408,8 +409,9 @@
     def release(self, transfers: list[Transfer], piece: KeyRange) -> str | None:
         """Release `piece` from its owner; return the owner's handover, if any.
 
-        Where the owner had another address before, so does what listens there now.  If
-        one of them does not answer, return once all holds have lapsed.
+        Where the owner had another address before, so does what listens there now.  A
+        target that refuses the release as meant for another shows that the owner there
+        has ended.  If an address does not answer, return once all holds have lapsed.
 
         Raises
         ------
@@ -430,6 +432,10 @@
                 order = RangeRelease(piece.first, piece.last, fence)
                 try:
                     result = self._send_release(service, address, order)
+                except TargetMismatch:
+                    # An address is given to another target once its target has ended.
+                    answered.add(address)
+                    continue
                 except TargetError as exc:
                     log.info(
                         "ranges: release unanswered",
