Send no order after its deadline

Cause: an order whose deadline had passed was still sent, with a timeout of zero. A host that stands still between the two lines records an end of the target's hold that is too early by the time that it stood still, until its next turn. Measured: test_an_order_is_not_sent_after_its_deadline failed before and passes.

--- a/src/persimmonspoke/platform/orders.py
+++ b/src/persimmonspoke/platform/orders.py
@@ -17,6 +17,7 @@
     OrderOutcomeUnknown,
     TargetFenced,
     TargetMismatch,
+    TargetUnreachable,
 )
 from persimmonspoke.ids import Instant
 from persimmonspoke.internal.clock import Clock
@@ -86,7 +87,11 @@
             conn.drop()
             raise OrderConnectionLost("the target closed the connection unannounced")
         incarnation = self._notices.incarnation_of(self._target.target_id)
-        timer = eventlet.Timeout(max(0.0, deadline - self._clock.now()))
+        left_s = deadline - self._clock.now()
+        if left_s <= 0:
+            # Its sender counts the target's hold from the deadline at the latest.
+            raise TargetUnreachable(f"{path}: not sent, its deadline has passed")
+        timer = eventlet.Timeout(left_s)
         conn.allow_bytes(MAX_HEAD_BYTES)
         try:
             conn.request(
