Release keys at the address of a target whose entry returns

Cause: the address for a release was looked up once. If the entry of a target was missing for 0.15 s while another host took over, its keys waited until the orders of all former leaders had ended, up to 20 s after a leader was killed, and each grant of another range to it prolonged that. Change: the address is looked up again before each attempt; all that were found have to answer. Measured: TestEntriesThatReturn failed before and passes.

--- a/src/persimmonspoke/internal/ranges/mover.py
+++ b/src/persimmonspoke/internal/ranges/mover.py
@@ -421,13 +421,16 @@
         if piece.owner is None:
             return None
         service = transfers[0].service
-        current = self._granters.address(service, piece.owner)
         fence = self._ledger.next_fences()
         began = self._clock.now()
-        handover, answered, waits_for = None, set(), None
+        handover, found, answered, waits_for = None, set(), set(), None
         while True:
+            # The entry of a target may be missing for a moment.
+            current = self._granters.address(service, piece.owner)
+            if current is not None:
+                found.add(current)
             earlier = self._granters.earlier_addresses(service, piece.owner)
-            addresses = {current, *earlier}
+            addresses = found.union(earlier) or {None}
             for address in addresses - answered - {None}:
                 order = RangeRelease(piece.first, piece.last, fence)
                 try:
