--- a/tests/cover/test_builds.py
+++ b/tests/cover/test_builds.py
@@ -44,6 +44,7 @@
     "a03c2fb": Revision.TOLERANT,
     "5fd2213": Revision.PROOFS,
     "566f3b9": Revision.PROOFS,
+    "293ccd2": Revision.HEAVY_LOAD,
 }
 SETTLE_S = 3.0
 
