--- a/src/persimmonspoke/internal/ranges/mover.py
+++ b/src/persimmonspoke/internal/ranges/mover.py
@@ -10,6 +10,7 @@
     NoOwnerYet,
     StoreError,
     TargetError,
+    TargetMismatch,
 )
 from persimmonspoke.ids import Instant, ServiceId, TargetId
 from persimmonspoke.internal.clock import Clock
@@ -408,8 +409,9 @@
     def release(self, transfers: list[Transfer], piece: KeyRange) -> str | None:
         """Release `piece` from its owner; return the owner's handover, if any.
 
-        Where the owner had another address before, so does what listens there now.  If
-        one of them does not answer, return once all holds have lapsed.
+        Where the owner had another address before, so does what listens there now.  A
+        target that refuses the release as meant for another shows that the owner there
+        has ended.  If an address does not answer, return once all holds have lapsed.
 
         Raises
         ------
@@ -419,17 +421,24 @@
         if piece.owner is None:
             return None
         service = transfers[0].service
-        current = self._granters.address(service, piece.owner)
         fence = self._ledger.next_fences()
         began = self._clock.now()
-        handover, answered, waits_for = None, set(), None
+        handover, found, answered, waits_for = None, set(), set(), None
         while True:
+            # The entry of a target may be missing for a moment.
+            current = self._granters.address(service, piece.owner)
+            if current is not None:
+                found.add(current)
             earlier = self._granters.earlier_addresses(service, piece.owner)
-            addresses = {current, *earlier}
+            addresses = found.union(earlier) or {None}
             for address in addresses - answered - {None}:
                 order = RangeRelease(piece.first, piece.last, fence)
                 try:
                     result = self._send_release(service, address, order)
+                except TargetMismatch:
+                    # An address is given to another target once its target has ended.
+                    answered.add(address)
+                    continue
                 except TargetError as exc:
                     log.info(
                         "ranges: release unanswered",
