Let a host that the leader does not know wait, whoever lets it lead

Cause: a host that the leader does not know waited for the lease only if fewer than half of the other hosts answered. With their answers it took over at once, and they confirmed the leader before once they heard it again and not the new one. A host that knew of no other needed no answers at all. Change: for such a host only a new run of the leader's machine and the end of the lease count.

--- a/src/persimmonspoke/internal/fleet/inquiries.py
+++ b/src/persimmonspoke/internal/fleet/inquiries.py
@@ -86,15 +86,16 @@
         answers, as while most hosts start after a loss of power, the leader is lost if
         its machine has started another run, or once the object that names it has been
         unchanged for `unchanged_s`, because a live leader writes it periodically.  A
-        leader that loses the store goes on if all hosts that it knows confirm it, so a
-        host that it does not know waits until its lease has ended.
+        leader that loses the store goes on if all hosts that it knows confirm it, so
+        for a host that it does not know only that proof and the end of its lease count.
 
         Parameters
         ----------
         version : Version
             Current version of the object that names the leader.
         hosts : frozenset of str or None
-            Names of the hosts that the leader knows; None if they are not known.
+            Names of the hosts that the leader knows; None if it is of a build that
+            does not name them, and does not ask all of them either.
         """
         now = self._clock.now()
         if version != self._version:
@@ -114,9 +115,9 @@
         if any(silence_s < self._cfg.suspect_s for silence_s in silences):
             log.info("leader: unreachable from this host only")
             return False
-        if 2 * len(silences) >= len(others):
+        is_known = hosts is None or self._hosts.my_entry.name in hosts
+        if is_known and 2 * len(silences) >= len(others):
             return True
-        is_known = hosts is not None and self._hosts.my_entry.name in hosts
         wait_s = self._cfg.unchanged_s if is_known else self._cfg.lease_s
         if now - self._version_seen_at >= wait_s:
             return True
--- a/tests/cover/test_partial_cuts.py
+++ b/tests/cover/test_partial_cuts.py
@@ -227,6 +227,40 @@
         self.assert_one_holder()
 
 
+class TestFleetsOfOne(PartialCutCase):
+    hosts = 1
+
+    # Guards against OWNER: a host that knows of none but the lost leader needed no
+    # answers, and a leader that knows of none confirmed itself.
+    def test_a_host_that_joins_waits_for_the_lease_of_the_leader(self):
+        self.turn_away(self.fleet.hosts)
+        self.fleet.run_for(0.5)
+        added = self.fleet.add_host(self.cut)
+        while self.first.leadership.may_order():
+            self.assertFalse(added.leadership.may_order())
+            self.fleet.run_for(0.05)
+        self.assertIs(self.successor_of(self.first), added)
+
+
+class TestHostsWithoutRecords(PartialCutCase):
+    hosts = 5
+
+    # Guards against OWNER: a host that had not read the records of others took over
+    # early, as if all others had let it lead.
+    def test_one_that_joins_waits_for_the_lease_of_the_leader(self):
+        self.turn_away(self.fleet.hosts)
+        self.fleet.run_for(0.5)
+
+        def prepare(hosts):
+            self.cut(hosts)
+            hosts[0].cache.observe = lambda stored: None
+
+        added = self.fleet.add_host(prepare)
+        while self.first.leadership.may_order():
+            self.assertFalse(added.leadership.may_order())
+            self.fleet.run_for(0.05)
+
+
 class TestSuccessorsWithoutARecord(PartialCutCase):
     """A host that has led stops by plan, and removes its record from the store."""
 
