Wait for former leaders' grants, and for open connections, before a target counts as ended

Cause: the refusal of a release by another target at the address counted as if the owner had answered. A former leader may have found the owner where it has started again and granted it keys there; and one that works on over the connections that it has, though its address is taken, still holds them. Change: such a refusal shows the end of the owner only if no connection that has carried grants is open, and former leaders' grants are waited for as they are if nobody answers.

--- a/src/persimmonspoke/internal/ranges/connections.py
+++ b/src/persimmonspoke/internal/ranges/connections.py
@@ -253,6 +253,10 @@
             else:
                 self._idle_for_releases.append((number, conn))
 
+    def has_open_grants(self) -> bool:
+        """Return whether a process that was granted keys over one still runs."""
+        return any(c.conn is not None and c.conn.is_open() for c in self._channels)
+
     def close(self) -> None:
         """Close the idle connections, and those in use once their orders have ended."""
         self._is_closed = True
--- a/src/persimmonspoke/internal/ranges/granters.py
+++ b/src/persimmonspoke/internal/ranges/granters.py
@@ -185,10 +185,15 @@
 
         It may hold them by orders of this host or of a former leader.
         """
-        until = self._leadership.former_orders_end_at
+        until = self.held_by_former_until(target_id)
         granter = self.find(service, target_id)
         if granter is not None:
             until = max(until, granter.may_hold_until)
+        return until
+
+    def held_by_former_until(self, target_id: TargetId) -> Instant:
+        """Return until when a target may hold keys by orders of former leaders."""
+        until = self._leadership.former_orders_end_at
         former = self._leadership.former_grants_end_at.get(target_id)
         return until if former is None else max(until, former)
 
--- a/src/persimmonspoke/internal/ranges/mover.py
+++ b/src/persimmonspoke/internal/ranges/mover.py
@@ -411,7 +411,8 @@
 
         Where the owner had another address before, so does what listens there now.  A
         target that refuses the release as meant for another shows that the owner there
-        has ended.  If an address does not answer, return once all holds have lapsed.
+        has ended, so only holds by orders of former leaders remain.  If an address does
+        not answer, return once all holds have lapsed.
 
         Raises
         ------
@@ -423,7 +424,8 @@
         service = transfers[0].service
         fence = self._ledger.next_fences()
         began = self._clock.now()
-        handover, found, answered, waits_for = None, set(), set(), None
+        handover, waits_for = None, None
+        found, answered, ended = set(), set(), set()
         while True:
             # The entry of a target may be missing for a moment.
             current = self._granters.address(service, piece.owner)
@@ -435,11 +437,12 @@
                 order = RangeRelease(piece.first, piece.last, fence)
                 try:
                     result = self._send_release(service, address, order)
-                except TargetMismatch:
-                    # An address is given to another target once its target has ended.
-                    answered.add(address)
-                    continue
                 except TargetError as exc:
+                    if isinstance(exc, TargetMismatch) and not (
+                        self._granters.connections(address).has_open_grants()
+                    ):
+                        # An address is given away once its target has ended.
+                        ended.add(address)
                     log.info(
                         "ranges: release unanswered",
                         extra={
@@ -457,9 +460,14 @@
                 if address == current:
                     handover = result
                     self._granters.record_answer(service, piece.owner)
-            if addresses <= answered:
+            if addresses <= answered or (
+                current in answered and addresses <= answered | ended
+            ):
                 return handover
             until = self._granters.held_until(service, piece.owner)
+            if addresses <= answered | ended:
+                # A former leader may have found it where it has started again.
+                until = self._granters.held_by_former_until(piece.owner)
             if waits_for is None:
                 waits_for = self._granters.hold_fields(service, piece.owner)
             if self._clock.now() >= until:
@@ -473,6 +481,7 @@
                         "fence": fence,
                         "unanswered": _log_names(addresses - answered),
                         "answered": _log_names(answered),
+                        "ended": _log_names(ended),
                         "waited_s": round(self._clock.now() - began, 3),
                         "waited_for": waits_for,
                     },
--- a/tests/cover/test_earlier_addresses.py
+++ b/tests/cover/test_earlier_addresses.py
@@ -94,6 +94,38 @@
         return self.fleet.leader().keeper.ledger.map(SERVICE).owners()
 
 
+class TestOlderEntries(EarlierAddressCase):
+    """A new leader has an older entry of a target than the leader before."""
+
+    # Guards against OWNER: what listens where a target has been refused its release,
+    # and its keys went to others while it held them at its new address.
+    def test_wait_for_the_grants_at_the_new_address(self):
+        for how in ("dies", "restarts", "steps aside"):
+            with self.subTest(leader=how):
+                self.fleet.stop()
+                self.fleet = RangeFleet(hosts=self.hosts)
+                self.fleet.run_for(SETTLE_S)
+                self.first = self.fleet.leader()
+                self.found = self.fleet.records["t0"]
+                for host in self.fleet.hosts:
+                    if host is not self.first:
+                        host.state.targets = dict(self.fleet.records)
+                self.fleet.targets["t0"].crash()
+                self.fleet.targets["u"] = FakeRangeTarget("u", checks_name=True)
+                self.fleet.listening["t0", self.found.ip] = "u"
+                self.publish()
+                self.fleet.run_for(2)
+                piece = self.first.keeper.ledger.map(SERVICE).owned_by("t1")[0]
+                self.first.keeper.start_move(SERVICE, whole_move(piece, "t0"))
+                self.fleet.run_for(1)
+                self.assertTrue(self.fleet.targets["t0"].held())
+                self.end_first(how)
+                self.fleet.run_for(6)
+                for host in self.fleet.hosts:
+                    host.state.targets = self.fleet.records
+                self.assert_one_holder()
+
+
 class TestEntriesThatReturn(SuccessionCase):
     """The entry of a target that is well is missing while another host takes over."""
 
--- a/tests/loopback/test_reused_addresses.py
+++ b/tests/loopback/test_reused_addresses.py
@@ -8,12 +8,14 @@
 
 import eventlet
 
+from persimmonspoke.internal.routing.config import TargetState
 from tests.fakes.socket_fleet import SocketFleet, now
 
 STOCK, PAY = "stock", "pay"
 REUSE_DELAY_S = 2.0
 ENTRY_LASTS_S = 4.0  # after the end of its target
 SETTLE_S = 1.0
+DRAINED_S = 5.0  # more than the longest hold while the store answers
 OUTAGE_S = 5.0  # after the address was reused; a write is given up after 1.5 s
 ENTRY_LATE_S = 0.2
 REPLACED_S = 1.0  # docs/decisions/successors.md has 0.53 s; a hold lasts 1.9 s or more
@@ -65,5 +67,25 @@
         self.assertLess(now() - listens_at, REPLACED_S)
 
 
+class TestDrainingTargets(unittest.TestCase):
+    """A target works on over open connections while another listens at its address."""
+
+    # Guards against OWNER: the refusal of a release by the next process at an address
+    # counted as the end of the one before, which still answered on its connections.
+    def test_keep_their_keys_until_their_holds_end(self):
+        fleet = SocketFleet()
+        self.addCleanup(fleet.stop)
+        targets = [fleet.start_process(f"t{n}") for n in range(3)]
+        for process in targets:
+            fleet.publish(process)
+        fleet.wait_until_held()
+        eventlet.sleep(SETTLE_S)
+        targets[0].tell("close")
+        fleet.publish(fleet.start_process("t3", port=targets[0].port))
+        fleet.publish(targets[0], state=TargetState.LEAVING)
+        eventlet.sleep(DRAINED_S)
+        self.assertEqual(fleet.long_double_holds()[:3], [])
+
+
 if __name__ == "__main__":
     unittest.main()
