Count a lease from the first attempt of the write that renews it

Cause: a write whose answer is lost is repeated, and the repetition may find that the first attempt has changed the object. Change: the lease counts from the first attempt. The next periodic write is due a period after that, so at once after a long one. Measured: TestRepeatedWrites failed before and passes.

--- a/src/persimmonspoke/internal/fleet/leadership.py
+++ b/src/persimmonspoke/internal/fleet/leadership.py
@@ -190,7 +190,7 @@
         now = self._clock.now()
         if not self.leading:
             return Instant(now + WATCH_PERIOD_S)
-        due_at = Instant(self._confirmations.written_at + self._cfg.confirm_s)
+        due_at = Instant(self.lease_until - self._cfg.lease_s + self._cfg.confirm_s)
         return due_at if due_at > now else Instant(now + self._cfg.confirm_s)
 
     def _pause_until(self, wake_at):
@@ -402,6 +402,7 @@
         """
         unresolved = False
         self._changes_since_write = []
+        first_sent_at = self._clock.now()
         while True:
             sent_at = self._clock.now()
             deadline = Instant(sent_at + self._cfg.store_call_s)
@@ -442,7 +443,9 @@
             for change in self._changes_since_write:
                 ownership = change(ownership)
             self.ownership = ownership
-            self.lease_until = Instant(sent_at + self._cfg.lease_s)
+            # The first attempt may have changed the object, and hosts that wait for the
+            # end of the lease count from that change.
+            self.lease_until = Instant(first_sent_at + self._cfg.lease_s)
             self.store_answered_at = sent_at
             self._confirmations.on_written(sent_at)
             return
@@ -460,7 +463,8 @@
 
     def _confirm_if_due(self):
         """Confirm, unless another write has done so within `confirm_s`."""
-        if self._clock.now() - self._confirmations.written_at >= self._cfg.confirm_s:
+        leased_s = self.lease_until - self._clock.now()
+        if leased_s <= self._cfg.lease_s - self._cfg.confirm_s:
             self._confirm()
 
     def _is_confirmed_by_hosts(self):
--- a/tests/cover/test_partial_cuts.py
+++ b/tests/cover/test_partial_cuts.py
@@ -13,6 +13,7 @@
 from tests.cover.test_succession import SETTLE_S, SuccessionCase
 from tests.fakes.process import GateKind
 from tests.fakes.range_fleet import SERVICE, RangeFleet
+from tests.fakes.store import WriteFate
 
 REACHED_S = 1.0  # from a takeover until all targets know the fences of the new leader
 GRANTED_S = 2.0  # enough for three rounds of renewals
@@ -261,6 +262,42 @@
             self.fleet.run_for(0.05)
 
 
+class TestRepeatedWrites(PartialCutCase):
+    """The answer to a write is lost, and that to a repetition comes later."""
+
+    hosts = 5
+    UNANSWERED_S = 6.0
+
+    # Guards against OWNER: the leader counted its lease from the last repetition, and a
+    # host that it does not know from the change of the object, which came first.
+    def test_do_not_prolong_the_lease_that_others_wait_for(self):
+        faults = self.first.store.faults
+        self.turn_away(self.others)
+        before = self.version()
+        faults.lost.append(WriteFate.AFTER_EFFECT)
+        while self.version() == before:
+            self.fleet.run_for(0.0005)
+        faults.silent = True
+        before = self.version()
+        self.fleet.run_for(0.5)
+        added = self.fleet.add_host(self.cut)
+        self.fleet.run_for(self.UNANSWERED_S)
+        self.first.cache.observe = lambda stored: None  # its watch is later
+        confirmations = self.first.leadership._confirmations
+        written_at = confirmations.written_at
+        faults.silent = False
+        while confirmations.written_at == written_at:
+            self.fleet.run_for(0.0005)
+        faults.silent = True
+        self.assertEqual(self.version(), before)
+        while self.first.leadership.may_order():
+            self.assertFalse(added.leadership.may_order())
+            self.fleet.run_for(0.05)
+
+    def version(self):
+        return self.fleet.platform.get(OWNERSHIP_KEY).version
+
+
 class TestSuccessorsWithoutARecord(PartialCutCase):
     """A host that has led stops by plan, and removes its record from the store."""
 
