End a release whose target has left the address

Cause: a release waited for each address at which its target had been found, also once the target was at another one. Change: the present address counts, and the earlier ones at which holds by known orders remain; the last one known, while the entry is missing.

--- a/src/persimmonspoke/internal/ranges/mover.py
+++ b/src/persimmonspoke/internal/ranges/mover.py
@@ -424,15 +424,13 @@
         service = transfers[0].service
         fence = self._ledger.next_fences()
         began = self._clock.now()
-        handover, waits_for = None, None
-        found, answered, ended = set(), set(), set()
+        handover = waits_for = current = None
+        answered, ended = set(), set()
         while True:
             # The entry of a target may be missing for a moment.
-            current = self._granters.address(service, piece.owner)
-            if current is not None:
-                found.add(current)
+            current = self._granters.address(service, piece.owner) or current
             earlier = self._granters.earlier_addresses(service, piece.owner)
-            addresses = found.union(earlier) or {None}
+            addresses = {current, *earlier}
             for address in addresses - answered - {None}:
                 order = RangeRelease(piece.first, piece.last, fence)
                 try:
--- a/tests/cover/test_earlier_addresses.py
+++ b/tests/cover/test_earlier_addresses.py
@@ -126,6 +126,33 @@
                 self.assert_one_holder()
 
 
+class TestReleases(EarlierAddressCase):
+    """The address that a target has left never answers its release."""
+
+    ENDED_S = 7.0
+
+    # Guards against keys without an owner: the release waited for an address that the
+    # target had left, and each grant of other keys at the new one prolonged the wait.
+    def test_end_although_the_target_gets_other_keys_elsewhere(self):
+        for returns_after_s in (1.8, 2.2):
+            with self.subTest(returns_after_s=returns_after_s):
+                self.fleet.stop()
+                self.fleet = RangeFleet(hosts=self.hosts)
+                self.fleet.run_for(SETTLE_S)
+                self.first = self.fleet.leader()
+                self.found = self.fleet.records["t0"]
+                self.fleet.targets["t0"].crash()
+                self.fleet.targets["u"] = FakeRangeTarget("u", silent=True)
+                self.fleet.listening["t0", self.found.ip] = "u"
+                self.fleet.run_for(returns_after_s)
+                self.publish()
+                self.fleet.run_for(0.1)
+                piece = self.first.keeper.ledger.map(SERVICE).owned_by("t1")[0]
+                self.first.keeper.start_move(SERVICE, whole_move(piece, "t0"))
+                self.fleet.run_for(self.ENDED_S)
+                self.assertEqual(self.fleet.unheld_keys()[:3], [])
+
+
 class TestEntriesThatReturn(SuccessionCase):
     """The entry of a target that is well is missing while another host takes over."""
 
