Start fake target processes without the package

Since the process read the name of a header from the package, each start took 0.3 s more (0.38 in place of 0.1 s), which the time that keys are without an owner includes. The name is an argument now.

--- a/tests/fakes/key_process.py
+++ b/tests/fakes/key_process.py
@@ -1,8 +1,9 @@
 """A target process that holds keys under grants, on a real socket.
 
-Run it with ``python -m tests.fakes.key_process NAME IP PORT LOG BACKLOG``.  It appends
-one line of JSON to LOG for each order that it executes.  ``close`` on its standard
-input closes the listener, the end of the input ends the process.
+Run it with ``python -m tests.fakes.key_process NAME IP PORT LOG BACKLOG FIELD``.  It
+appends one line of JSON to LOG for each order that it executes, and refuses those that
+name another target in the header FIELD.  ``close`` on its standard input closes the
+listener, the end of the input ends the process.
 """
 
 import contextlib
@@ -13,16 +14,15 @@
 import threading
 import time
 
-from persimmonspoke.platform.headers import EXPECTED_TARGET
-
 KEY_COUNT = 65536
 
 
 class KeyProcess:
     """One life of a target.  The time of a grant counts from when it is read."""
 
-    def __init__(self, name, ip, port, log_path, backlog):
+    def __init__(self, name, ip, port, log_path, backlog, target_field):
         self._name = name
+        self._target_field = target_field.lower().encode()
         self._log = open(log_path, "a", buffering=1)  # noqa: SIM115 - open until exit.
         self._lock = threading.Lock()
         self._seen = [0] * KEY_COUNT
@@ -60,7 +60,7 @@
                     name, _, value = field.partition(b":")
                     if name.lower() == b"content-length":
                         length = int(value)
-                    elif name.decode().lower() == EXPECTED_TARGET.lower():
+                    elif name.lower() == self._target_field:
                         named = value.decode().strip()
                 body = stream.read(length)
                 path = line.split()[1].decode()
@@ -90,5 +90,5 @@
 
 
 if __name__ == "__main__":
-    name, ip, port, log_path, backlog = sys.argv[1:]
-    KeyProcess(name, ip, int(port), log_path, int(backlog)).run()
+    name, ip, port, log_path, backlog, target_field = sys.argv[1:]
+    KeyProcess(name, ip, int(port), log_path, int(backlog), target_field).run()
--- a/tests/fakes/socket_fleet.py
+++ b/tests/fakes/socket_fleet.py
@@ -18,6 +18,7 @@
 from persimmonspoke.internal.routing.config import RoutedService, RoutingConfig
 from persimmonspoke.internal.targets.api import TargetAddress
 from persimmonspoke.internal.targets.connections import can_connect
+from persimmonspoke.platform.headers import EXPECTED_TARGET
 from persimmonspoke.platform.orders import HttpRangeOrders
 from tests.fakes import range_fleet, virtual_hub
 from tests.fakes.range_fleet import RangeFleet, RangeHost, record
@@ -48,7 +49,7 @@
         self.log_path = log_path
         self._process = subprocess.Popen(
             [sys.executable, "-m", "tests.fakes.key_process", name, "127.0.0.1"]
-            + [str(port), str(log_path), str(backlog)],
+            + [str(port), str(log_path), str(backlog), EXPECTED_TARGET],
             cwd=ROOT,
             stdin=subprocess.PIPE,
         )
@@ -75,7 +76,7 @@
             eventlet.sleep(0.005)
 
     def pause(self):
-        """Stop the process until it is resumed."""
+        """Stop the process, which runs, until it is resumed."""
         os.kill(self._process.pid, signal.SIGSTOP)
         os.waitpid(self._process.pid, os.WUNTRACED)
 
