--- a/src/persimmonspoke/standins/holder.py
+++ b/src/persimmonspoke/standins/holder.py
@@ -11,9 +11,9 @@
 import asyncio
 import contextlib
 import json
+import os
 import random
 import signal
-import sys
 import time
 
 from persimmonspoke.standins import http1
@@ -233,7 +233,7 @@
         await asyncio.sleep(self.args.drain_s)
         if not self.args.abrupt:
             await self._report(left=True)
-        sys.exit(0)
+        os._exit(0)
 
     def on_command(self, command):
         """Change what it does."""
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -9,7 +9,7 @@
 import sys
 import tempfile
 
-from tools.soak import schedule
+from tools.soak import judge, schedule
 from tools.soak.rig import ROOT, CannotRun, Rig, RunSettings
 
 
@@ -64,7 +64,15 @@
     except CannotRun as exc:
         print(f"seed {args.seed}: {exc}; see {folder}", file=sys.stderr)
         return 2
-    return 0
+    print(f"seed {args.seed}, {len(steps)} steps, {served(folder)}: {folder}")
+    return judge.main([str(folder)])
+
+
+def served(folder):
+    """Return how many requests were sent, and served, as text."""
+    text = (folder / "callers.jsonl").read_text()
+    sent, good = text.count('"kind": "sent"'), text.count('"status": 200')
+    return f"{good} of {sent} requests served"
 
 
 if __name__ == "__main__":
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -21,6 +21,7 @@
 
 REWRITE_WAIT_S = 0.002  # for the rest of an address that a read has split
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+TABLE_READS = 2  # a row may be missed while the table changes
 GRANT = b"POST /grant"
 
 
@@ -329,10 +330,13 @@
 
     def find_host(self, peer, here):
         """Return the name of the host that has opened a connection; None if unknown."""
-        table = pathlib.Path("/proc/net/tcp").read_text()
         local, remote = map(_in_table, (peer, here))
-        found = re.search(rf" {local} {remote} 0[^6](?: +\S+){{5}} +(\d+) ", table)
-        if found is None:
+        pattern = rf" {local} {remote} 0[^6](?: +\S+){{5}} +(\d+) "
+        for _ in range(TABLE_READS):
+            found = re.search(pattern, pathlib.Path("/proc/net/tcp").read_text())
+            if found is not None:
+                break
+        else:
             return None
         wanted = f"socket:[{found[1]}]"
         for pid, name in self._host_pids().items():
--- a/tools/soak/rig.py
+++ b/tools/soak/rig.py
@@ -11,7 +11,6 @@
 import os
 import pathlib
 import random
-import re
 import signal
 import sys
 import time
@@ -48,6 +47,7 @@
     proc: asyncio.subprocess.Process
     target_id: str | None = None
     paused: bool = False
+    ended: bool = False
 
 
 @dataclass
@@ -110,13 +110,15 @@
         return self
 
     async def __aexit__(self, *exc_info):
-        for life in self._all:
-            if life.proc.returncode is None:
-                life.proc.kill()
-        await asyncio.gather(*(life.proc.wait() for life in self._all))
-        for task in self._tasks:
+        tasks = tuple(self._tasks)
+        for task in tasks:
             task.cancel()
-        await asyncio.sleep(0)
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for life in self._all:
+            if not life.ended:
+                self._signal(life, signal.SIGKILL)
+                await life.proc.wait()
+                self._note_end(life, "the run is over")
         self._out.close()
 
     def note(self, kind, **fields):
@@ -186,6 +188,10 @@
             how = f"{how}, killed"
             self._signal(life, signal.SIGKILL)
             await life.proc.wait()
+        self._note_end(life, how)
+
+    def _note_end(self, life, how):
+        life.ended = True
         self.note("process_end", process=life.process, how=how)
 
     def _signal(self, life, number):
@@ -414,7 +420,7 @@
         self._resume(life)
         self._signal(life, signal.SIGTERM)
         await life.proc.wait()
-        self.note("process_end", process=life.process, how=how)
+        self._note_end(life, how)
 
     async def target_drain(
         self, place, extra_s, closes_listener, abrupt, then, overlaps
@@ -493,10 +499,3 @@
             return resp.status == 200
     except OSError:
         return False
-
-
-def leaders(folder: pathlib.Path) -> int:
-    """Return how many lines of the hosts' logs tell of a new leader."""
-    pattern = re.compile(r'"message": "leader: ')
-    logs = folder.glob("host-*.log")
-    return sum(len(pattern.findall(path.read_text(errors="replace"))) for path in logs)
