--- a/tools/soak/rig.py
+++ b/tools/soak/rig.py
@@ -317,7 +317,8 @@
             args = dict(step.args)
             if "host" in args:
                 args["host"] = self._resolve(args["host"])
-            self.note("fault", name=step.name, args=args)
+            late_s = round(time.monotonic() - begun_at - step.at, 3)
+            self.note("fault", name=step.name, args=args, late_s=late_s)
             task = asyncio.create_task(getattr(self, step.name)(**args))
             self._tasks.add(task)
             task.add_done_callback(self._done)
