Judge link cuts by the links of sender and target, and store faults apart

Only a link that the grant can have taken holds it up, and a fault of the store is no link. Checks read the ports of the proxy's connections to know the sender.

--- a/tests/cover/test_soak_judge.py
+++ b/tests/cover/test_soak_judge.py
@@ -62,8 +62,8 @@
     return row(kind, at, process=name)
 
 
-def cut(at, heal_at):
-    link = {"what": "silent", "ends": [["h1"], ["a", "b"]]}
+def cut(at, heal_at, end="b", host="h1"):
+    link = {"what": "silent", "ends": [[host], ["a", end]]}
     return [row("cut", at, **link), row("heal", heal_at, **link)]
 
 
@@ -140,6 +140,9 @@
         ("broken", "after a pause of the store", A, THAW | {"process": "db"}, B_SOONER),
         ("excused", "after a link has healed", A, *cut(11, 12.8), B_SOONER),
         ("broken", "later after that", A, *cut(11, 12.69), B_SOONER),
+        ("broken", "after another one", A, *cut(11, 12.8, "b2", "h2"), VIA)
+        + (B_SOONER | {"via": 7},),
+        ("broken", "after the store has erred", A, *cut(11, 12.8, "a", "db"), B_SOONER),
         ("broken", "while a link is cut", A, *cut(11, 13.1), B_SOONER),
         ("excused", "held up on its way", A, B_SOONER | {"held_up": True}),
         ("excused", "taken late", A, grant("b", 13, 6, **LATE)),
@@ -362,6 +365,7 @@
         ("", "beside a pause of another one", STOP, *ONE, on("pause", 20.2, "h2")),
         ("broken", "at the end of its time", on("term", 13.6, "h1"), *ONE),
         ("", "after its time", on("term", 13.4, "h1"), *ONE),
+        ("broken", "beside a pause of the store", STOP, *ONE, on("pause", 20.2, "db")),
         ("", "sent at the signal, at work in the last sixth", on("term", 18, "h1"))
         + (sent("r", 18), work("a", "r", 18.1, 23.5, -1), lost("r", 23.6)),
         ("broken", "sent later", on("term", 18, "h1"))
--- a/tools/soak/judge.py
+++ b/tools/soak/judge.py
@@ -12,7 +12,7 @@
 from collections import defaultdict
 from dataclasses import dataclass, field, replace
 
-from tools.soak.history import Change, Grant, read
+from tools.soak.history import Grant, read
 
 DOUBLE_HOLD_S = 0.5
 LEEWAY_S = 0.05  # between a target's check of its hold and its line about the work
@@ -141,6 +141,7 @@
 
     def __post_init__(self):
         self.lives = self._lives()
+        self.stores = {name_of(n) for n, x in self.lives.items() if x.role == "store"}
         self.senders = defaultdict(list)
         for conn in self.history.all("conn"):
             self.senders[conn.via, conn.end].append(conn)
@@ -183,10 +184,19 @@
             is_host = self.lives[resume.process].role == "host"
             if is_host and self.sender(grant) in (None, name_of(resume.process)):
                 return f"sent after a pause of {resume.process}"
-        if self._shortly_before(grant, "heal"):
-            return "arrived after the end of a cut"
+        ends = {self.sender(grant), name_of(grant.process)}
+        for heal in self._shortly_before(grant, "heal"):
+            # Of all links only those of sender and target can have held it up.
+            harmed = self.harmed_by(heal) - self.stores
+            if harmed & ends or (None in ends and harmed):
+                return "arrived after the end of a cut"
         return ""
 
+    def harmed_by(self, change):
+        """Return the names of those whose links are harmed; the store if it errs."""
+        sides = [set(side) for side in change.ends]
+        return self.stores if self.stores & sides[0] else set().union(*sides)
+
     def _shortly_before(self, grant, kind):
         records, until = self.history.all(kind), grant.arrived_at
         first = bisect_left(records, until - self.bounds.thaw_s, key=_at)
@@ -409,13 +419,20 @@
 
     begin: float
     end: float
-    names: frozenset
+    names: set
     is_planned: bool = False
 
 
 def _disturbances(trial):
     history = trial.history
     targets = {name_of(n) for n, life in trial.lives.items() if life.role == "target"}
+
+    def names(change):
+        if hasattr(change, "process"):
+            return {name_of(change.process)}
+        # A target that some hosts can't reach is well for the others.
+        return trial.harmed_by(change) - targets
+
     for begin_kind, end_kind in (("pause", "resume"), ("cut", "heal")):
         open_since = []
         for change in sorted(history.all(begin_kind) + history.all(end_kind), key=_at):
@@ -424,22 +441,13 @@
                 open_since.append(change)
             elif begins:
                 open_since.remove(begins[0])
-                names = _names(change, targets)
-                yield Disturbance(begins[0].at, change.at, names)
+                yield Disturbance(begins[0].at, change.at, names(change))
         for change in open_since:
-            yield Disturbance(change.at, float("inf"), _names(change, targets))
+            yield Disturbance(change.at, float("inf"), names(change))
     stopped = {record.process for record in history.all("term")}
     for record in history.all("process_start") + history.all("process_end"):
         is_planned = record.process in stopped
-        names = frozenset([name_of(record.process)])
-        yield Disturbance(record.at, record.at, names, is_planned)
-
-
-def _names(change, targets):
-    if isinstance(change, Change):
-        return frozenset([name_of(change.process)])
-    # A target that some hosts can't reach is well for the others.
-    return frozenset(name for side in change.ends for name in side) - targets
+        yield Disturbance(record.at, record.at, names(record), is_planned)
 
 
 @dataclass(frozen=True)
@@ -469,14 +477,15 @@
     """Yield answers that a host lost, at calm times or while it stopped by plan."""
     window_s, grace_s = trial.bounds.stable_window_s, trial.bounds.grace_s
     disturbances = list(_disturbances(trial))
-    stores = {name_of(n) for n, life in trial.lives.items() if life.role == "store"}
     stops = {name_of(record.process): [] for record in trial.history.all("term")}
     for record in trial.history.all("term"):
         stops[name_of(record.process)].append(record.at)
     at_calm_times = defaultdict(list)
     for loss in _losses(trial):
         sent, at = loss.sent, loss.at
-        near = [d for d in disturbances if d.begin <= at]
+        # A disturbance of the store excuses nothing for requests without a key.
+        stores = trial.stores if sent.key < 0 else set()
+        near = [d for d in disturbances if d.begin <= at and d.names - stores]
         stop = max((s for s in stops.get(sent.host, ()) if s <= at), default=None)
         if stop is not None and at <= stop + grace_s + 1:
             since, late_at = sent.at - window_s, stop + grace_s * 5 / 6
@@ -487,8 +496,7 @@
                 yield Finding("LOST", at, (sent.request,), text)
             continue
         involved = {sent.host, *(name_of(work.process) for work in loss.works)}
-        # A disturbance of the store excuses nothing for requests without a key.
-        involved |= stores if sent.key >= 0 else set()
+        involved |= trial.stores
         if not any(d.end >= at - window_s and d.names & involved for d in near):
             at_calm_times[sent.host].append((at, sent.request))
     for host, found in at_calm_times.items():
