--- a/tests/cover/test_soak_judge.py
+++ b/tests/cover/test_soak_judge.py
@@ -119,7 +119,8 @@
         ("broken", "a paused target is up", A, on("pause", 12, "a"), B_SOONER),
         ("excused", "read after the pause of its target", A, B_SOONER)
         + (on("pause", 11, "b"), on("resume", 12.8, "b")),
-        ("excused", "sent after a thaw", A, THAW, VIA, B_SOONER | {"via": 7}),
+        ("excused", "sent after a thaw", A, THAW, VIA, B_SOONER | {"via": 7})
+        + (VIA | {"at": 13.1, "host": "h2"},),
         ("broken", "sent by another host", A, THAW, VIA | {"host": "h2"})
         + (B_SOONER | {"via": 7},),
         ("excused", "sent by who knows which host", A, THAW, B_SOONER),
@@ -201,6 +202,8 @@
         + (grant("b", 20, 6),),
         ("excused", "after a link has healed", A, *cut(12, 13.9), grant("b", 14, 4)),
         ("broken", "later after that", A, *cut(12, 13.69), grant("b", 14, 4)),
+        ("broken", "and renewed then", A, *cut(12, 13.9), grant("b", 14, 4))
+        + (grant("b", 14.5, 4),),
         ("broken", "held up", A, grant("b", 14, 4, held_up=True)),
         ("", "taken late, having arrived before the other one", grant("b", 9, 6, 0.5))
         + (grant("a", 10, 5, 9.0, arrived=5, **LATE),),
@@ -218,13 +221,14 @@
 class TestGrantsDuringWork(Table, unittest.TestCase):
     RULE = "OWNER grant during work"
     R = release("a", 12, 6)
-    WORK = work("a", "r1", 11, 13.5)
+    B, WORK = grant("b", 13.6, 6), work("a", "r1", 11, 13.5)
     CASES = (
         ("", "the work has ended", A, R, work("a", "r1", 11, 12.5), B_SOONER),
         ("broken", "the work goes on", A, R, WORK, B_SOONER),
         ("broken", "the work does not end", A, R, work("a", "r1", 11), B_SOONER),
         ("", "the time is over", A, R, work("a", "r1", 11, 14.5), B_LATER),
         ("", "work on another key", A, R, WORK | {"key": 12}, B_SOONER),
+        ("", "a renewal", A, B, work("a", "r1", 13.65, 13.9), B | {"at": 13.7}),
         ("excused", "held up", A, R, WORK, B_SOONER | {"held_up": True}),
         ("excused", "after a thaw", A, R, WORK, on("resume", 12.9, "h1"), B_SOONER),
     )
@@ -320,6 +324,11 @@
         ("", "the same, with keys", *losses(4, key=3), on("pause", 20.2, "db")),
         ("broken", "one of a host that stops", STOP, *ONE),
         ("", "beside a pause of another one", STOP, *ONE, on("pause", 20.2, "h2")),
+        ("broken", "beside a planned restart of another one", STOP, *ONE)
+        + (*process("h3.1", "host", 0, 18), on("term", 17.5, "h3.1"))
+        + (*process("h3.2", "host", 18.1),),
+        ("", "beside a restart after a kill", STOP, *ONE)
+        + (*process("h3.1", "host", 0, 18), *process("h3.2", "host", 18.1)),
         ("broken", "at the end of its time", on("term", 13.6, "h1"), *ONE),
         ("", "after its time", on("term", 13.4, "h1"), *ONE),
         ("broken", "beside a pause of the store", STOP, *ONE, on("pause", 20.2, "db")),
--- a/tools/soak/judge.py
+++ b/tools/soak/judge.py
@@ -12,7 +12,7 @@
 from collections import defaultdict
 from dataclasses import dataclass, field, replace
 
-from tools.soak.history import Grant, read
+from tools.soak.history import End, Grant, read
 
 DOUBLE_HOLD_S = 0.5
 LEEWAY_S = 0.05  # between a target's check of its hold and its line about the work
@@ -279,9 +279,8 @@
         for begin, other_end, other in itertools.islice(spans, number + 1, None):
             if begin >= end:
                 break
-            if other != process:
-                pair = tuple(sorted((process, other)))
-                yield Overlap(cell, pair, begin, min(end, other_end))
+            pair = tuple(sorted((process, other)))
+            yield Overlap(cell, pair, begin, min(end, other_end))
 
 
 def _described(holds):
@@ -402,8 +401,6 @@
             text = f"the answer to {answer.body_request}"
         elif not answer.complete or not 200 <= answer.status < 300:
             text = ""
-        elif worker is None:
-            text = "a success without the body of a target"
         else:
             is_own = (worker, request) in ran or request in torn
             text = "" if is_own else f"the body of {worker}, which did not run it"
@@ -444,10 +441,16 @@
                 yield Disturbance(begins[0].at, change.at, names(change))
         for change in open_since:
             yield Disturbance(change.at, float("inf"), names(change))
-    stopped = {record.process for record in history.all("term")}
-    for record in history.all("process_start") + history.all("process_end"):
-        is_planned = record.process in stopped
-        yield Disturbance(record.at, record.at, names(record), is_planned)
+    planned = {x.process for kind in ("term", "draining") for x in history.all(kind)}
+    ended_by_plan = set()
+    changes = history.all("process_start") + history.all("process_end")
+    for record in sorted(changes, key=_at):
+        name = name_of(record.process)
+        is_planned = name in ended_by_plan  # the start after a planned stop
+        if isinstance(record, End):
+            is_planned = record.process in planned
+            (ended_by_plan.add if is_planned else ended_by_plan.discard)(name)
+        yield Disturbance(record.at, record.at, {name}, is_planned)
 
 
 @dataclass(frozen=True)
