Report grants of unknown senders and a proxy that stands still

In the first runs side by side the runner did not know the host of over half of the connections and its loop stood still for seconds. Such a run shows little, and grants that the proxy held up must not count as double holds.

--- a/tests/cover/test_soak_judge.py
+++ b/tests/cover/test_soak_judge.py
@@ -139,6 +139,11 @@
         + (B_SOONER, grant("b", 13.2, 6)),
     )
 
+    def test_a_grant_does_not_count_that_the_proxy_may_have_held_up(self):
+        for at, verdict in ((13.2, "excused"), (12.7, "excused"), (12.69, "broken")):
+            rows = [A, row("stall", at, for_s=0.2), B_SOONER]
+            self.assertEqual(verdicts(rows), [(verdict, self.RULE)])
+
     def test_a_hold_ends_with_its_process(self):
         for end, expected in ((13.5, []), (13.6, [("broken", self.RULE)])):
             rows = [*process("c", end=end), grant("c", 10, 5), B_SOONER]
@@ -347,6 +352,9 @@
         ("", "work that needs none", work("a", "r1", 14.1, 15)),
         ("error", "a process that nobody started", *process("x")[1:]),
         ("error", "a sign after the end", on("draining", 101, "a")),
+        ("error", "a grant from an unknown port", A | {"via": 7}),
+        ("", "a proxy that is a little late", row("stall", 9, for_s=0.3)),
+        ("error", "a proxy that stood still", row("stall", 9, for_s=0.31)),
     )
 
 
--- a/tools/soak/history.py
+++ b/tools/soak/history.py
@@ -67,6 +67,13 @@
     end: str
 
 
+@dataclass(frozen=True)
+class Stall(Record):
+    """The proxy passed nothing on for the `for_s` seconds before."""
+
+    for_s: float
+
+
 @dataclass(frozen=True)
 class Order(Record):
     """A release that has reached a target, for the keys ``[range_from, range_to)``.
@@ -170,6 +177,7 @@
     "cut": LinkChange,
     "heal": LinkChange,
     "conn": Connection,
+    "stall": Stall,
     "life": Start,
     "grant": Grant,
     "release": Order,
