--- a/tests/cover/test_soak_judge.py
+++ b/tests/cover/test_soak_judge.py
@@ -386,7 +386,9 @@
         self.write("target-b", [B_SOONER])
         code, text = self.run_judge()
         self.assertEqual(code, 1)
-        self.assertIn("13.000 broken OWNER double hold keys 0 to 9: a, b: held", text)
+        self.assertIn(
+            "13.000 broken OWNER double hold keys 0 to 9: a, b: both for", text
+        )
 
     def test_an_incomplete_last_line_is_kept_apart(self):
         self.write("target-a", [A], '{"kind": "work", "at"')
--- a/tools/soak/judge.py
+++ b/tools/soak/judge.py
@@ -304,9 +304,7 @@
         for found in _overlaps(cell, trial.counts_if_long):
             length_s = found.end - found.begin
             if length_s > DOUBLE_HOLD_S:
-                text = (
-                    f"held the same for {length_s:.3f} s, {_described(found.holds())}"
-                )
+                text = f"both for {length_s:.3f} s, {_described(found.holds())}"
                 rule = "OWNER double hold"
                 yield Finding(rule, found.begin, found.processes, text, cell.keys)
 
@@ -420,7 +418,7 @@
 
 @dataclass(frozen=True)
 class Disturbance:
-    """What may excuse that answers are lost by hosts, or come late from targets."""
+    """What may excuse that hosts lose answers."""
 
     begin: float
     end: float
@@ -488,7 +486,7 @@
     """Yield answers that a host lost, at calm times or while it stopped by plan."""
     window_s, grace_s = trial.bounds.stable_window_s, trial.bounds.grace_s
     disturbances = list(_disturbances(trial))
-    stops = {name_of(record.process): [] for record in trial.history.all("term")}
+    stops = defaultdict(list)
     for record in trial.history.all("term"):
         stops[name_of(record.process)].append(record.at)
     at_calm_times = defaultdict(list)
@@ -496,11 +494,11 @@
         sent, at = loss.sent, loss.at
         # A disturbance of the store excuses nothing for requests without a key.
         stores = trial.stores if sent.key < 0 else set()
-        near = [d for d in disturbances if d.begin <= at and d.names - stores]
+        before = [d for d in disturbances if d.begin <= at and d.names - stores]
         stop = max((s for s in stops.get(sent.host, ()) if s <= at), default=None)
         if stop is not None and at <= stop + grace_s + 1:
             since, late_at = sent.at - window_s, stop + grace_s * 5 / 6
-            calm = not any(d.end >= since and not d.is_planned for d in near)
+            calm = not any(d.end >= since and not d.is_planned for d in before)
             ran = any(_is_running(trial, work, late_at) for work in loss.works)
             if calm and not (ran and sent.at <= stop + 3):
                 text = f"{sent.host} lost it {at - stop:.3f} s after SIGTERM"
@@ -508,7 +506,7 @@
             continue
         involved = {sent.host, *(name_of(work.process) for work in loss.works)}
         involved |= trial.stores
-        if not any(d.end >= at - window_s and d.names & involved for d in near):
+        if not any(d.end >= at - window_s and d.names & involved for d in before):
             at_calm_times[sent.host].append((at, sent.request))
     for host, found in at_calm_times.items():
         if len(found) > MAX_LOST:
