--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -345,11 +345,15 @@
         inode = _inode(peer, here)
         wanted = f"socket:[{inode}]"
         for pid, name in self._host_pids().items():
-            folder = f"/proc/{pid}/fd"
-            try:
-                for entry in os.listdir(folder):
-                    if os.readlink(f"{folder}/{entry}") == wanted:
-                        return name
-            except OSError:
-                continue
+            if any(path == wanted for path in _open_files(pid)):
+                return name
         return None
+
+
+def _open_files(pid):
+    """Yield what the descriptors of a process refer to."""
+    folder = f"/proc/{pid}/fd"
+    with contextlib.suppress(OSError):  # of a process that has ended
+        for entry in os.listdir(folder):
+            with contextlib.suppress(OSError):  # a descriptor closed meanwhile
+                yield os.readlink(f"{folder}/{entry}")
--- a/tools/soak/rig.py
+++ b/tools/soak/rig.py
@@ -27,6 +27,8 @@
 READY_S = 40.0
 READY_POLL_S = 0.1
 END_POLL_S = 0.01
+STALL_POLL_S = 0.05
+STALL_S = 0.1  # lateness of the proxy that the judge is told of
 SETTLE_S = 4.0  # for the last answers and the ends of processes
 STORE_PORT, TARGET_PORT = 7000, 9000
 HANDED_OVER_S = 1.0  # between the start of a target and the stop of the one it replaces
@@ -288,6 +290,7 @@
 
     async def start(self):
         """Start everything, and wait until all hosts are ready."""
+        self._tasks.add(asyncio.create_task(self._watch_loop()))
         await self._open_proxy()
         try:
             await self._start_store()
@@ -309,6 +312,15 @@
 
     # The schedule.
 
+    async def _watch_loop(self):
+        """Note when this process was late, and so the proxy with all bytes."""
+        while True:
+            due_at = time.monotonic() + STALL_POLL_S
+            await asyncio.sleep(STALL_POLL_S)
+            late_s = time.monotonic() - due_at
+            if late_s > STALL_S:
+                self.note("stall", for_s=late_s)
+
     async def play(self, steps: list[Step]) -> None:
         """Carry out a schedule."""
         begun_at = time.monotonic()
