--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -59,7 +59,7 @@
         return any(one in self.hosts and other in self.ends for one, other in pairs)
 
 
-class _Rewriter:
+class Rewriter:
     """Replaces texts by others of the same length in a stream of bytes."""
 
     def __init__(self, pairs):
@@ -156,7 +156,7 @@
             self.reset()
             return
         if self not in self.proxy.links:
-            _reset(side.transport)
+            reset(side.transport)
             return
         self._sides[False] = side
         self.via = side.transport.get_extra_info("sockname")[1]
@@ -233,7 +233,7 @@
             queue.clear()
         for side in self._sides.values():
             if side is not None and side.transport is not None:
-                _reset(side.transport)
+                reset(side.transport)
 
     def _close(self):
         self.proxy.links.discard(self)
@@ -241,7 +241,8 @@
             side.transport.close()
 
 
-def _reset(transport):
+def reset(transport):
+    """Close a connection by a reset."""
     sock = transport.get_extra_info("socket")
     if sock is not None and sock.fileno() >= 0:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
@@ -300,6 +301,13 @@
             )
         )
 
+    def close(self):
+        """Stop listening, and reset all links."""
+        for server in self._servers:
+            server.close()
+        for link in list(self.links):
+            link.reset()
+
     def name_address(self, host, own_ip, seen_ip):
         """Set by which address a host knows itself and by which others know it."""
         self._addresses[host] = own_ip.encode(), seen_ip.encode()
@@ -320,7 +328,7 @@
                 pairs.append(own[sender])
             if receiver in own:
                 pairs.append(own[receiver][::-1])
-            found[from_host] = _Rewriter(pairs)
+            found[from_host] = Rewriter(pairs)
         return found
 
     def cut(self, cut: Cut) -> None:
--- a/tools/soak/rig.py
+++ b/tools/soak/rig.py
@@ -123,6 +123,7 @@
                 self._signal(life, signal.SIGKILL)
                 await _wait(life.proc)
                 self._note_end(life, "the run is over")
+        self.proxy.close()
         self._out.close()
 
     def note(self, kind, **fields):
