--- a/tests/cover/test_soak_judge.py
+++ b/tests/cover/test_soak_judge.py
@@ -373,22 +373,36 @@
             contextlib.redirect_stderr(out),
         ):
             code = judge.main([str(self.folder), *words])
-        return code, out.getvalue()
+        return code, out.getvalue().splitlines()
 
     def test_the_command_tells_breaks_errors_and_excuses_apart(self):
         self.write("target-a", [A])
-        self.assertEqual(self.run_judge(), (0, "0 broken, 0 excused, 0 error\n"))
+        code, lines = self.run_judge()
+        self.assertEqual((code, lines[-1]), (0, "0 broken, 0 excused, 0 error"))
         self.write("target-b", [B_SOONER | {"held_up": True}])
-        self.assertEqual(self.run_judge(), (0, "0 broken, 1 excused, 0 error\n"))
-        self.assertIn("held up on its way", self.run_judge("--excused")[1])
+        code, lines = self.run_judge()
+        self.assertEqual((code, lines[-1]), (0, "0 broken, 1 excused, 0 error"))
+        self.assertIn("held up on its way", self.run_judge("--excused")[1][0])
         self.write("target-b", [on("draining", 101, "b")])
         self.assertEqual(self.run_judge()[0], 2)
         self.write("target-b", [B_SOONER])
-        code, text = self.run_judge()
+        code, lines = self.run_judge()
         self.assertEqual(code, 1)
-        self.assertIn(
-            "13.000 broken OWNER double hold keys 0 to 9: a, b: both for", text
-        )
+        expected = "13.000 broken OWNER double hold keys 0 to 9: a, b: both for"
+        self.assertIn(expected, lines[0])
+
+    def test_the_command_says_how_holds_ended_before_keys_went_on(self):
+        rows = [
+            grant("a", 1, 1),
+            release("a", 2, 2),
+            grant("b", 3, 3),
+            grant("a", 8, 4),
+        ]
+        rows += [grant("c", 13, 5), grant("b", 21, 6)]
+        self.write("target-a", rows)
+        self.write("runner", TARGETS + HOSTS + process("c", end=14))
+        expected = "a release: 1, the end of the process: 1, the granted time: 2"
+        self.assertEqual(self.run_judge()[1][-2], f"keys went on after {expected}")
 
     def test_an_incomplete_last_line_is_kept_apart(self):
         self.write("target-a", [A], '{"kind": "work", "at"')
@@ -412,6 +426,6 @@
 
     def test_a_folder_without_a_run_is_an_error(self):
         (self.folder / "runner.jsonl").unlink()
-        code, text = self.run_judge()
+        code, lines = self.run_judge()
         self.assertEqual(code, 2)
-        self.assertIn("has no runner.jsonl", text)
+        self.assertIn("has no runner.jsonl", lines[0])
--- a/tools/soak/judge.py
+++ b/tools/soak/judge.py
@@ -559,6 +559,25 @@
 )
 
 
+def transfers(trial):
+    """Return how often keys went to another process, by how the hold before ended.
+
+    Only holds that ran out show whether a target is waited for that can't be heard.
+    """
+    found = {"a release": 0, "the end of the process": 0, "the granted time": 0}
+    for cell in trial.cells:
+        last = None
+        holds = [hold for part in cell.holds.values() for hold in part]
+        for hold in sorted(holds, key=lambda hold: hold.begin):
+            if last is not None and last.grant.process != hold.grant.process:
+                ended = last.end == trial.lives[last.grant.process].up_until
+                by_time = last.end == last.grant.end_at and not ended
+                how = "the end of the process" if ended else "a release"
+                found["the granted time" if by_time else how] += 1
+            last = hold
+    return found
+
+
 def judge(history, bounds=None):
     """Return the findings of a history, in the order of time."""
     trial = Trial(history, bounds or Bounds())
@@ -590,14 +609,17 @@
     parser.add_argument("--excused", action="store_true", help="list excused cases too")
     args = parser.parse_args(argv)
     try:
-        findings = judge(read(args.folder))
+        history = read(args.folder)
     except UnreadableHistory as exc:
         print(exc, file=sys.stderr)
         return 2
+    findings = judge(history)
     verdicts = [finding.verdict for finding in findings]
     for finding in findings:
         if args.excused or finding.verdict is not Verdict.EXCUSED:
             print(finding)
+    changes = transfers(Trial(history)).items()
+    print("keys went on after", ", ".join(f"{how}: {n}" for how, n in changes))
     counts = [f"{verdicts.count(verdict)} {verdict.value}" for verdict in Verdict]
     print(", ".join(counts))
     if Verdict.BROKEN in verdicts:
