--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -291,6 +291,7 @@
         self._addresses = {}
         self._cuts = []
         self._servers = []
+        self._owners = {}
 
     async def listen(self, address, upstream, end, host=None):
         """Pass on connections to `address`, from one host or any."""
@@ -349,13 +350,22 @@
         return [cut for cut in self._cuts if cut.covers(host, end)]
 
     def find_host(self, peer, here):
-        """Return the name of the host that has opened a connection; None if unknown."""
+        """Return the name of the host that has opened a connection.
+
+        None if it isn't known, mostly because it has been closed again.
+        """
         inode = _inode(peer, here)
+        if not inode:
+            return None
         wanted = f"socket:[{inode}]"
-        for pid, name in self._host_pids().items():
-            if any(path == wanted for path in _open_files(pid)):
-                return name
-        return None
+        if wanted not in self._owners:
+            # Connections come in bursts, so one look finds the owners of many.
+            self._owners = {
+                path: name
+                for pid, name in self._host_pids().items()
+                for path in _open_files(pid)
+            }
+        return self._owners.get(wanted)
 
 
 def _open_files(pid):
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -14,8 +14,8 @@
 
 CALM_S = 5.0  # before the first fault
 LAST_S = 12.0  # after the last one begins
-# Between the begins of two scenes.  Keys of a silent target go to others up to 13 s later,
-# which shows whether it is too early only where nothing else happens meanwhile.
+# Between the begins of two scenes.  Keys of a silent target go to others up to 13 s
+# later; whether that is too early shows only where nothing else happens meanwhile.
 SCENE_GAPS_S = ((0.3, 3.5), (1.5, 6.0), (4.0, 11.0))
 
 
