--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -167,6 +167,25 @@
         if self.rng.random() < 0.5:
             self.trouble_of_leader(self.uniform(1.5, 4))
 
+    def replaced_leader(self):
+        """Add a leader that goes on although another has taken over, among restarts.
+
+        Without the store and the other hosts it can't know of its successor.
+        """
+        for_s = self.uniform(4, 10)
+        self.cut(0, "leader", "store", for_s)
+        if self.rng.random() < 0.7:
+            self.cut(self.uniform(0, 0.5), "same", "hosts", for_s)
+        places = range(next(iter(self.size.services.values())))
+        for place in self.rng.sample(places, self.rng.randrange(2, 6)):
+            self.add(
+                self.uniform(0.2, 4.5),
+                "target_restart",
+                place=place,
+                same_id=self.rng.random() < 0.5,
+                down_s=0.0,
+            )
+
     def drain(self):
         """Add a target that drains, whose address is then given to another."""
         service = self.rng.choice(tuple(self.size.services))
@@ -302,7 +321,8 @@
         """Return the steps, in the order of time."""
         scenes = {
             self.quick_restarts: 6,
-            self.store_turns_away: 5,
+            self.store_turns_away: 3,
+            self.replaced_leader: 4,
             self.drain: 4,
             self.silent_holder: 4,
             self.pauses: 3,
