--- a/tools/soak/rig.py
+++ b/tools/soak/rig.py
@@ -397,10 +397,12 @@
         self.note("heal", what=how, ends=names)
 
     async def target_cut(self, place, hosts, how, for_s):
-        """Cut a target from all hosts, half of them or one."""
+        """Cut a target from all hosts, half of them, all but the last named, or one."""
         names = [f"h{n}" for n in self.hosts]
         if hosts == "half":
             names = names[::2]
+        elif hosts == "others":
+            names.remove(f"h{self._last_host}")
         elif hosts != "all":
             names = [f"h{self._resolve(hosts)}"]
         await self._cut(names, {f"t{place}"}, how, for_s)
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -3,7 +3,7 @@
 A schedule is a list of steps.  Each names what is done, when (in seconds from when all
 hosts are ready), and to whom: targets by the number of their place, hosts
 by their number or as ``leader``, which is resolved when the step is due, or ``same``,
-the host that the last step of that scene was about.
+the host that the last step was about; ``others`` are all but that one.
 """
 
 import json
@@ -172,14 +172,25 @@
 
         Without the store and the other hosts it can't know of its successor.
         """
-        for_s = self.uniform(4, 10)
+        for_s = self.uniform(4, 15)  # its lease lasts 12 s
         self.cut(0, "leader", "store", for_s)
         if self.rng.random() < 0.7:
             self.cut(self.uniform(0, 0.5), "same", "hosts", for_s)
         places = range(next(iter(self.size.services.values())))
-        for place in self.rng.sample(places, self.rng.randrange(2, 6)):
+        chosen = self.rng.sample(places, self.rng.randrange(2, 6))
+        if self.rng.random() < 0.5:
+            # Its successor can't reach a target that it goes on to renew.
+            self.add(
+                self.uniform(0.6, 2),
+                "target_cut",
+                place=chosen.pop(),
+                hosts="others",
+                how=self.how(),
+                for_s=self.uniform(6, 20),
+            )
+        for place in chosen:
             self.add(
-                self.uniform(0.2, 4.5),
+                self.uniform(0.2, for_s),
                 "target_restart",
                 place=place,
                 same_id=self.rng.random() < 0.5,
