--- a/tools/soak/rig.py
+++ b/tools/soak/rig.py
@@ -297,8 +297,10 @@
             await self._start_store()
             for place in self.places[: self.cfg.size.targets]:
                 self._start_target(place, place.service)
+                await asyncio.sleep(0)
             for host in self.hosts:
                 self._start_host(host, first_start=True)
+                await asyncio.sleep(0)
             for host in self.hosts:
                 url = f"http://{self._own_ip(host)}:{deployment.READY}/ready"
                 await self._until(lambda url=url: _answers(url), f"host {host}")
