--- a/src/persimmonspoke/internal/fleet/inquiries.py
+++ b/src/persimmonspoke/internal/fleet/inquiries.py
@@ -6,10 +6,10 @@
 import eventlet
 
 from persimmonspoke.errors import PeerError
-from persimmonspoke.ids import Instant, Version
+from persimmonspoke.ids import HostId, Instant, Version
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.fleet.hosts import Hosts
-from persimmonspoke.internal.fleet.messages import LeaderKnown, LeaderQuery
+from persimmonspoke.internal.fleet.messages import HostEntry, LeaderKnown, LeaderQuery
 from persimmonspoke.internal.fleet.settings import FleetSettings
 from persimmonspoke.internal.peers.api import PeerAddress, PeerLink
 
@@ -27,12 +27,33 @@
     ----------
     later : LeaderKnown or None
         The answer that names the leader of the latest epoch; None if none is later.
-    conclusive : bool
-        Whether at least half of the hosts that were asked have answered.
+    unanimous : bool
+        Whether all known hosts have answered, each from the epoch asked about.  A host
+        needs only the store to be elected, so one without an answer may lead.
+    asked : int
+        Number of hosts that were asked.
+    unheard : tuple of HostId
+        Those that did not answer.
+    later_known_by : HostId or None
+        The host that named the later leader.
     """
 
     later: LeaderKnown | None
-    conclusive: bool
+    unanimous: bool
+    asked: int
+    unheard: tuple[HostId, ...]
+    later_known_by: HostId | None
+
+    def log_fields(self) -> dict:
+        """Return the fields of a log line about this survey."""
+        later = self.later
+        return {
+            "heard": self.asked - len(self.unheard),
+            "asked": self.asked,
+            "unheard": list(self.unheard),
+            "later": later and [later.leader.host_id, later.epoch],
+            "later_known_by": self.later_known_by,
+        }
 
 
 class LeaderInquiries:
@@ -52,19 +73,28 @@
         query = LeaderQuery(self._hosts.me().host_id)
         return self._link.call(address, query, deadline)
 
-    def is_confirmed_lost(self, leader: PeerAddress | None, version: Version) -> bool:
+    def is_confirmed_lost(
+        self,
+        leader: PeerAddress | None,
+        version: Version,
+        hosts: frozenset[str] | None = None,
+    ) -> bool:
         """Return whether the leader is lost, rather than this host isolated.
 
         The leader is not lost if any host had contact with it recently.  Otherwise
         the answers decide if at least half of the other hosts give one.  With fewer
         answers, as while most hosts start after a loss of power, the leader is lost if
         its machine has started another run, or once the object that names it has been
-        unchanged for `unchanged_s`, because a live leader writes it periodically.
+        unchanged for `unchanged_s`, because a live leader writes it periodically.  A
+        leader that loses the store goes on if all hosts that it knows confirm it, so a
+        host that it does not know waits until its lease has ended.
 
         Parameters
         ----------
         version : Version
             Current version of the object that names the leader.
+        hosts : frozenset of str or None
+            Names of the hosts that the leader knows; None if they are not known.
         """
         now = self._clock.now()
         if version != self._version:
@@ -86,7 +116,9 @@
             return False
         if 2 * len(silences) >= len(others):
             return True
-        if now - self._version_seen_at >= self._cfg.unchanged_s:
+        is_known = hosts is not None and self._hosts.my_entry.name in hosts
+        wait_s = self._cfg.unchanged_s if is_known else self._cfg.lease_s
+        if now - self._version_seen_at >= wait_s:
             return True
         # A refused connection proves less: a cut may refuse connections, too.
         return leader is not None and self._hosts.was_restarted(leader.host_id)
@@ -110,15 +142,39 @@
                 return known
         return None
 
-    def survey(self, epoch: int) -> "Survey":
-        """Ask some hosts, all at once, for a leader of a later epoch than `epoch`."""
-        asked = self._sample(self._hosts.known_hosts())
+    def survey(self, epoch: int, also: tuple[HostEntry, ...] = ()) -> "Survey":
+        """Ask all hosts, all at once, for a leader of a later epoch than `epoch`.
+
+        Parameters
+        ----------
+        also : tuple of HostEntry
+            Hosts that are asked even if they have no record any more.
+        """
+        entries = (*also, *self._hosts.known_hosts())
+        asked = tuple({entry.address: entry for entry in entries}.values())
         calls = [eventlet.spawn(self._ask_or_none, e.address) for e in asked]
-        answers = [found for call in calls if (found := call.wait()) is not None]
-        later = [a for a in answers if a.leader is not None and a.epoch > epoch]
+        found = [
+            (e.address.host_id, c.wait()) for e, c in zip(asked, calls, strict=True)
+        ]
+        answers = [(name, answer) for name, answer in found if answer is not None]
+        later_known_by, later = max(
+            (
+                (name, answer)
+                for name, answer in answers
+                if answer.leader is not None and answer.epoch > epoch
+            ),
+            key=lambda item: item[1].epoch,
+            default=(None, None),
+        )
+        # A host that has led in a later epoch and resigned names no leader.  One that
+        # has just started may not know what an earlier run on its machine has done.
+        same = [answer for _, answer in answers if answer.epoch == epoch]
         return Survey(
-            max(later, key=lambda answer: answer.epoch, default=None),
-            2 * len(answers) >= len(asked),
+            later,
+            len(same) == len(asked),
+            len(asked),
+            tuple(name for name, answer in found if answer is None),
+            later_known_by,
         )
 
     def candidate_rank(self, leader: PeerAddress | None) -> int:
--- a/src/persimmonspoke/internal/fleet/leadership.py
+++ b/src/persimmonspoke/internal/fleet/leadership.py
@@ -27,11 +27,15 @@
 )
 from persimmonspoke.ids import Instant, TargetId, Version
 from persimmonspoke.internal.clock import Clock
-from persimmonspoke.internal.fleet.confirmations import Confirmations
+from persimmonspoke.internal.fleet.confirmations import (
+    Confirmation,
+    Confirmations,
+)
 from persimmonspoke.internal.fleet.hosts import Hosts
 from persimmonspoke.internal.fleet.inquiries import NEVER_HEARD_S, LeaderInquiries
 from persimmonspoke.internal.fleet.messages import (
     GrantLeft,
+    HostEntry,
     LeaderKnown,
     LeaderQuery,
     NewLeader,
@@ -123,8 +127,12 @@
         self._confirmations = Confirmations(
             clock, self._confirm, self._is_confirmed_by_hosts
         )
+        self._last_survey: dict | None = None
         self._lost: tuple | None = None
         self._lost_at = LONG_AGO
+        self._next_survey_at = LONG_AGO
+        # The hosts that the object names, as this host has last written it.
+        self._named_hosts: tuple[HostEntry, ...] = ()
         self.store_answered_at = clock.now()
         self._resigned = False
         self.leader: PeerAddress | None = None
@@ -132,6 +140,8 @@
         self.leading = False
         self.lease_until = LONG_AGO
         self.ownership: Ownership | None = None
+        # Local changes since the last write of the object began.
+        self._changes_since_write: list[Callable[[Ownership], Ownership]] = []
         self._former_end_at: dict[PeerAddress | None, Instant] = {}
         self.former_grants_end_at: dict[TargetId, Instant] = {}
         self.first_start = True
@@ -211,10 +221,11 @@
         if not self.may_order():
             raise AuthorityLapsed(f"this host does not lead in epoch {self.epoch}")
 
-    def check_led_at(self, moment: Instant, deadline: Instant) -> None:
+    def check_led_at(self, moment: Instant, deadline: Instant) -> Confirmation | None:
         """Return once it is certain that no later leader had been elected by `moment`.
 
-        All processes that ran at that moment know the fences of any later leader.
+        All processes that ran at that moment know the fences of any later leader.  The
+        confirmation that is returned is for logs.
 
         Raises
         ------
@@ -227,7 +238,9 @@
             raise AuthorityLapsed(
                 f"this host is not confirmed as the leader of epoch {self.epoch}"
             )
+        confirmation = self._confirmations.latest
         self.check()
+        return confirmation
 
     def on_not_leading(self, leader: PeerAddress) -> None:
         """Record that `leader` has answered that it does not lead."""
@@ -274,6 +287,7 @@
         """
         self.check()
         self.ownership = change(self.ownership)
+        self._changes_since_write.append(change)
 
     def check_store(self) -> None:
         """Test whether the store answers this host.
@@ -383,13 +397,18 @@
     def _write(self, ownership):
         """Write the object, and repeat until the outcome is known.
 
-        The caller holds the write lock.
+        The caller holds the write lock.  Raise `AuthorityLapsed` if the epoch of
+        `ownership` has ended, also if this host leads again by then.
         """
         unresolved = False
+        self._changes_since_write = []
         while True:
             sent_at = self._clock.now()
             deadline = Instant(sent_at + self._cfg.store_call_s)
-            ownership = replace(ownership, former=self._former_left())
+            known = self._hosts.known_hosts()
+            ownership = replace(
+                ownership, former=self._former_left(), hosts=self._names_of(known)
+            )
             try:
                 stored = write(
                     self._store,
@@ -401,26 +420,38 @@
                 )
             except StoreOutcomeUnknown:
                 unresolved = True
+                self._check_epoch(ownership)
                 self.check()
                 continue
             except StoreUnavailable:
                 # An earlier attempt may still take effect, so the write must go on.
                 if not unresolved:
                     raise
+                self._check_epoch(ownership)
                 self.check()
                 continue
             except StoreConflict as exc:
+                self._check_epoch(ownership)
                 if self._is_forgotten():
                     raise AuthorityLapsed("the store was restored") from exc
                 self._stop("the object has another writer")
                 raise AuthorityLapsed("another host took over") from exc
+            self._check_epoch(ownership)
             self._version = stored.version
+            self._named_hosts = known
+            for change in self._changes_since_write:
+                ownership = change(ownership)
             self.ownership = ownership
             self.lease_until = Instant(sent_at + self._cfg.lease_s)
             self.store_answered_at = sent_at
             self._confirmations.on_written(sent_at)
             return
 
+    def _check_epoch(self, ownership):
+        """Raise `AuthorityLapsed` if the epoch of `ownership` has ended."""
+        if self.epoch != ownership.epoch:
+            raise AuthorityLapsed(f"epoch {ownership.epoch} has ended")
+
     def _confirm(self):
         """Write the object again; this renews the lease and shows a living leader."""
         with self._write_lock:
@@ -433,15 +464,31 @@
             self._confirm()
 
     def _is_confirmed_by_hosts(self):
-        """Return whether at least half of the other hosts know of no later leader."""
+        """Return whether no other host can have been elected since this one was."""
         epoch = self.epoch
-        survey = self._inquiries.survey(epoch)
+        self._clock.sleep_until(self._next_survey_at)
+        pause_s = len(self._hosts.known_hosts()) / self._cfg.reports_per_s
+        self._next_survey_at = Instant(self._clock.now() + pause_s)
+        survey = self._inquiries.survey(epoch, self._named_hosts)
+        self._log_survey(survey, epoch)
+        self._confirmations.surveyed = survey.asked - len(survey.unheard), survey.asked
         if not self.leading or self.epoch != epoch:
             return False
         if survey.later is not None:
             self.follow(survey.later.leader, survey.later.epoch)
             return False
-        return survey.conclusive
+        return survey.unanimous
+
+    def _log_survey(self, survey, epoch):
+        """Log a survey whose outcome is not that of the one before.
+
+        Surveys are repeated every 0.1 s until one confirms this host.
+        """
+        fields = {"epoch": epoch, "unanimous": survey.unanimous}
+        fields |= survey.log_fields()
+        if fields != self._last_survey:
+            self._last_survey = fields
+            log.info("leader: other hosts asked", extra=fields)
 
     def _renew_after_restoration(self):
         """Store the ownership that this leader knows over that of an older copy.
@@ -455,14 +502,14 @@
             if stored.epoch > self.epoch:
                 self._stop("another host took over after the store was restored")
                 return
-            survey = self._inquiries.survey(self.epoch)
+            survey = self._inquiries.survey(self.epoch, self._named_hosts)
             if survey.later is not None:
                 self._stop("the store was restored, and another host leads")
                 self.follow(survey.later.leader, survey.later.epoch)
                 return
             epoch = self.ownership.epoch_in(era)
             former, resolved = self._former_left(), self.ownership.resolved
-            if not survey.conclusive:
+            if not survey.unanimous:
                 # The store may have forgotten a leader that took over meanwhile.
                 former += (FormerLeader(None, self._max_orders_s),)
                 resolved = frozenset()
@@ -482,7 +529,8 @@
                     "epoch": epoch,
                     "stored_epoch": stored.epoch,
                     "stored_era": stored.era,
-                    "conclusive": survey.conclusive,
+                    "unanimous": survey.unanimous,
+                    **survey.log_fields(),
                     "former": _log_rows(former),
                     "store_version": self._version,
                 },
@@ -504,6 +552,8 @@
         The former leaders that it names can't have confirmed their leases since.
         """
         self._version = version
+        known = self._hosts.known_hosts()
+        ownership = replace(ownership, hosts=self._names_of(known))
         sent_at = self._clock.now()
         deadline = Instant(sent_at + self._cfg.store_call_s)
         stored = write(
@@ -515,6 +565,7 @@
             deadline,
         )
         self._version = stored.version
+        self._named_hosts = known
         self.ownership = ownership
         self.leader, self.epoch = self._hosts.me(), ownership.epoch
         self.lease_until = Instant(sent_at + self._cfg.lease_s)
@@ -527,6 +578,10 @@
             known = self._former_end_at.get(former.address, LONG_AGO)
             self._former_end_at[former.address] = max(known, end_at)
 
+    def _names_of(self, entries):
+        """Return the names of this host and of others, for the object."""
+        return frozenset({self._hosts.my_entry.name, *(e.name for e in entries)})
+
     @property
     def _max_orders_s(self):
         """Longest time for which orders of a former leader may have an effect."""
@@ -627,7 +682,7 @@
             self._last_contact_at = Instant(now - self._cfg.suspect_s)
             return
         is_lost = stored_ownership.leader is None or self._inquiries.is_confirmed_lost(
-            self.leader, stored.version
+            self.leader, stored.version, stored_ownership.hosts
         )
         if is_lost and not self._lets_stronger_lead(suspected):
             self._take_over(stored_ownership, stored.version)
@@ -664,7 +719,7 @@
             self._last_contact_at = Instant(self._clock.now() - self._cfg.suspect_s)
             return
         if self.leader is None or self._inquiries.is_confirmed_lost(
-            self.leader, version
+            self.leader, version, copy.hosts
         ):
             self._take_over(copy, version)
 
@@ -754,6 +809,7 @@
                 "store_version": self._version,
                 "era": era,
                 "owners_uncertain": self.owners_uncertain,
+                **_grant_fields(self._grants_left()),
             },
         )
         self._begin_epoch()
@@ -817,7 +873,7 @@
                 "leader: a former leader has stopped",
                 extra={
                     "host": address.host_id,
-                    "grants": len(grants),
+                    **_grant_fields(grants),
                     "former": _log_rows(self._former_left()),
                 },
             )
@@ -837,6 +893,15 @@
                 f"epoch {message.epoch} has ended; this is epoch {self.epoch}"
             )
         grants = self._grants_left()
+        if grants:
+            log.info(
+                "leader: grants reported to a later leader",
+                extra={
+                    "leader": message.leader.host_id,
+                    "epoch": message.epoch,
+                    **_grant_fields(grants),
+                },
+            )
         self.follow(message.leader, message.epoch)
         return NewLeaderSeen(self._hosts.me().host_id, grants)
 
@@ -851,8 +916,18 @@
 
 
 def _log_rows(former):
-    """Return host and time left of each former leader, for a log line."""
+    """Return host, time left and address of each former leader, for a log line."""
     return [
-        [entry.address.host_id if entry.address else None, round(entry.left_s, 2)]
+        [
+            entry.address.host_id if entry.address else None,
+            round(entry.left_s, 2),
+            f"{entry.address.ip}:{entry.address.port}" if entry.address else None,
+        ]
         for entry in former
     ]
+
+
+def _grant_fields(grants):
+    """Return number and longest time left of some grants, for a log line."""
+    longest_s = max((grant.left_s for grant in grants), default=0.0)
+    return {"grants": len(grants), "longest_grant_s": round(longest_s, 2)}
--- a/src/persimmonspoke/internal/ranges/api.py
+++ b/src/persimmonspoke/internal/ranges/api.py
@@ -42,16 +42,20 @@
 
     One order at a time can be in progress on it.  Its methods raise
     `OrderOutcomeUnknown` (no answer in time; no part of the order arrives later),
-    `OrderConnectionLost` (the target may have restarted) or `TargetFenced`.  It is
-    closed after an order without an answer.
+    `OrderConnectionLost` (the target may have restarted), `TargetFenced` or
+    `TargetMismatch` (another target is at the other end).  It is closed after an order
+    that was not answered by its target.
 
     Attributes
     ----------
     opened_at : Instant
         When it had been opened; the process at the other end had started before.
+    local_port : int or None
+        Port of this end, by which logs of the other end tell connections apart.
     """
 
     opened_at: Instant
+    local_port: int | None
 
     def is_open(self) -> bool:
         """Return whether it can be used, as far as is known without an order."""
--- a/src/persimmonspoke/standins/callers.py
+++ b/src/persimmonspoke/standins/callers.py
@@ -30,16 +30,15 @@
     host: str
     path: str
     service: str
-    keyed: bool
     timeout_ms: int
     weight: float
 
 
 KINDS = (
-    RequestKind("GET", "x.example", "/stock/", "inventory", True, 800, 5.0),
-    RequestKind("POST", "x.example", "/reserve/", "inventory", True, 1000, 2.0),
-    RequestKind("POST", "x.example", "/rent/", "checkout", False, 1000, 1.5),
-    RequestKind("GET", "x.example", "/report/", "ledger", False, 1500, 1.0),
+    RequestKind("GET", "x.example", "/stock/", "inventory", 800, 5.0),
+    RequestKind("POST", "x.example", "/reserve/", "inventory", 1000, 2.0),
+    RequestKind("POST", "x.example", "/rent/", "checkout", 1000, 1.5),
+    RequestKind("GET", "x.example", "/report/", "ledger", 1500, 1.0),
 )
 
 
@@ -92,16 +91,15 @@
     async def _send(self, kind, name, reader, writer):
         """Send one request; return whether its connection can be used again."""
         request = f"r{next(self._numbers):06x}"
-        key = pick_key() if kind.keyed else -1
+        key = pick_key()
         body = b"a body" if kind.method == "POST" else b""
         fields = [
             ("Host", kind.host),
             (http1.REQUEST_ID, request),
             (http1.DEADLINE_MS, kind.timeout_ms),
             ("Content-Length", len(body)),
+            (http1.KEY, key),
         ]
-        if kind.keyed:
-            fields.append((http1.KEY, key))
         head = "".join(f"{field}: {value}\r\n" for field, value in fields)
         self.log(
             "sent",
--- a/src/persimmonspoke/standins/deployment.py
+++ b/src/persimmonspoke/standins/deployment.py
@@ -45,7 +45,7 @@
 
 
 def configuration(services, version=1):
-    """Return a configuration; `services` tells which of them are divided by key."""
+    """Return a configuration of services that are all divided by key."""
     routes = [
         {
             "name": kind.path.strip("/"),
@@ -62,8 +62,7 @@
         if kind.service in services
     ]
     rows = [
-        {"name": name, "max_connections": 110, "sharded": sharded}
-        for name, sharded in services.items()
+        {"name": name, "max_connections": 110, "sharded": True} for name in services
     ]
     return {
         "version": version,
--- a/src/persimmonspoke/standins/holder.py
+++ b/src/persimmonspoke/standins/holder.py
@@ -69,6 +69,8 @@
         return await self._run(message)
 
     async def _take_order(self, message, conn):
+        if message.field(http1.EXPECTED_TARGET, self.args.id) != self.args.id:
+            return json_answer(421, {}, [(http1.NOT_RUN, "1")])
         order, arrived_at = message.json(), time.monotonic()
         carry_out = self._grant if message.path == "/grant" else self._release
         sender = conn.transport.get_extra_info("peername")
@@ -138,7 +140,7 @@
         if self.state != "ready":
             echo.append(("Connection", "close"))
         refused = [*echo, (http1.NOT_RUN, "1")]
-        key = int(message.field(http1.KEY, -1)) if self.args.sharded else -1
+        key = int(message.field(http1.KEY, -1))
         if message.field(http1.EXPECTED_TARGET, self.args.id) != self.args.id:
             return json_answer(421, {}, refused)
         if self.waiting >= QUEUE:
@@ -279,8 +281,7 @@
     parser.set_defaults(drain_s=2.0, abrupt=False, closes_listener=False)
     parser.add_argument("--late-share", type=float, default=0.0)
     parser.add_argument("--clock-rate", type=float, default=1.0)
-    for name in ("sharded", "forgets-release-fences"):
-        parser.add_argument(f"--{name}", action="store_true")
+    parser.add_argument("--forgets-release-fences", action="store_true")
     args = parser.parse_args()
     with open(args.log, "a", buffering=1) as out:
         asyncio.run(Holder(args, out).main())
--- a/tools/soak/rig.py
+++ b/tools/soak/rig.py
@@ -226,8 +226,7 @@
         words += ["--hosts", str(len(self.hosts))]
         words += ["--heartbeat-s", str(deployment.HEARTBEAT_S)]
         self.store = self._spawn("store", "store", words, address=ip)
-        services = {s: n == 0 for n, s in enumerate(self.cfg.size.services)}
-        spec = deployment.configuration(services)
+        spec = deployment.configuration(self.cfg.size.services)
         data = json.dumps({"metadata": {"name": "main"}, "spec": spec}).encode()
         url = f"http://{ip}:{STORE_PORT}/objects/config"
         await self._until(lambda: _answers(url, data), "the store")
@@ -257,7 +256,6 @@
 
     def _start_target(self, place, service, target_id=None, **options):
         target_id = target_id or f"i-{next(self._ids)}"
-        sizes = self.cfg.size.services
         address = "{}:{}".format(*self._target_address(place, TARGET_SEEN))
         ip, port = self._target_address(place, TARGET)
         words = [sys.executable, "-m", "persimmonspoke.standins.holder"]
@@ -269,8 +267,6 @@
         words += ["--heartbeat-s", str(deployment.HEARTBEAT_S)]
         words += ["--late-share", str(self._late_share)]
         words += ["--clock-rate", str(self.rng.choice((1.0, SLOW_CLOCK)))]
-        if service == next(iter(sizes)):
-            words.append("--sharded")
         if self.cfg.forgets_release_fences:
             words.append("--forgets-release-fences")
         life = self._spawn(
@@ -420,17 +416,17 @@
         """Let a target stand still."""
         await self._pause_for(self.places[place].life, for_s)
 
-    async def target_restart(self, place, same_id, down_s):
-        """Kill a target and start another at once at its address."""
+    async def target_restart(self, place, same_id, down_s, service=None):
+        """Kill a target and start another at its address, also one of a service."""
         place = self.places[place]
         async with place.lock:
             if place.life is None:
                 return
-            life, service = place.life, place.service
+            life = place.life
             await self._end(life, signal.SIGKILL, "killed")
             await asyncio.sleep(down_s)
             target_id = life.target_id if same_id else None
-            self._start_target(place, service, target_id)
+            self._start_target(place, service or place.service, target_id)
 
     async def _drain(self, place, how="drained"):
         life = place.life
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -12,6 +12,8 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
+from persimmonspoke.standins.deployment import REUSE_DELAY_S
+
 CALM_S = 5.0  # before the first fault
 LAST_S = 12.0  # after the last one begins
 # Between the begins of two scenes.  Keys of a silent target go to others up to 13 s
@@ -28,7 +30,7 @@
     zones : tuple of int
         Number of hosts in each data centre.
     services : dict
-        Number of targets of each service; the first one is divided by key.
+        Number of targets of each service; all are divided by key.
     spares : int
         Places of targets that are empty at first.
     per_s : float
@@ -87,7 +89,7 @@
         return round(self.rng.uniform(least, most), 3)
 
     def place(self):
-        """Return a place; mostly one of the service that is divided by key."""
+        """Return a place, mostly one of the largest service."""
         first = next(iter(self.size.services.values()))
         if self.rng.random() < 0.8:
             return self.rng.randrange(first)
@@ -213,6 +215,20 @@
         if self.rng.random() < 0.7:
             self.trouble_of_leader(self.uniform(0, 4))
 
+    def reuse(self):
+        """Add targets that crash for good; their addresses go to another service."""
+        for _ in range(self.rng.randrange(1, 4)):
+            self.add(
+                self.uniform(0, 1),
+                "target_restart",
+                place=self.place(),
+                same_id=False,
+                down_s=REUSE_DELAY_S,
+                service=self.rng.choice(tuple(self.size.services)),
+            )
+        if self.rng.random() < 0.5:
+            self.trouble_of_leader(self.uniform(0, 4))
+
     def release(self):
         """Add targets that are replaced one after the other, the new one first."""
         after_s = 0.0
@@ -335,6 +351,7 @@
             self.store_turns_away: 3,
             self.replaced_leader: 4,
             self.drain: 4,
+            self.reuse: 3,
             self.silent_holder: 4,
             self.pauses: 3,
             self.silent_targets: 3,
