--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -126,6 +126,7 @@
         self._rewriters = {}
         self._finished = set()
         self._cut_off = False  # it was opened while the way was cut
+        self._opened_since = 0.0
 
     def accept(self):
         """Return the protocol of the connection from the host."""
@@ -134,20 +135,22 @@
 
     def open(self, transport):
         """Connect to the other end, unless the way there is cut."""
+        self.proxy.links.add(self)
+        self._opened_since = self.proxy.passed_at
+        ends = map(transport.get_extra_info, ("peername", "sockname"))
+        asyncio.ensure_future(self._connect(*ends))
+
+    async def _connect(self, *ends):
         if self.host is None:
-            ends = map(transport.get_extra_info, ("peername", "sockname"))
-            self.host = self.proxy.find_host(*ends)
+            self.host = await self.proxy.find_host(*ends)
         self._rewriters = self.proxy.rewriters(self.host, self.end)
-        self.proxy.links.add(self)
         kinds = self.kinds()
         if CutKind.RESET in kinds:
             self.reset()
-        elif any(kind in HELD for kind in kinds):
+            return
+        if any(kind in HELD for kind in kinds):
             self._cut_off = True
-        else:
-            asyncio.ensure_future(self._connect())
-
-    async def _connect(self):
+            return
         loop = asyncio.get_running_loop()
         side = _Side(self, False)
         try:
@@ -155,8 +158,11 @@
         except OSError:
             self.reset()
             return
-        if self not in self.proxy.links:
+        # A process that has started since can't have accepted the host's connection.
+        started_at = self.proxy.started_at.get(self.end, 0.0)
+        if self not in self.proxy.links or started_at > self._opened_since:
             reset(side.transport)
+            self.reset()
             return
         self._sides[False] = side
         self.via = side.transport.get_extra_info("sockname")[1]
@@ -169,8 +175,6 @@
 
     def receive(self, from_host, data):
         """Take bytes of one side; None is their end."""
-        if from_host and data is not None and data.startswith(GRANT):
-            self.proxy.last_granter = self.host
         cuts = self.proxy.cuts_of(self.host, self.end)
         delay_s = sum(cut.delay_s for cut in cuts)
         queue = self._queues[from_host]
@@ -194,6 +198,8 @@
 
     def _pass_on(self, receiver, from_host, data):
         rewriter = self._rewriters.get(from_host)
+        if from_host and data is not None and data.startswith(GRANT):
+            self.proxy.last_granter = self.host or self.proxy.last_granter
         if data is None:
             self._write_rest(receiver, rewriter)
             self._finished.add(from_host)
@@ -249,8 +255,8 @@
     transport.abort()
 
 
-def _inode(local, remote):
-    """Return the inode of this machine's socket between two addresses; None if closed.
+def _socket_name(local, remote):
+    """Return the name that a descriptor of a connection's socket has; None if closed.
 
     The kernel is asked for this one socket (sock_diag(7)): the table in ``/proc/net``
     takes 15 ms to read while many connections have just been closed.
@@ -264,7 +270,8 @@
         data = sock.recv(4096)
     if struct.unpack_from("=IH", data)[1] != SOCK_DIAG_BY_FAMILY:
         return None
-    return struct.unpack_from("=I", data, DIAG_INODE)[0]
+    (inode,) = struct.unpack_from("=I", data, DIAG_INODE)
+    return f"socket:[{inode}]" if inode else None
 
 
 class Proxy:
@@ -281,17 +288,24 @@
     ----------
     last_granter : str or None
         Host that has sent the last grant.
+    passed_at : float
+        A moment up to which all connections have been accepted.
+    started_at : dict of float
+        When the last process of each other end was started.
     """
 
     def __init__(self, note: Callable, host_pids: Callable):
         self.note = note
         self.links = set()
         self.last_granter = None
+        self.passed_at = 0.0
+        self.started_at = {}
         self._host_pids = host_pids
         self._addresses = {}
         self._cuts = []
         self._servers = []
         self._owners = {}
+        self._looks = asyncio.Lock()
 
     async def listen(self, address, upstream, end, host=None):
         """Pass on connections to `address`, from one host or any."""
@@ -349,25 +363,26 @@
         """Return the disturbances between a host and another end."""
         return [cut for cut in self._cuts if cut.covers(host, end)]
 
-    def find_host(self, peer, here):
+    async def find_host(self, peer, here):
         """Return the name of the host that has opened a connection.
 
         None if it isn't known, mostly because it has been closed again.
         """
-        inode = _inode(peer, here)
-        if not inode:
-            return None
-        wanted = f"socket:[{inode}]"
-        if wanted not in self._owners:
-            # Connections come in bursts, so one look finds the owners of many.
-            self._owners = {
-                path: name
-                for pid, name in self._host_pids().items()
-                for path in _open_files(pid)
-            }
+        wanted = _socket_name(peer, here)
+        if wanted in self._owners:
+            return self._owners[wanted]
+        # Connections come in bursts, so one look finds the owners of many.
+        async with self._looks:
+            if wanted not in self._owners and _socket_name(peer, here) is not None:
+                self._owners = await asyncio.to_thread(_owners, self._host_pids())
         return self._owners.get(wanted)
 
 
+def _owners(host_pids):
+    """Return the name of the host that has a socket open, by the socket's name."""
+    return {path: name for pid, name in host_pids.items() for path in _open_files(pid)}
+
+
 def _open_files(pid):
     """Yield what the descriptors of a process refer to."""
     folder = f"/proc/{pid}/fd"
--- a/tools/soak/rig.py
+++ b/tools/soak/rig.py
@@ -166,6 +166,7 @@
     def _spawn(self, label, role, words, more_env=None, cwd=ROOT, **fields):
         number = self._labels[label] = self._labels.get(label, 0) + 1
         process = f"{label}.{number}"
+        self.proxy.started_at[label] = time.monotonic()
         env = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
         with (self.cfg.folder / f"{role}-{process}.log").open("wb") as out:
             proc = subprocess.Popen(
@@ -314,8 +315,10 @@
     async def _watch_loop(self):
         """Note when this process was late, and so the proxy with all bytes."""
         while True:
-            due_at = time.monotonic() + STALL_POLL_S
+            passed_at = time.monotonic()
+            due_at = passed_at + STALL_POLL_S
             await asyncio.sleep(STALL_POLL_S)
+            self.proxy.passed_at = passed_at
             late_s = time.monotonic() - due_at
             if late_s > STALL_S:
                 self.note("stall", for_s=late_s)
