--- a/tests/loopback/test_soak.py
+++ b/tests/loopback/test_soak.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import pathlib
+import shutil
 import tempfile
 import unittest
 
@@ -26,24 +27,25 @@
     def test_a_seeded_run_breaks_no_rule(self):
         size = schedule.SIZES["small"]
         steps = schedule.draw(SEED, size, SECONDS)
-        with tempfile.TemporaryDirectory() as name:
-            folder = pathlib.Path(name)
-            cfg = RunSettings(size, SEED, SECONDS, folder, net=NET)
-            asyncio.run(soak.run(cfg, steps))
-            history = read(name)
-            # A machine under load lets the proxy wait; what arrives then is excused.
-            findings = [
-                str(finding)
-                for finding in judge.judge(history)
-                if finding.verdict is not judge.Verdict.EXCUSED
-                and finding.subject != ("proxy",)
-            ]
-            self.assertEqual(findings, [])
-            sent, answered = history.all("sent"), history.all("answered")
-            served = sum(answer.status == 200 for answer in answered)
-            self.assertGreater(len(history.all("grant")), 0)
-            # Most steps leave some hosts and targets whole.
-            self.assertGreater(served, len(sent) / 4)
+        # Kept if the test fails: no other run is the same.
+        name = tempfile.mkdtemp(prefix="soak-")
+        cfg = RunSettings(size, SEED, SECONDS, pathlib.Path(name), net=NET)
+        asyncio.run(soak.run(cfg, steps))
+        history = read(name)
+        # A machine under load lets the proxy wait; what arrives then is excused.
+        findings = [
+            str(finding)
+            for finding in judge.judge(history)
+            if finding.verdict is not judge.Verdict.EXCUSED
+            and finding.subject != ("proxy",)
+        ]
+        self.assertEqual(findings, [], name)
+        sent, answered = history.all("sent"), history.all("answered")
+        served = sum(answer.status == 200 for answer in answered)
+        self.assertGreater(len(history.all("grant")), 0, name)
+        # Most steps leave some hosts and targets whole.
+        self.assertGreater(served, len(sent) / 4, name)
+        shutil.rmtree(name)
 
 
 class TestSchedule(unittest.TestCase):
