--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -64,7 +64,7 @@
     )
     try:
         asyncio.run(run(cfg, steps))
-    except CannotRun as exc:
+    except (CannotRun, OSError) as exc:
         print(f"seed {args.seed}: {exc}; see {folder}", file=sys.stderr)
         return 2
     print(f"seed {args.seed}, {len(steps)} steps, {served(folder)}: {folder}")
