--- a/src/persimmonspoke/standins/holder.py
+++ b/src/persimmonspoke/standins/holder.py
@@ -216,6 +216,7 @@
 
     async def _report_periodically(self):
         sequence = 0
+        await asyncio.sleep(self.args.report_after_s)
         while True:
             sequence += 1
             if self.beats:
@@ -277,6 +278,7 @@
     parser.add_argument("--address", required=True, help="as it reports it")
     parser.add_argument("--slots", type=int, default=2)
     parser.add_argument("--heartbeat-s", type=float, default=0.87)
+    parser.add_argument("--report-after-s", type=float, default=0.0)
     parser.add_argument("--warmup-s", type=float, default=3.0)
     parser.set_defaults(drain_s=2.0, abrupt=False, closes_listener=False)
     parser.add_argument("--late-share", type=float, default=0.0)
--- a/tools/soak/rig.py
+++ b/tools/soak/rig.py
@@ -33,6 +33,7 @@
 STORE_PORT, TARGET_PORT = 7000, 9000
 HANDED_OVER_S = 1.0  # between the start of a target and the stop of the one it replaces
 SLOW_CLOCK = 1.02
+REPORT_LAG_S = 0.8  # between the start of a target and its entry
 # The last byte of each address has three digits; see `Proxy`.
 FIRST_HOST, FIRST_PLACE = 100, 100
 OWN, SEEN, STORE, STORE_SEEN, TARGET, TARGET_SEEN = range(1, 7)
@@ -267,6 +268,8 @@
         words += ["--log", str(self.cfg.folder / "target-{process}.jsonl")]
         words += ["--heartbeat-s", str(deployment.HEARTBEAT_S)]
         words += ["--late-share", str(self._late_share)]
+        report_after_s = round(self.rng.uniform(0, REPORT_LAG_S), 3)
+        words += ["--report-after-s", str(report_after_s)]
         words += ["--clock-rate", str(self.rng.choice((1.0, SLOW_CLOCK)))]
         if self.cfg.forgets_release_fences:
             words.append("--forgets-release-fences")
