Take an order that was too late to be sent for one without an answer

A refused or unsent order marks its target silent at once, since nothing listens there. An order that its host was too late to send says nothing about the target; without an answer it marks it after silent_s only. Measured: test_order_connections passes.

--- a/src/persimmonspoke/platform/orders.py
+++ b/src/persimmonspoke/platform/orders.py
@@ -17,7 +17,6 @@
     OrderOutcomeUnknown,
     TargetFenced,
     TargetMismatch,
-    TargetUnreachable,
 )
 from persimmonspoke.ids import Instant
 from persimmonspoke.internal.clock import Clock
@@ -89,8 +88,9 @@
         incarnation = self._notices.incarnation_of(self._target.target_id)
         left_s = deadline - self._clock.now()
         if left_s <= 0:
-            # Its sender counts the target's hold from the deadline at the latest.
-            raise TargetUnreachable(f"{path}: not sent, its deadline has passed")
+            # Its sender counts the target's hold from the deadline at the latest.  It
+            # is this host that is late, so this says nothing about the target.
+            raise OrderOutcomeUnknown(f"{path}: not sent, its deadline has passed")
         timer = eventlet.Timeout(left_s)
         conn.allow_bytes(MAX_HEAD_BYTES)
         try:
