--- a/tools/soak/rig.py
+++ b/tools/soak/rig.py
@@ -33,6 +33,7 @@
 STORE_PORT, TARGET_PORT = 7000, 9000
 HANDED_OVER_S = 1.0  # between the start of a target and the stop of the one it replaces
 SLOW_CLOCK = 1.02
+SLOW_LINK_S = 0.25  # below the time limit of an order, so that orders come late
 REPORT_LAG_S = 0.8  # between the start of a target and its entry
 # The last byte of each address has three digits; see `Proxy`.
 FIRST_HOST, FIRST_PLACE = 100, 100
@@ -392,7 +393,9 @@
         await self._cut({f"h{host}"}, found[ends], how, for_s)
 
     async def _cut(self, hosts, ends, how, for_s):
-        cut = Cut(CutKind(how), frozenset(hosts), frozenset(ends))
+        kind = CutKind(how)
+        delay_s = SLOW_LINK_S if kind is CutKind.SLOW else 0.0
+        cut = Cut(kind, frozenset(hosts), frozenset(ends), delay_s)
         names = [sorted(hosts), sorted(ends)]
         self.proxy.cut(cut)
         self.note("cut", what=how, ends=names)
@@ -434,11 +437,6 @@
             target_id = life.target_id if same_id else None
             self._start_target(place, service or place.service, target_id)
 
-    async def _drain(self, place, how="drained"):
-        life = place.life
-        await self._wait_for_end(life, how)
-        place.life = None
-
     async def _wait_for_end(self, life, how):
         self._resume(life)
         self._signal(life, signal.SIGTERM)
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -103,7 +103,7 @@
 
     def how(self):
         """Return how a way is cut."""
-        kinds = ("reset", "silent", "no answers", "no requests")
+        kinds = ("reset", "silent", "no answers", "no requests", "slow")
         return self.rng.choice(kinds)
 
     def trouble_of_leader(self, after_s):
