Log how late a process runs, and how old its proof of targets is at each send

The logs could not tell a host that did nothing for seconds from one whose news came late, nor what a send knew. No decision is changed.

--- a/src/persimmonspoke/daemon/routed.py
+++ b/src/persimmonspoke/daemon/routed.py
@@ -40,6 +40,7 @@
 from persimmonspoke.internal.news.board import StoreCache
 from persimmonspoke.internal.news.relays import WeightedHost
 from persimmonspoke.internal.news.updates import Source, StoreUpdates
+from persimmonspoke.internal.observe.lateness import Lateness, TaskTimes
 from persimmonspoke.internal.observe.served_metrics import ServedMetrics
 from persimmonspoke.internal.peers.api import PeerAddress
 from persimmonspoke.internal.peers.zmq_link import ZmqLink
@@ -99,6 +100,8 @@
             platform.ip, platform.peer_port + FORWARD_PORT_OFFSET
         )
         self.metrics = ServedMetrics()
+        self.task_times = TaskTimes()
+        self.lateness = Lateness(self.clock, self.task_times)
         self.store = ObjectStore(platform.store_address, self.clock)
         self.cache = StoreCache(self.clock)
         self._candidates_of: tuple[HostEntry, ...] | None = None
@@ -281,6 +284,7 @@
             ("store.calls", lambda: self.store.calls),
             ("store.era", lambda: self.store.era),
             ("store.age_seconds", self.store_age_s),
+            ("process.late_seconds", lambda: self.lateness.longest),
             ("store.read_here", lambda: int(self.updates.source is not Source.RELAYS)),
             ("quarantine.remembered", lambda: self.suspects.counts()[0]),
             ("quarantine.refused", lambda: self.suspects.counts()[1]),
@@ -316,7 +320,9 @@
     def run(self) -> int:
         """Serve until `stop` has finished; return the exit status."""
         self._register_gauges()
+        self.task_times.install()
         for task in (
+            self.lateness.run,
             *self.updates.tasks(),
             self.hosts.keep_registered,
             self._apply_updates,
@@ -395,6 +401,7 @@
             self.rests,
             self.state.unready_since,
             self.warmups,
+            lambda: self.updates.proven_at(documents.TARGETS_PREFIX),
         )
 
     def _caller_server(self, runner):
--- a/src/persimmonspoke/internal/callers/attempts.py
+++ b/src/persimmonspoke/internal/callers/attempts.py
@@ -302,6 +302,9 @@
         Another target gets no second send, and no request that a ready one may serve.
     warmups : Warmups
         The cold targets, which get no second send.
+    targets_proven_at : callable
+        Returns when the entries of the targets were last proven to be the newest, if
+        ever.
 
     Attributes
     ----------
@@ -326,7 +329,9 @@
         rests: TargetRests | None = None,
         unready_since: Callable[[TargetId], Instant | None] = lambda target_id: None,
         warmups: Warmups | None = None,
+        targets_proven_at: Callable[[], Instant | None] = lambda: None,
     ):
+        self._targets_proven_at = targets_proven_at
         self._unready_since = unready_since
         self._rests = no_rests(clock) if rests is None else rests
         self._warmups = no_warmups(clock) if warmups is None else warmups
@@ -481,7 +486,9 @@
             target_req = replace(
                 target_req,
                 before_write=lambda: trail.send(
-                    target_id, self._unready_since(target_id)
+                    target_id,
+                    self._unready_since(target_id),
+                    self._targets_proven_at(),
                 ),
             )
             target_req = self._with_second_sends(
--- a/src/persimmonspoke/internal/callers/trail.py
+++ b/src/persimmonspoke/internal/callers/trail.py
@@ -45,6 +45,8 @@
     leaving_s : float or None
         How long the target may have been leaving when the first byte was written to
         it; None if it was not leaving, or nothing was written.
+    proof_s : float or None
+        Age of the proof that the known targets were the newest, at that moment.
     """
 
     target_id: TargetId
@@ -53,6 +55,7 @@
     took_ms: float
     outcome: str
     leaving_s: float | None = None
+    proof_s: float | None = None
 
 
 @dataclass(slots=True)
@@ -77,6 +80,8 @@
         When the first byte was written to that target or to another host.
     leaving_s : float or None
         How long that target may have been leaving by then; None if it was not.
+    proof_s : float or None
+        Age of the proof by then that the known targets were the newest, if any.
     table : TableState or None
         The routing table by which a request without a route was refused.
     """
@@ -92,6 +97,7 @@
     target_id: TargetId | None = None
     sent_at: Instant | None = None
     leaving_s: float | None = None
+    proof_s: float | None = None
     table: TableState | None = None
 
     def __post_init__(self):
@@ -100,10 +106,13 @@
     def wait(self) -> None:
         """Record that the request waits on this host, and no target has it."""
         self.stage, self.target_id, self.sent_at = RequestStage.WAITING, None, None
-        self.leaving_s = None
+        self.leaving_s = self.proof_s = None
 
     def send(
-        self, target_id: TargetId | None, leaving_since: Instant | None = None
+        self,
+        target_id: TargetId | None,
+        leaving_since: Instant | None = None,
+        proven_at: Instant | None = None,
     ) -> None:
         """Record the first byte to a target, or to another host if `target_id` is None.
 
@@ -113,6 +122,8 @@
         ----------
         leaving_since : Instant or None
             Since when the target may be leaving; None if it is not.
+        proven_at : Instant or None
+            When the known targets were last proven to be the newest, if ever.
         """
         forwarded = target_id is None
         stage = RequestStage.FORWARDED if forwarded else RequestStage.AT_TARGET
@@ -124,6 +135,8 @@
             )
             if leaving_since is not None:
                 self.leaving_s = round(self.sent_at - leaving_since, 3)
+            if proven_at is not None:
+                self.proof_s = round(self.sent_at - proven_at, 3)
 
     def add(
         self,
@@ -153,6 +166,7 @@
                 round((now - slot_acquired_at) * MS_PER_S, 1),
                 outcome,
                 self.leaving_s,
+                self.proof_s,
             )
         )
 
@@ -201,6 +215,9 @@
         leaving = [a.leaving_s for a in self.attempts if a.leaving_s is not None]
         if leaving:
             fields["target_leaving_s"] = leaving
+        proofs = [a.proof_s for a in self.attempts if a.proof_s is not None]
+        if proofs:
+            fields["targets_proven_s"] = proofs
         if self.forwarded_to is not None:
             fields["forwarded_to"] = self.forwarded_to
         if self.req is not None:
