Add failing tests of hosts that send by an outdated list of targets

Fake processes now have a share of a core, and decoding, messages and requests take their time, so that a starved or paused host exists in virtual time.

--- a/tests/fakes/caller_parts.py
+++ b/tests/fakes/caller_parts.py
@@ -147,6 +147,8 @@
         Raised by every call of `acquire`.
     errors : list of Exception
         Raised by the next calls of `acquire`, one each.
+    turn : int
+        Number of the candidate that gets the request.
     """
 
     def __init__(self, retries=100):
@@ -155,6 +157,7 @@
         self.acquired_count = 0
         self.error = None
         self.errors = []
+        self.turn = 0
 
     def acquire(self, ticket, candidates):
         """Return a slot, or raise the error that the test has set."""
@@ -165,7 +168,7 @@
         if eventlet.hubs.get_hub().clock() >= ticket.deadline:
             raise DeadlinePassed("too late")
         self.acquired_count += 1
-        return _Slot(self, candidates[0])
+        return _Slot(self, candidates[self.turn % len(candidates)])
 
     def take_retry(self, ticket):
         """Use one retry; return whether the budget allowed it."""
--- a/tests/fakes/network.py
+++ b/tests/fakes/network.py
@@ -147,6 +147,9 @@
         Size of all messages and answers that this process sent.
     revision : Revision
         Layout of messages that the process's build reads and writes.
+    message_s, byte_s : float
+        Processor time of each message and of each of its bytes, in seconds of a full
+        core.
     """
 
     def __init__(self, network, process, address: PeerAddress):
@@ -156,6 +159,7 @@
         self.bytes_sent = 0
         self._handlers = {}
         self.revision = NEWEST
+        self.message_s = self.byte_s = 0.0
         self._revisions = PeerRevisions(self._encode, codec.earlier_revision)
         network.links[address.ip, address.port] = self
 
@@ -163,6 +167,7 @@
         """Send `message` and return the answer, or raise `PeerError`."""
         send = partial(self._send, peer, deadline)
         answer = self._revisions.call(peer.host_id, message, send)
+        self._work(answer)
         return self._decode(answer)[0] if answer else None
 
     def _send(self, peer, deadline, data):
@@ -200,9 +205,14 @@
             raise PeerRefused("this type of message is not served yet")
         returned = self._handlers[type(message)](message)
         answer = b"" if returned is None else self._encode(returned, revision)
+        self._work(answer)
         self.bytes_sent += len(answer)
         return answer
 
+    def _work(self, data):
+        """Take the processor time of a message."""
+        self.process.work(self.message_s + self.byte_s * len(data))
+
     def _encode(self, message, revision):
         return codec.encode(message, min(revision, self.revision))
 
--- a/tests/fakes/process.py
+++ b/tests/fakes/process.py
@@ -39,6 +39,11 @@
         Seconds by which its clock advances per second of virtual time.
     offset : float
         Reading of its clock at virtual time 0.
+
+    Attributes
+    ----------
+    processor_share : float
+        Share of a full core that the process gets.
     """
 
     def __init__(self, name, machine, rate=1.0, offset=0.0):
@@ -47,6 +52,8 @@
         self.rate = rate
         self.offset = offset
         self.killed = False
+        self.processor_share = 1.0
+        self._busy_until = float("-inf")
         self.resumed_at = float("-inf")
         self._resumed = None
         self._armed = None
@@ -86,11 +93,19 @@
         if sending and self._armed is kind:
             self._armed = None
             self.pause()
-        while self.paused:
-            self._resumed.wait()
+        while self.paused or self._busy_until > virtual_hub.now():
+            if self.paused:
+                self._resumed.wait()
+            else:
+                eventlet.sleep(self._busy_until - virtual_hub.now())
         if self.killed:
             raise greenlet.GreenletExit
 
+    def work(self, core_s):
+        """Take processor time, in seconds of a full core; all tasks wait meanwhile."""
+        began_at = max(virtual_hub.now(), self._busy_until)
+        self._busy_until = began_at + core_s / self.processor_share
+
     def local(self, virtual):
         """Return the reading of the process's clock at a virtual time."""
         return Instant(self.offset + self.rate * virtual)
--- a/tests/fakes/update_fleet.py
+++ b/tests/fakes/update_fleet.py
@@ -77,6 +77,8 @@
         `PREFIXES`, and whose bound is `EVACUATE_S`.
     """
 
+    host_type = UpdateHost
+
     def __init__(self, hosts, rare_prefixes=()):
         self.rare_prefixes = rare_prefixes
         self.platform = FakePlatformStore()
@@ -85,7 +87,7 @@
         for number in range(20):
             self.put(f"servers/t{number}", {"state": "ready"})
         self.put("config/main", {"version": 1})
-        self.hosts = [UpdateHost(self, number) for number in range(hosts)]
+        self.hosts = [self.host_type(self, number) for number in range(hosts)]
         self.known = tuple(host.me for host in self.hosts)
 
     def put(self, key, value):
