Send requests only by a list of targets that is proven to be new enough

Callers' requests reached targets of pools and owners of keys after the bound for leaving ones. Cause: nothing in the sending of a request asked how old the host's knowledge of the targets was. A host that was paused, short of processor time, or without an answer of its relays served what had piled up by the list that it had, and read the news afterwards; entries that had arrived but were not applied yet did not count either.

A request now needs a proof of the targets of at most 0.85 of the bound, before it gets a slot and at its first byte. From 0.68 on requests make the host list the targets itself, one listing for all of them; they wait for it only beyond 0.85. A store that leaves a listing or a check unanswered while this process was not late itself is away, and requests go on by what the host has, as before.

Why it works: a change acknowledged before the proof is in the list, one after it is younger than the bound less the way.

--- a/src/persimmonspoke/daemon/routed.py
+++ b/src/persimmonspoke/daemon/routed.py
@@ -16,6 +16,7 @@
 )
 from persimmonspoke.daemon.routed_settings import RoutedSettings
 from persimmonspoke.daemon.supervision import spawn_supervised
+from persimmonspoke.daemon.targets_source import UpdatedTargets
 from persimmonspoke.errors import HostClosed, InvalidSettings, PathsCut
 from persimmonspoke.ids import Instant
 from persimmonspoke.internal.callers.app import CallerApp
@@ -48,6 +49,10 @@
 from persimmonspoke.internal.quarantine.suspects import Suspects
 from persimmonspoke.internal.ranges.keeper import Keeper
 from persimmonspoke.internal.ranges.routes import RangeRoutes
+from persimmonspoke.internal.routing.fresh_targets import (
+    FreshnessLimits,
+    FreshTargets,
+)
 from persimmonspoke.internal.routing.reader import RoutedReader
 from persimmonspoke.internal.routing.state import RoutingState
 from persimmonspoke.internal.targets.connections import TargetPools, can_connect
@@ -118,7 +123,11 @@
         self.hosts = Hosts(entry, cfg.fleet, self.clock, self.store, self.cache)
         shortest_s = min(platform.bounds.drain_s, platform.bounds.config_apply_s)
         updates = cfg.updates.within(shortest_s)
-        self._log_unkept_bound(updates, shortest_s)
+        limits = FreshnessLimits.within(platform.bounds.drain_s)
+        self._log_unkept_bound(shortest_s, updates.unkept(shortest_s))
+        self._log_unkept_bound(
+            platform.bounds.drain_s, limits.unkept(platform.bounds.drain_s)
+        )
         evacuations = ()
         if platform.bounds.evacuate_s is not None:
             evacuations = (documents.EVACUATIONS_PREFIX,)
@@ -141,6 +150,7 @@
             HOSTS_PREFIX + platform.host,
             self._relay_candidates,
             evacuations,
+            self.lateness.longest_since,
         )
         self.state = RoutingState(
             self.cache,
@@ -155,6 +165,18 @@
             *evacuations,
             decode_evacuation=documents.decode_evacuation,
         )
+        self.fresh_targets = FreshTargets(
+            limits,
+            self.clock,
+            UpdatedTargets(
+                self.updates,
+                self.state,
+                documents.TARGETS_PREFIX,
+                self._apply_state,
+                self.lateness,
+            ),
+        )
+        self.updates.knowledge.on_proof = self.fresh_targets.wake
         self.leadership = Leadership(
             cfg.fleet, self.clock, self.store, self.link, self.hosts
         )
@@ -264,9 +286,8 @@
         )
         self._ended = eventlet.event.Event()
 
-    def _log_unkept_bound(self, updates, bound_s):
+    def _log_unkept_bound(self, bound_s, unkept):
         """Warn if the settings leave too little time to put a change into force."""
-        unkept = updates.unkept(bound_s)
         if unkept:
             log.warning(
                 "daemon: changes may be in force too late",
@@ -284,6 +305,8 @@
             ("store.calls", lambda: self.store.calls),
             ("store.era", lambda: self.store.era),
             ("store.age_seconds", self.store_age_s),
+            ("targets.held_requests", lambda: self.fresh_targets.held),
+            ("targets.listed_for_requests", lambda: self.fresh_targets.listings),
             ("process.late_seconds", lambda: self.lateness.longest),
             ("store.read_here", lambda: int(self.updates.source is not Source.RELAYS)),
             ("quarantine.remembered", lambda: self.suspects.counts()[0]),
@@ -402,6 +425,7 @@
             self.state.unready_since,
             self.warmups,
             lambda: self.updates.proven_at(documents.TARGETS_PREFIX),
+            self.fresh_targets,
         )
 
     def _caller_server(self, runner):
--- a/src/persimmonspoke/internal/callers/attempts.py
+++ b/src/persimmonspoke/internal/callers/attempts.py
@@ -27,6 +27,7 @@
 from persimmonspoke.internal.quarantine.settings import QuarantineSettings
 from persimmonspoke.internal.quarantine.suspects import Suspects
 from persimmonspoke.internal.questionnaire.configuration import TargetConfig
+from persimmonspoke.internal.routing.fresh_targets import FreshTargets
 from persimmonspoke.internal.routing.state import precedence_of, request_kind
 from persimmonspoke.internal.scheduling.api import (
     Scheduler,
@@ -305,6 +306,9 @@
     targets_proven_at : callable
         Returns when the entries of the targets were last proven to be the newest, if
         ever.
+    fresh_targets : FreshTargets or None
+        Decides whether requests may be sent by the present list of targets; by default
+        they always may.
 
     Attributes
     ----------
@@ -330,7 +334,9 @@
         unready_since: Callable[[TargetId], Instant | None] = lambda target_id: None,
         warmups: Warmups | None = None,
         targets_proven_at: Callable[[], Instant | None] = lambda: None,
+        fresh_targets: FreshTargets | None = None,
     ):
+        self._fresh_targets = fresh_targets
         self._targets_proven_at = targets_proven_at
         self._unready_since = unready_since
         self._rests = no_rests(clock) if rests is None else rests
@@ -446,6 +452,8 @@
         trail = retry_state.trail
         trail.wait()
         is_trial = self._suspects.check(trail.fingerprint, trail.request_id)
+        if self._fresh_targets is not None:
+            self._fresh_targets.wait(req.deadline)
         route = self._route(req)
         owner = None if route is None else route.target.target_id
         if self._must_forward(req, owner):
@@ -665,6 +673,7 @@
 
     def _target_request(self, req, body, route, target_id, may_send) -> TargetRequest:
         may_send = partial(self._may_reach, target_id, may_send)
+        may_send = partial(self._knows_targets, may_send)
         shard = None
         if route is None:
             may_send = partial(self._is_staying, target_id, may_send)
@@ -744,6 +753,11 @@
     def _may_use_slot(self, target_id, acquired_at, also) -> bool:
         return also() and self._warmups.may_send(target_id, acquired_at)
 
+    def _knows_targets(self, also) -> bool:
+        """Return whether the list of targets is new enough at the first byte."""
+        fresh = self._fresh_targets
+        return (fresh is None or fresh.may_send()) and also()
+
     def _may_reach(self, target_id, also) -> bool:
         return also() and self._rests.may_send(target_id)
 
--- a/src/persimmonspoke/internal/news/knowledge.py
+++ b/src/persimmonspoke/internal/news/knowledge.py
@@ -5,7 +5,7 @@
 arrives, or that a watch ends without a change, proves nothing.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from persimmonspoke.ids import Era, Instant
@@ -31,9 +31,16 @@
 
 
 class Knowledge:
-    """The proofs of each kind of objects, which are named by their keys' prefixes."""
+    """The proofs of each kind of objects, which are named by their keys' prefixes.
+
+    Attributes
+    ----------
+    on_proof : callable
+        Called after each record.
+    """
 
     def __init__(self):
+        self.on_proof: Callable[[], None] = lambda: None
         self._proofs: dict[str, Proof] = {}
 
     def record(self, kind: str, proof: Proof) -> None:
@@ -47,6 +54,7 @@
                 max(proof.revision, known.revision),
                 max(proof.at, known.at),
             )
+        self.on_proof()
 
     def proof(self, kind: str) -> Proof | None:
         """Return the newest proof of a kind, if there is any."""
--- a/src/persimmonspoke/internal/news/settings.py
+++ b/src/persimmonspoke/internal/news/settings.py
@@ -19,6 +19,9 @@
 MAX_RARE_WATCH_S = 10.0  # longer waits may be cut off on the way
 MARGIN_SHARE = 0.2
 APPLY_SHARE = 0.15
+SEND_SHARE = 0.85  # the rest is for the way to the target
+LIST_TIMEOUT_SHARE = 0.15
+SEND_ASK_SHARE = SEND_SHARE - LIST_TIMEOUT_SHARE - 0.02  # no answer is known by then
 
 MAX_JITTER_S = 0.2  # spreads the reads of hosts that lose their relays together
 WATCH_RETRY_S = 0.4  # pause after a watch that got no answer
--- a/src/persimmonspoke/internal/news/updates.py
+++ b/src/persimmonspoke/internal/news/updates.py
@@ -33,6 +33,7 @@
 
 MIN_MODE_PERIOD_S = 0.05  # between two decisions on the source of updates
 MAX_MODE_PERIOD_S = 0.4
+MIN_LATE_S = 0.1  # delays of this process that may have cost an answer
 MAX_CHECK_S = 1.0  # between two checks of a store that does not answer
 RELAYS_ASKED = 2
 RELAY_WATCH = 10  # in `watch_s`; what its watches miss, its listings tell
@@ -66,13 +67,27 @@
         Whether the latest check got no answer.
     took_s : float
         Duration of the latest check that was answered or waited behind an answer.
+
+    Parameters
+    ----------
+    late_since : callable
+        Returns the longest delay of this process since an instant, in seconds.
     """
 
-    def __init__(self, store: Store, clock: Clock, key: str, timeout_s: float):
+    def __init__(
+        self,
+        store: Store,
+        clock: Clock,
+        key: str,
+        timeout_s: float,
+        late_since: Callable[[Instant], float] = lambda since: 0.0,
+    ):
         self._store = store
         self._clock = clock
         self._key = key
         self._timeout_s = timeout_s
+        self._late_since = late_since
+        self._silent_at: Instant | None = None
         self.confirmed_at: Instant | None = None
         self.failed = False
         self.took_s = 0.0
@@ -92,12 +107,26 @@
             if not self.failed:
                 log.info("news: the store does not answer", extra={"cause": str(exc)})
             self.failed = True
+            if self._late_since(sent_at) < MIN_LATE_S:
+                self._silent_at = self._clock.now()
             return False
         self.failed = False
+        self._silent_at = None
         self.confirmed_at = sent_at
         self.took_s = self._clock.now() - sent_at
         return True
 
+    def is_away(self) -> bool:
+        """Return whether the store has just left a check without an answer.
+
+        A check during which this process was late shows nothing, nor does one that is
+        long ago, since this process may have been paused.
+        """
+        if self._silent_at is None:
+            return False
+        known_s = MAX_CHECK_S + 2 * self._timeout_s
+        return self._clock.now() - self._silent_at <= known_s
+
 
 class StoreUpdates:
     """Keeps the cache of this host up to date.
@@ -116,6 +145,8 @@
     rare_prefixes : tuple of str
         Those of `prefixes` whose objects change rarely and have a longer bound.  Relays
         of builds that do not know them prove nothing of them.
+    late_since : callable
+        Returns the longest delay of this process since an instant, in seconds.
 
     Attributes
     ----------
@@ -139,6 +170,7 @@
         check_key: str,
         hosts: Callable[[], tuple[WeightedHost, ...]],
         rare_prefixes: tuple[str, ...] = (),
+        late_since: Callable[[Instant], float] = lambda since: 0.0,
     ):
         self._cfg = cfg
         self._clock = clock
@@ -147,7 +179,7 @@
         self._known_hosts: tuple[WeightedHost, ...] | None = None
         self._relays: tuple[WeightedHost, ...] = ()
         self._cache = cache
-        self._path = StorePath(store, clock, check_key, cfg.check_s)
+        self._path = StorePath(store, clock, check_key, cfg.check_s, late_since)
         self.source = Source.RELAYS
         self.knowledge = Knowledge()
         self._rare = rare_prefixes
@@ -237,6 +269,14 @@
         """Return when the objects of one kind were last proven to be the newest."""
         return self.knowledge.proven_at((kind,))
 
+    def list_once(self, kind: str, timeout_s: float) -> None:
+        """List the objects of one kind in `timeout_s`, or raise `StoreUnavailable`."""
+        self._watchers[kind].list_once(timeout_s)
+
+    def store_is_away(self) -> bool:
+        """Return whether the store has just left a check of this host unanswered."""
+        return self._path.is_away()
+
     def caught_up(self) -> bool:
         """Return whether the cache can be used since the start of this host.
 
--- a/src/persimmonspoke/internal/routing/state.py
+++ b/src/persimmonspoke/internal/routing/state.py
@@ -141,6 +141,7 @@
         self._unreadable: dict[str, tuple[Era, Version]] = {}
         self._config_order: tuple[Era, Version] | None = None
         self._is_readable = True
+        self._targets_count = -1
         self._decoded: dict[str, tuple[tuple[Era, Version], TargetRecord | None]] = {}
         self._missing_since: dict[TargetId, Instant] = {}
         self._entries: dict[ServiceId, ServiceEntry] = {}
@@ -170,6 +171,10 @@
         stored = self._cache.get(self._config_key)
         return stored is not None and stored.order != self._config_order
 
+    def targets_are_behind(self) -> bool:
+        """Return whether entries of targets have arrived and are not in force yet."""
+        return self._cache.kind_change_count(self._targets_prefix) > self._targets_count
+
     def table_state(self) -> TableState:
         """Return what this host knows of its routing table.
 
@@ -395,6 +400,7 @@
 
     def _refresh_targets(self):
         now = self._clock.now()
+        self._targets_count = self._cache.kind_change_count(self._targets_prefix)
         found = {}
         for stored in self._cache.items(self._targets_prefix):
             record = self._decode_record(stored)
--- a/tests/fakes/sending_fleet.py
+++ b/tests/fakes/sending_fleet.py
@@ -8,6 +8,7 @@
 
 import eventlet
 
+from persimmonspoke.daemon.targets_source import UpdatedTargets
 from persimmonspoke.errors import RequestFailure, RouteLapsed
 from persimmonspoke.ids import Instant
 from persimmonspoke.internal.callers.attempts import RequestRunner
@@ -15,6 +16,7 @@
 from persimmonspoke.internal.callers.settings import CallerSettings
 from persimmonspoke.internal.fleet.messages import RangeTable, RouteRow
 from persimmonspoke.internal.observe.api import NoMetrics
+from persimmonspoke.internal.observe.lateness import Lateness
 from persimmonspoke.internal.ranges.routes import RangeRoutes
 from persimmonspoke.internal.routing.config import (
     RouteConfig,
@@ -25,6 +27,10 @@
     TargetRecord,
     TargetState,
 )
+from persimmonspoke.internal.routing.fresh_targets import (
+    FreshnessLimits,
+    FreshTargets,
+)
 from persimmonspoke.internal.routing.state import RoutingState
 from tests.fakes import virtual_hub
 from tests.fakes.caller_parts import FirstCandidateScheduler
@@ -83,6 +89,15 @@
         )
         self.routes.apply_table(RangeTable(None, 1, 1, {DIVIDED: rows}))
         self.scheduler = FirstCandidateScheduler(retries=10**6)
+        lateness = Lateness(self.clock)
+        self.tasks += [eventlet.spawn(lateness.run)]
+        self.updates._path._late_since = lateness.longest_since
+        source = UpdatedTargets(
+            self.updates, self.state, "servers/", self.state.refresh, lateness
+        )
+        limits = FreshnessLimits.within(DRAIN_S)
+        self.fresh_targets = FreshTargets(limits, self.clock, source)
+        self.updates.knowledge.on_proof = self.fresh_targets.wake
         self.runner = self.make_runner()
         self.failures = []
         self.tasks += [eventlet.spawn(self.apply_updates)]
@@ -98,6 +113,7 @@
             self.clock,
             NoMetrics(),
             unready_since=self.state.unready_since,
+            fresh_targets=self.fresh_targets,
         )
 
     def decode_config(self, value):
