Let other tasks run while messages of other hosts arrive

Cause: all messages that had arrived, and those that arrived meanwhile, were processed without a break; while hosts ask a desk for slots faster than it answers, it reads no news, renews no lease and fires no timer. After each send the same loop ran again.

Messages are now processed in turns of 20 ms. The test posts 300 messages of 2 ms each: other tasks waited 0.6 s, now under 0.1 s, in order, also behind a send. Both tests failed before.

--- a/src/persimmonspoke/internal/peers/zmq_link.py
+++ b/src/persimmonspoke/internal/peers/zmq_link.py
@@ -9,6 +9,7 @@
 
 import itertools
 import logging
+import time
 from collections.abc import Callable
 from enum import Enum
 from typing import Any
@@ -39,6 +40,7 @@
 FRAMES_PER_MESSAGE = 4
 TOLERANT_MARK = b"+"
 MAX_LOGGED = 100  # reasons for which one-way messages were refused
+MAX_TURN_S = 0.02  # of messages, before other tasks run
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 
 log = logging.getLogger(__name__)
@@ -251,13 +253,15 @@
     """One socket, and the task that receives its messages.
 
     The socket's file descriptor is edge-triggered, and a send can consume the event
-    for a message that has arrived.  So all received messages are also processed
-    after each send.
+    for a message that has arrived.  So received messages are also processed after each
+    send.  Messages that arrive without a break are processed in turns of `MAX_TURN_S`,
+    between which other tasks run.
     """
 
     def __init__(self, sock, on_message):
         self._sock = sock
         self._deliver = on_message
+        self._is_draining = False
         self._reader = eventlet.spawn(self._read)
 
     def send(self, frames) -> None:
@@ -266,7 +270,9 @@
             self._sock.send_multipart(frames, zmq.NOBLOCK)
         except zmq.ZMQError as exc:
             log.debug("link: message dropped", extra={"reason": str(exc)})
-        self.drain()
+        if not (self.drain() or self._is_draining):
+            self._is_draining = True
+            eventlet.spawn_n(self._drain_rest)
 
     @property
     def is_closed(self) -> bool:
@@ -280,18 +286,30 @@
 
     def _read(self):
         while True:
-            self.drain()
+            while not self.drain():
+                eventlet.sleep(0)
             hubs.trampoline(self._sock.FD, read=True)
 
-    def drain(self) -> None:
-        """Process all messages that have arrived."""
+    def _drain_rest(self):
+        try:
+            while not self.drain():
+                eventlet.sleep(0)
+        finally:
+            self._is_draining = False
+
+    def drain(self) -> bool:
+        """Process messages that have arrived; return whether none is left."""
+        ends_at = time.monotonic() + MAX_TURN_S
         while not self._sock.closed:
             try:
                 frames = self._sock.recv_multipart(zmq.NOBLOCK)
             except zmq.ZMQError:
                 # No more messages have arrived, or the peer's host is unreachable.
-                return
+                return True
             self._deliver(frames)
+            if time.monotonic() >= ends_at:
+                return False
+        return True
 
 
 class _Connection:
@@ -321,7 +339,8 @@
                 return answer_event.wait()
         except PeerTimeout:
             # The event hub fires timers before it looks at the sockets.
-            self.message_socket.drain()
+            while not self.message_socket.drain():
+                pass  # the answer may be among what is left
             if not answer_event.ready():
                 raise
             return answer_event.wait()
--- a/tests/loopback/test_zmq_link.py
+++ b/tests/loopback/test_zmq_link.py
@@ -6,6 +6,7 @@
 import eventlet
 import eventlet.event
 import msgpack
+from eventlet import patcher
 
 from persimmonspoke.errors import OutcomeUnknown, PeerRefused, PeerTimeout
 from persimmonspoke.ids import HostId, Instant
@@ -16,6 +17,13 @@
 from persimmonspoke.internal.peers.zmq_link import ZmqLink, _Kind
 
 LONG_TIMEOUT_S = 30
+BURST = 300
+BURST_WORK_S = 0.002
+BEAT_S = 0.01
+ARRIVAL_S = 0.1  # until all messages have arrived
+MAX_GAP_S = 0.1  # half of the delay that counts as late
+
+stall = patcher.original("time").sleep  # eventlet's sleep would let others run
 
 
 @message
@@ -146,6 +154,52 @@
         self.assertIs(self.a.probe(address, self.deadline()), Liveness.DEAD)
 
 
+class TestBursts(LinkCase):
+    """Messages that arrive faster than they are processed."""
+
+    def setUp(self):
+        super().setUp()
+        self.texts = []
+        self.gaps_s = []
+
+        def work(message):
+            stall(BURST_WORK_S)
+            self.texts.append(message.text)
+
+        self.b.serve(Echo, work)
+        beat = eventlet.spawn(self.beat)
+        self.addCleanup(beat.kill)
+        eventlet.sleep(2 * BEAT_S)  # all tasks have begun
+
+    def beat(self):
+        while True:
+            began_at = self.clock.now()
+            eventlet.sleep(BEAT_S)
+            self.gaps_s.append(self.clock.now() - began_at - BEAT_S)
+
+    def wait_for_all(self, stalled_s=0.0):
+        """Assert that no task waited for longer, beside a stall of the test's own."""
+        with eventlet.Timeout(LONG_TIMEOUT_S):
+            while len(self.texts) < BURST:
+                eventlet.sleep(BEAT_S)
+        eventlet.sleep(3 * BEAT_S)  # a beat that was held up ends
+        self.assertEqual(self.texts, [str(number) for number in range(BURST)])
+        self.assertLess(max(self.gaps_s), MAX_GAP_S + stalled_s)
+
+    # Guards against DRAIN: a desk reads no news for as long as hosts ask it for slots.
+    def test_other_tasks_run_while_one_way_messages_arrive(self):
+        for number in range(BURST):
+            self.a.post(self.b.address, Echo(str(number)))
+        self.wait_for_all()
+
+    def test_other_tasks_run_while_messages_arrive_behind_a_send(self):
+        for number in range(BURST):
+            self.a.post(self.b.address, Echo(str(number)))
+        stall(ARRIVAL_S)
+        self.b._message_socket.send([b"nobody", b""])
+        self.wait_for_all(ARRIVAL_S)
+
+
 class TestLinksOfTwoBuilds(LinkCase):
     # Guards against a host whose reports an earlier build refuses for good.
     def test_an_earlier_build_gets_the_fields_that_it_knows(self):
