Look at each target of a pool once for each slot that a desk assigns

Each answer made the desk look at all 82 targets several times for each request that waited for a faster one, though none of these changes a target.

What is available, and what the faster targets can do, is now found once until a slot is assigned; whether a target is stuck is not looked into while it has answered recently.

--- a/src/persimmonspoke/internal/desk/desk.py
+++ b/src/persimmonspoke/internal/desk/desk.py
@@ -11,7 +11,7 @@
 import logging
 import math
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 from persimmonspoke.ids import DataCentreId, HostId, Instant, ServiceId, TargetId
@@ -68,6 +68,33 @@
     data_centre: DataCentreId
 
 
+@dataclass(slots=True)
+class _Choice:
+    """Targets among which slots are chosen until the next one is assigned.
+
+    Many requests may wait for a faster target, and none of them changes it.
+    """
+
+    targets: list[SlotTarget]
+    available: list[SlotTarget]
+    _faster: dict[tuple[float, float], tuple[float, float]] = field(
+        default_factory=dict
+    )
+
+    def faster_than(self, best, typical_s, capacity):
+        """Return the lowest slowness, and the capacity of the much faster targets."""
+        key = best.slowness, typical_s
+        if key not in self._faster:
+            fastest = min(t.slowness for t in self.targets)
+            faster = sum(
+                capacity(t, typical_s)
+                for t in self.targets
+                if 2 * t.slowness <= best.slowness
+            )
+            self._faster[key] = fastest, faster
+        return self._faster[key]
+
+
 class Desk:
     """Assigns the slots of one service.
 
@@ -459,24 +486,29 @@
         if not queue:
             return
         now = self._clock.now()
-        targets = self._usable_targets(owner, now)
-        if targets and not any(self._accepts_request(t, now) for t in targets):
+        choice = self._choice(owner, now)
+        if choice.targets and not choice.available:
             return
         self._put_late_behind(queue, now)
         ahead = 0
         for entry in list(queue):
-            targets = self._usable_targets(owner, now)
-            if not any(self._accepts_request(target, now) for target in targets):
-                if owner is not None and not targets:
+            if not choice.available:
+                if owner is not None and not choice.targets:
                     self._dequeue(entry)
                     self._refuse(entry, 0.0, now, RefusalReason.NO_TARGET)
                     continue
                 return
-            target = self._choose_target(entry, targets, now, ahead)
+            target = self._choose_target(entry, choice, now, ahead)
             if target is None:
                 ahead += 1
             else:
                 self._assign(entry, target, now)
+                choice = self._choice(owner, now)
+
+    def _choice(self, owner, now):
+        """Return the targets among which a slot for `owner` is chosen now."""
+        targets = self._usable_targets(owner, now)
+        return _Choice(targets, [t for t in targets if self._accepts_request(t, now)])
 
     def _accepts_request(self, target, now):
         if self._allowed_requests(target, now) < 1.0:
@@ -485,7 +517,7 @@
             return True
         return self._is_stuck(target, now) and self._may_probe(target, now)
 
-    def _choose_target(self, entry, targets, now, ahead) -> SlotTarget | None:
+    def _choose_target(self, entry, choice, now, ahead) -> SlotTarget | None:
         """Return the target with the earliest expected answer; None to wait.
 
         Parameters
@@ -493,7 +525,7 @@
         ahead : int
             Number of requests that wait for a faster target before this one.
         """
-        available = [t for t in targets if self._accepts_request(t, now)]
+        targets, available = choice.targets, choice.available
         preferred = [t for t in available if t.target_id not in entry.ask.avoid]
         if entry.ask.owner is None and not preferred:
             others = [t for t in targets if t.target_id not in entry.ask.avoid]
@@ -520,12 +552,7 @@
         if entry.ask.owner is not None:
             return best
         # Waiting for a faster target may take less time than using a slow one at once.
-        fastest = min(t.slowness for t in targets)
-        faster = sum(
-            self._capacity(t, typical_s)
-            for t in targets
-            if 2 * t.slowness <= best.slowness
-        )
+        fastest, faster = choice.faster_than(best, typical_s, self._capacity)
         wait_s = 0.0
         if faster:
             wait_s = (ahead + RESIDUAL_SHARE) * self._service_times.longest() / faster
--- a/src/persimmonspoke/internal/desk/targets.py
+++ b/src/persimmonspoke/internal/desk/targets.py
@@ -142,7 +142,7 @@
 
         `typical_s` is the typical answer time of the slowest kind of request.
         """
-        if not self.in_use:
+        if not self.in_use or now - self.last_answer_at <= cfg.stuck_s:
             return False
         oldest = min(slot.assigned_at for slot in self.in_use.values())
         timeout_s = max(cfg.stuck_s, cfg.stuck_factor * typical_s * self.slowness)
--- a/tests/cover/test_desk.py
+++ b/tests/cover/test_desk.py
@@ -3,12 +3,14 @@
 import random
 import unittest
 from dataclasses import replace
+from unittest import mock
 
 import eventlet
 
 from persimmonspoke.internal.desk.desk import Desk, TargetSlots
 from persimmonspoke.internal.desk.messages import Ask, Done, Lent, Notes, Refused
 from persimmonspoke.internal.desk.settings import DeskSettings
+from persimmonspoke.internal.desk.targets import SlotTarget
 from persimmonspoke.internal.scheduling.api import SlotOutcome
 from tests.fakes.caller_parts import HubClock
 
@@ -134,6 +136,43 @@
         self.assertEqual(self.request_target(avoid=["a"]), "b")
 
 
+class TestCostOfAMessage(DeskCase):
+    """Guards against DRAIN: a desk with a long queue does nothing else for seconds."""
+
+    targets = tuple(TargetSlots(f"t{number}", 1, "one") for number in range(80))
+    SLOW = 20  # the first targets
+
+    def setUp(self):
+        super().setUp()
+        names = {target.target_id for target in self.targets}
+        for number, target in enumerate(self.targets):
+            took_s = 1.0 if number < self.SLOW else 0.05
+            for _ in range(10):
+                serial = self.ask(avoid=names - {target.target_id})
+                self.done(serial, took_s=took_s)
+        fast = [self.ask() for _ in self.targets[self.SLOW :]]
+        self.busy = [serial for serial in fast if serial in self.assigned()]
+
+    def looks(self, waiting):
+        """Return how often one answer makes the desk look at a target's slots."""
+        for _ in range(waiting):
+            self.ask(objective_s=1.5, left_s=2.0)
+        count = 0
+        free_slots = SlotTarget.free_slots
+
+        def counted(target):
+            nonlocal count
+            count += 1
+            return free_slots(target)
+
+        with mock.patch.object(SlotTarget, "free_slots", counted):
+            self.done(self.busy[-1], took_s=0.05)
+        return count
+
+    def test_does_not_grow_with_the_requests_that_wait_for_a_faster_target(self):
+        self.assertLessEqual(self.looks(waiting=60), 5 * len(self.targets))
+
+
 class TestTargetsThatReturn(DeskCase):
     """Guards against slots assigned twice after an evacuation that soon ends."""
 
