--- a/src/persimmonspoke/daemon/routed.py
+++ b/src/persimmonspoke/daemon/routed.py
@@ -157,7 +157,7 @@
             self.clock,
             documents.CONFIG_KEY,
             documents.TARGETS_PREFIX,
-            documents.decode_config,
+            documents.ConfigDecoder().decode,
             documents.decode_target,
             self.updates.last_outage_at,
             lambda: self.updates.proven_at(documents.CONFIG_PREFIX),
--- a/src/persimmonspoke/platform/documents.py
+++ b/src/persimmonspoke/platform/documents.py
@@ -11,6 +11,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgpack
+
 from persimmonspoke.errors import MalformedDocument
 from persimmonspoke.ids import DataCentreId, Generation, ServiceId, TargetId
 from persimmonspoke.internal.routing.check import (
@@ -109,19 +111,77 @@
     MalformedDocument
         The version or one of the tables is missing or has the wrong type.
     """
-    unreadable: list[UnreadableField] = []
+    return ConfigDecoder().decode(value)
+
+
+class ConfigDecoder:
+    """Decodes versions of a configuration, of each only the routes that are new.
+
+    Tables have many routes, and most versions change few of them.
+    """
+
+    def __init__(self):
+        self._routes: dict[bytes, RouteConfig] = {}
+
+    def decode(self, value: dict[str, Any]) -> RoutingConfig:
+        """Return the configuration that an object's value describes.
+
+        Raises
+        ------
+        MalformedDocument
+            The version or one of the tables is missing or has the wrong type.
+        """
+        unreadable: list[UnreadableField] = []
+        try:
+            generation = Generation(_non_negative_int(value["version"]))
+            routes = self._decode_routes(value["routes"], unreadable)
+            service_rows = _rows(value["services"], "services", unreadable)
+        except _DECODE_ERRORS as exc:
+            reason = f"{exc!r}"[:MAX_REASON_CHARS]
+            raise MalformedDocument(
+                f"the configuration can't be read: {reason}"
+            ) from exc
+        return _config(value, generation, routes, service_rows, unreadable)
+
+    def _decode_routes(self, table, unreadable):
+        """Return the routes of a table; those with a fault are decoded each time."""
+        columns = [_non_empty_str(column) for column in table["columns"]]
+        head = msgpack.packb(columns)
+        routes, known = [], {}
+        for cells in table["rows"]:
+            packed = _packed(cells)
+            key = None if packed is None else head + packed
+            route = self._routes.get(key)
+            if route is None:
+                faults = len(unreadable)
+                for row in _rows_of(columns, [cells], "routes", unreadable):
+                    route = _route(row)
+                if route is None or len(unreadable) > faults:
+                    key = None
+            if route is not None:
+                routes.append(route)
+            if key is not None:
+                known[key] = route
+        self._routes = known
+        return routes
+
+
+def _packed(cells):
+    """Return bytes that differ if the cells of a row differ, also by type.
+
+    None for cells that have no such bytes, as large integers and deep nesting.
+    """
     try:
-        generation = Generation(_non_negative_int(value["version"]))
-        route_rows = _rows(value["routes"], "routes", unreadable)
-        service_rows = _rows(value["services"], "services", unreadable)
-    except _DECODE_ERRORS as exc:
-        reason = f"{exc!r}"[:MAX_REASON_CHARS]
-        raise MalformedDocument(f"the configuration can't be read: {reason}") from exc
-    routes = [_route(row) for row in route_rows]
+        return msgpack.packb(cells)
+    except (OverflowError, TypeError, ValueError):
+        return None
+
+
+def _config(value, generation, routes, service_rows, unreadable):
     services = [_service(row) for row in service_rows]
     return RoutingConfig(
         generation=generation,
-        routes=tuple(route for route in routes if route is not None),
+        routes=tuple(routes),
         services={entry.service: entry for entry in services if entry is not None},
         limits=_limits(value.get("limits"), unreadable),
         unreadable=tuple(unreadable),
@@ -231,8 +291,12 @@
 def _rows(table, name, unreadable):
     """Return the rows of a table, from column name to value, without nulls."""
     columns = [_non_empty_str(column) for column in table["columns"]]
+    return _rows_of(columns, table["rows"], name, unreadable)
+
+
+def _rows_of(columns, rows, name, unreadable):
     found = []
-    for row in table["rows"]:
+    for row in rows:
         if not isinstance(row, list):
             shown = repr(row)[:MAX_SHOWN_CHARS]
             unreadable.append(UnreadableField(name, "rows", shown))
--- a/tests/cover/test_routing.py
+++ b/tests/cover/test_routing.py
@@ -1,6 +1,8 @@
 """Tests of routes, splits, configurations and targets on one host."""
 
+import copy
 import unittest
+from unittest import mock
 
 from persimmonspoke.errors import MalformedDocument, UnknownPath
 from persimmonspoke.internal.news.board import StoreCache
@@ -132,6 +134,60 @@
     return {**value, **fields}
 
 
+class TestConfigDecoder(unittest.TestCase):
+    """Guards against DRAIN: decoding tables leaves no time for news of targets."""
+
+    def setUp(self):
+        self.decoder = documents.ConfigDecoder()
+        self.value = config_value()
+
+    def changed(self, column, cell, row=0):
+        """Return the configuration with another cell of a route."""
+        value = copy.deepcopy(self.value)
+        at = value["routes"]["columns"].index(column)
+        value["routes"]["rows"][row][at] = cell
+        return value
+
+    def test_only_routes_that_have_changed_are_decoded_again(self):
+        self.decoder.decode(self.value)
+        with mock.patch.object(
+            documents, "_route", wraps=documents._route
+        ) as decode_route:
+            found = self.decoder.decode(self.changed("timeout_s", 7))
+        self.assertEqual(decode_route.call_count, 1)
+        self.assertEqual(found.routes[0].timeout_s, 7)
+
+    def test_finds_the_same_as_a_decoder_that_knows_no_other_version(self):
+        cells = (7, 7.0, True, "7", None, [], 10**30, "\ud800", [[[]]] * 3)
+        columns = self.value["routes"]["columns"]
+        for column in columns:
+            for cell in cells:
+                for value in (self.changed(column, cell), self.value):
+                    self.decoder.decode(self.value)
+                    with self.subTest(column=column, cell=cell):
+                        found = self.decoder.decode(value)
+                        expected = documents.decode_config(value)
+                        self.assertEqual(repr(found), repr(expected))
+
+    def test_a_cell_of_another_type_is_another_cell(self):
+        self.decoder.decode(self.changed("priority", 1))
+        found = self.decoder.decode(self.changed("priority", True))
+        self.assertEqual(found.unreadable[0].name, "priority")
+
+    def test_a_fault_is_reported_in_each_version(self):
+        for _ in range(3):
+            found = self.decoder.decode(self.changed("timeout_s", "soon"))
+            self.assertEqual([f.name for f in found.unreadable], ["timeout_s"])
+
+    def test_cells_under_other_columns_are_other_cells(self):
+        self.decoder.decode(self.value)
+        value = copy.deepcopy(self.value)
+        columns = value["routes"]["columns"]
+        a, b = columns.index("timeout_s"), columns.index("max_attempts")
+        columns[a], columns[b] = columns[b], columns[a]
+        self.assertEqual(self.decoder.decode(value).routes[0].timeout_s, 2)
+
+
 class TestDocuments(unittest.TestCase):
     """The adapter decodes the platform's documents into the project's types."""
 
