--- a/src/persimmonspoke/platform/documents.py
+++ b/src/persimmonspoke/platform/documents.py
@@ -146,11 +146,11 @@
     def _decode_routes(self, table, unreadable):
         """Return the routes of a table; those with a fault are decoded each time."""
         columns = [_non_empty_str(column) for column in table["columns"]]
-        head = msgpack.packb(columns)
+        places = [columns.index(c) if c in columns else None for c in _FIELDS["routes"]]
+        is_plain = len(columns) == len(set(columns))
         routes, known = [], {}
         for cells in table["rows"]:
-            packed = _packed(cells)
-            key = None if packed is None else head + packed
+            key = _packed(cells, places) if is_plain else None
             route = self._routes.get(key)
             if route is None:
                 faults = len(unreadable)
@@ -166,13 +166,22 @@
         return routes
 
 
-def _packed(cells):
-    """Return bytes that differ if the cells of a row differ, also by type.
+def _packed(cells, places):
+    """Return bytes that differ if a row differs in what is read, also by type.
 
     None for cells that have no such bytes, as large integers and deep nesting.
+
+    Parameters
+    ----------
+    places : list of int or None
+        Where the fields of a route stand in the row; None for a column that is missing.
     """
+    if not isinstance(cells, list):
+        return None
+    count = len(cells)
+    read = [None if at is None or at >= count else cells[at] for at in places]
     try:
-        return msgpack.packb(cells)
+        return msgpack.packb(read)
     except (OverflowError, TypeError, ValueError):
         return None
 
--- a/tests/cover/test_routing.py
+++ b/tests/cover/test_routing.py
@@ -157,6 +157,26 @@
         self.assertEqual(decode_route.call_count, 1)
         self.assertEqual(found.routes[0].timeout_s, 7)
 
+    # Operators' tools may write columns that are not read, and leave them out again.
+    def test_a_column_that_is_not_read_makes_no_route_another_one(self):
+        self.decoder.decode(self.value)
+        value = copy.deepcopy(self.value)
+        value["routes"]["columns"].append("remark")
+        for number, row in enumerate(value["routes"]["rows"]):
+            row.append(number or None)
+        with mock.patch.object(documents, "_route") as decode_route:
+            found = self.decoder.decode(value)
+        decode_route.assert_not_called()
+        self.assertEqual(found, documents.decode_config(value))
+
+    def test_of_a_column_that_comes_twice_the_last_cell_counts(self):
+        value = copy.deepcopy(self.value)
+        value["routes"]["columns"].append("timeout_s")
+        for row in value["routes"]["rows"]:
+            row.append(9)
+        for _ in range(2):
+            self.assertEqual(self.decoder.decode(value).routes[0].timeout_s, 9)
+
     def test_finds_the_same_as_a_decoder_that_knows_no_other_version(self):
         cells = (7, 7.0, True, "7", None, [], 10**30, "\ud800", [[[]]] * 3)
         columns = self.value["routes"]["columns"]
