--- a/src/persimmonspoke/internal/routing/fresh_targets.py
+++ b/src/persimmonspoke/internal/routing/fresh_targets.py
@@ -180,6 +180,11 @@
             if self._source.late_since(began_at) < MIN_LATE_S:
                 self._record_away(str(exc))
                 return False
+        except Exception as exc:
+            # A request that waits would ask again at once.
+            log.exception("targets: the listing failed by a fault of this host")
+            self._record_away(str(exc))
+            return False
         return True
 
     def _record_away(self, cause):
--- a/tests/cover/test_fresh_targets.py
+++ b/tests/cover/test_fresh_targets.py
@@ -25,7 +25,7 @@
     def __init__(self, clock):
         self.clock = clock
         self.proven_at = clock.now()
-        self.fails = self.away = False
+        self.fails = self.breaks = self.away = False
         self.late_s = 0.0
         self.listed = 0
         self.applied = 0
@@ -42,6 +42,8 @@
         """Prove the list, or fail after `timeout_s`."""
         self.listed += 1
         asked_at = self.clock.now()
+        if self.breaks:
+            raise ValueError("unexpected")
         if self.fails:
             eventlet.sleep(timeout_s)
             raise StoreUnavailable("no answer")
@@ -145,6 +147,13 @@
             self.source.away = self.clock.now() > until - 4.0
             eventlet.sleep(0.05)
 
+    # Guards against a host that does nothing but list, and serves nobody.
+    def test_a_listing_that_fails_unexpectedly_is_not_begun_again_at_once(self):
+        self.source.breaks = True
+        with self.assertLogs("persimmonspoke", "ERROR"):
+            self.wait()
+        self.assertEqual(self.source.listed, 1)
+
     # Guards against DRAIN: a host takes its own pause for the silence of the store.
     def test_a_host_that_was_late_itself_asks_again(self):
         self.source.late_s = 0.5
--- a/tests/fakes/sending_fleet.py
+++ b/tests/fakes/sending_fleet.py
@@ -144,7 +144,8 @@
         while True:
             eventlet.sleep(self.fleet.request_period_s)
             number += 1
-            eventlet.spawn(self.serve, number, virtual_hub.now())
+            self.tasks = [task for task in self.tasks if not task.dead]
+            self.tasks.append(eventlet.spawn(self.serve, number, virtual_hub.now()))
 
     def serve(self, number, came_at):
         """Serve one request."""
