Fetch tables apart from other news

Entries of targets came in the answers that carried whole tables, and the next question was asked when the table was applied; each version of a storm was sent and decoded.

Relays now leave out large objects that have changed and name them, if the asker reads that (Revision.DEFERRED); hosts fetch the newest version by a question of its own, with a pause that grows with the time to apply it. Nothing is proven of a kind while an object that the relay named is missing, so neither a 404 nor a date can rest on it. Earlier builds get and send tables as before.

--- a/src/persimmonspoke/internal/news/board.py
+++ b/src/persimmonspoke/internal/news/board.py
@@ -5,7 +5,7 @@
 
 import eventlet.event
 
-from persimmonspoke.ids import Era, Instant
+from persimmonspoke.ids import Era, Instant, Version
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.store.api import Listing, StoredObject
 
@@ -51,6 +51,11 @@
         """Return whether any version of the object was ever known, or its deletion."""
         return key in self._objects
 
+    def has(self, key: str, order: tuple[Era, Version]) -> bool:
+        """Return whether that version of an object is known, or a newer one."""
+        found = self._objects.get(key)
+        return found is not None and found.order >= order
+
     def items(self, prefix: str) -> tuple[StoredObject, ...]:
         """Return the newest known objects whose keys start with `prefix`."""
         objects = self._kinds.get(prefix, self._objects)
--- a/src/persimmonspoke/internal/news/messages.py
+++ b/src/persimmonspoke/internal/news/messages.py
@@ -44,6 +44,10 @@
         Whether the asker reads `NewsReply.packed` and `unchanged`.
     known : tuple of (str, Era, Version)
         Large objects that the asker has, and their versions.
+    defers : bool
+        Whether large objects may be left out and named in `NewsReply.deferred`.
+    fetches : tuple of str
+        Keys of deferred objects that are requested as well, and not left out.
     """
 
     asker: HostId
@@ -53,6 +57,8 @@
     known: tuple[tuple[str, Era, Version], ...] = field(
         default=(), metadata=since(Revision.PROOFS)
     )
+    defers: bool = field(default=False, metadata=since(Revision.DEFERRED))
+    fetches: tuple[str, ...] = field(default=(), metadata=since(Revision.DEFERRED))
 
 
 @message
@@ -81,6 +87,8 @@
         `news.packing`.
     unchanged : tuple of str
         Keys of objects that are left out, because the asker has the same version.
+    deferred : tuple of (str, Era, Version)
+        Large objects that are left out, so that small ones do not wait for them.
     """
 
     items: tuple[NewsItem, ...]
@@ -94,3 +102,6 @@
     )
     packed: tuple[PackedRow, ...] = field(default=(), metadata=since(Revision.PROOFS))
     unchanged: tuple[str, ...] = field(default=(), metadata=since(Revision.PROOFS))
+    deferred: tuple[tuple[str, Era, Version], ...] = field(
+        default=(), metadata=since(Revision.DEFERRED)
+    )
--- a/src/persimmonspoke/internal/news/relay.py
+++ b/src/persimmonspoke/internal/news/relay.py
@@ -8,14 +8,14 @@
 
 import logging
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 import eventlet
 from eventlet.event import Event
 
 from persimmonspoke.errors import PeerError
-from persimmonspoke.ids import Era, HostId, Instant
+from persimmonspoke.ids import Era, HostId, Instant, Version
 from persimmonspoke.internal.clock import Clock
 from persimmonspoke.internal.news.board import StoreCache
 from persimmonspoke.internal.news.knowledge import UNKNOWN_REVISION, Knowledge, Proof
@@ -29,6 +29,7 @@
 LATE_ANSWER_S = 2.0
 RETRY_S = 0.2
 AVOID_S = 2.0
+FETCH_REST = 3.0  # pause after a large object, in multiples of the time to apply it
 UNKNOWN_AGE_S = -1.0
 
 log = logging.getLogger(__name__)
@@ -75,9 +76,12 @@
         else:
             cache.wait(req.since, Instant(asked_at + min(req.wait_s, RELAY_WAIT_S)))
             objects = cache.changed_since(req.since)
+            named = {stored.key for stored in objects}
+            found = map(cache.get, set(req.fetches) - named)
+            objects += tuple(stored for stored in found if stored is not None)
         now = clock.now()
         known = {(key, era, version) for key, era, version in req.known}
-        items, packed, unchanged = [], [], []
+        items, packed, unchanged, deferred = [], [], [], []
         for stored in objects:
             if stored.value and (stored.key, *stored.order) in known:
                 unchanged.append(stored.key)
@@ -85,7 +89,9 @@
             data = packed_values.get(stored) if req.reads_packed else None
             age_s = round(now - cache.changed_at(stored.key), 3)
             rest = stored.version, age_s, stored.era
-            if data is None:
+            if data is not None and req.defers and stored.key not in req.fetches:
+                deferred.append((stored.key, stored.era, stored.version))
+            elif data is None:
                 items.append(NewsItem(stored.key, stored.value, *rest))
             else:
                 packed.append((stored.key, data, *rest))
@@ -101,11 +107,20 @@
             proofs(now),
             tuple(packed),
             tuple(unchanged),
+            tuple(deferred),
         )
 
     link.serve(NewsRequest, answer)
 
 
+@dataclass(frozen=True, slots=True)
+class _Deferred:
+    """Large objects that a relay has, and this host lacks, by key with their order."""
+
+    relay: PeerAddress
+    versions: dict[str, tuple[Era, Version]]
+
+
 class RelayReader:
     """A task that requests store updates from relays.
 
@@ -130,6 +145,11 @@
         All kinds of objects.
     later_kinds : tuple of str
         Those of `kinds` that builds before `Revision.PROOFS` do not read.
+    fetch_pause_s : float
+        Shortest pause between two requests for large objects, which come apart so that
+        the others do not wait for them; of a storm of changes, few are fetched.
+    max_fetch_pause_s : float
+        Longest pause, of a host that takes long to apply them.
 
     Attributes
     ----------
@@ -152,6 +172,8 @@
         knowledge: Knowledge | None = None,
         kinds: tuple[str, ...] = (),
         later_kinds: tuple[str, ...] = (),
+        fetch_pause_s: float = 0.0,
+        max_fetch_pause_s: float = 0.0,
     ):
         self._me = me
         self._link = link
@@ -167,6 +189,12 @@
         self._early_kinds = tuple(kind for kind in kinds if kind not in later_kinds)
         self._turn = 0
         self._large_keys: set[str] = set()
+        self._fetch_pause_s = fetch_pause_s
+        self._max_fetch_pause_s = max_fetch_pause_s
+        self._deferred: dict[HostId, _Deferred] = {}
+        self._is_fetching = False
+        self._fetched_from: set[HostId] = set()
+        self._fetch_at = Instant(float("-inf"))
         self._asked: set[HostId] = set()
         self._hurry = False
         self._since: dict[HostId, int] = {}
@@ -223,7 +251,7 @@
             self._asked.discard(relay.host_id)
             ended.send(up_to_date)
 
-    def _ask_and_apply(self, relay, wait_s):
+    def _ask_and_apply(self, relay, wait_s, fetches=()):
         asked_at = self._clock.now()
         req = NewsRequest(
             self._me,
@@ -231,6 +259,8 @@
             wait_s,
             True,
             self._known_versions(),
+            defers=True,
+            fetches=fetches,
         )
         deadline = Instant(asked_at + wait_s + LATE_ANSWER_S)
         try:
@@ -251,10 +281,10 @@
                 "news: late answer of a relay",
                 extra={"relay": relay.host_id, "took_s": round(took_s, 3)},
             )
-        self._hurry = False
         self._large_keys.update(item.key for item in large)
         reply = replace(reply, items=(*reply.items, *large))
-        up_to_date = self._apply(relay, reply, asked_at)
+        self._hurry = False
+        up_to_date = self._apply(relay, reply, asked_at, fetches)
         if reply.store_age_s < 0 or reply.store_age_s > self._max_age_s:
             log.info(
                 "news: a relay is behind the store",
@@ -263,6 +293,78 @@
             self._avoid(relay)
         return up_to_date
 
+    def _note_deferred(self, relay, reply, fetches):
+        """Note the large objects that this host lacks of what a relay has."""
+        known = self._deferred.get(relay.host_id)
+        # Of an answer that leaves out nothing that was left out before, this host has
+        # the rest, unless another one has told of later changes meanwhile.
+        is_newest = reply.count >= self._since.get(relay.host_id, 0)
+        fetched_all = known is None or set(known.versions) <= set(fetches)
+        is_whole = known is None or is_newest and (reply.complete or fetched_all)
+        versions = {} if is_whole else dict(known.versions)
+        versions.update((key, (era, version)) for key, era, version in reply.deferred)
+        self._deferred[relay.host_id] = _Deferred(relay, versions)
+        self._forget_fetched()
+        self._start_fetching()
+
+    def _start_fetching(self):
+        if self._deferred and not self._is_fetching:
+            self._is_fetching = True
+            eventlet.spawn_n(self._fetch_all)
+
+    def _forget_fetched(self):
+        """Forget deferred objects of which this host has the version or a newer one."""
+        self._deferred = {
+            host_id: _Deferred(row.relay, lacking)
+            for host_id, row in self._deferred.items()
+            if (lacking := self._lacking(row.versions))
+        }
+
+    def _lacking(self, versions):
+        return {k: v for k, v in versions.items() if not self._cache.has(k, v)}
+
+    def _fetch_all(self):
+        """Fetch deferred objects until none is left that a relay would give."""
+        try:
+            while True:
+                self._clock.sleep_until(self._fetch_at)
+                self._forget_fetched()
+                usable = {relay.host_id for relay in self._ordered()}
+                usable -= self._fetched_from
+                rows = [row for name, row in self._deferred.items() if name in usable]
+                if not rows:
+                    return
+                # The newest version makes the others needless.
+                newest = max(rows, key=lambda row: max(row.versions.values()))
+                self._fetch(newest)
+        finally:
+            self._is_fetching = False
+
+    def _fetch(self, row):
+        """Fetch what one relay has deferred; avoid a relay that is slow to answer."""
+        ended = Event()
+        eventlet.spawn_n(self._run_fetch, row, ended)
+        with eventlet.Timeout(ANSWER_MARGIN_S, False):
+            return ended.wait()
+        log.info("news: a relay is silent", extra={"relay": row.relay.host_id})
+        self._avoid(row.relay)
+
+    def _run_fetch(self, row, ended):
+        """Fetch objects; set when to fetch again by the time to apply them."""
+        self._fetched_from.add(row.relay.host_id)
+        self._fetch_at = Instant(self._clock.now() + self._fetch_pause_s)
+        try:
+            self._ask_and_apply(row.relay, 0.0, tuple(sorted(row.versions)))
+            arrived_at = self._clock.now()
+            self._clock.sleep_until(arrived_at)  # those that wait for them apply them
+            now = self._clock.now()
+            pause_s = min(FETCH_REST * (now - arrived_at), self._max_fetch_pause_s)
+            self._fetch_at = Instant(now + max(self._fetch_pause_s, pause_s))
+        finally:
+            self._fetched_from.discard(row.relay.host_id)
+            ended.send()
+            self._start_fetching()
+
     def _known_versions(self):
         """Return the versions of the large objects that this host has."""
         found = [self._cache.get(key) for key in sorted(self._large_keys)]
@@ -272,8 +374,14 @@
         self._avoid_until[relay.host_id] = Instant(self._clock.now() + AVOID_S)
         self._hurry = True
 
-    def _apply(self, relay, reply, asked_at):
-        """Apply a relay's answer; return whether the cache is as new as the relay's."""
+    def _apply(self, relay, reply, asked_at, fetched=()):
+        """Apply a relay's answer; return whether the cache is as new as the relay's.
+
+        Parameters
+        ----------
+        fetched : tuple of str
+            Keys of the deferred objects that were requested.
+        """
         sent_at = Instant(asked_at + reply.waited_s)  # at the earliest
         self._cache.observe_era(reply.era)
         for item in reply.items:
@@ -283,6 +391,7 @@
                 StoredObject(item.key, item.value, item.version, item.era),
                 Instant(sent_at - item.age_s),
             )
+        self._note_deferred(relay, reply, fetched)
         if reply.store_age_s < 0:
             return False
         proofs = self._proofs(reply, sent_at)
@@ -290,8 +399,11 @@
             # The relay may lack objects that this host knows: ask for all again.
             return False
         self._since[relay.host_id] = max(reply.count, self._since.get(relay.host_id, 0))
+        deferred = self._deferred.get(relay.host_id)
+        lacking = set() if deferred is None else set(map(_kind_of, deferred.versions))
         for kind, proof in proofs.items():
-            self._knowledge.record(kind, proof)
+            if kind not in lacking:
+                self._knowledge.record(kind, proof)
         confirmed = Instant(sent_at - reply.store_age_s)
         self.confirmed_at = max(confirmed, self.confirmed_at or confirmed)
         return True
@@ -301,7 +413,7 @@
 
         The relay may be further behind the store than this host.
         """
-        kind = item.key[: item.key.find("/") + 1]
+        kind = _kind_of(item.key)
         proof = self._knowledge.proof(kind)
         if proof is None or self._cache.has_known(item.key):
             return False
@@ -330,6 +442,7 @@
         and tells all that it ever will.
         """
         listed = {item.key for item in reply.items} | set(reply.unchanged)
+        listed |= {key for key, _, _ in reply.deferred}
         read = {kind for kind, _, _ in reply.proofs} or set(self._early_kinds)
         all_known = all(kind in proofs for kind in self._kinds if kind in read)
         for kind, proof in proofs.items():
@@ -337,3 +450,8 @@
             if not self._cache.delete_missing(listed, proof.at, known_at, kind):
                 all_known = False
         return all_known
+
+
+def _kind_of(key):
+    """Return the prefix of the objects of the same kind."""
+    return key[: key.find("/") + 1]
--- a/src/persimmonspoke/internal/news/updates.py
+++ b/src/persimmonspoke/internal/news/updates.py
@@ -216,6 +216,8 @@
             self.knowledge,
             prefixes,
             rare_prefixes,
+            cfg.gather_s,
+            cfg.wait_s,
         )
         serve_news(link, cache, self, clock, self.knowledge, prefixes)
         share = xxhash.xxh32_intdigest(me.address.host_id) / 2**32
--- a/src/persimmonspoke/internal/peers/revisions.py
+++ b/src/persimmonspoke/internal/peers/revisions.py
@@ -44,6 +44,9 @@
     Reports to the leader have answer times by kind of request.
     """
 
+    DEFERRED = 6
+    """Relays name large objects that have changed, and hosts ask for them apart."""
+
 
 LAST_STRICT = Revision.PATHS
 NEWEST = max(Revision)
--- a/tests/cover/test_drawn_updates.py
+++ b/tests/cover/test_drawn_updates.py
@@ -13,6 +13,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
 
+from persimmonspoke.internal.news.packing import MIN_PACKED_BYTES
 from tests.fakes import virtual_hub
 from tests.fakes.store import WatchGap
 from tests.fakes.update_fleet import DRAIN_S, UpdateFleet, UpdateHost
@@ -24,6 +25,7 @@
 RECORD_S = 1.0  # until the others know that a host has ended
 PINNED_EXAMPLES = {30: 20, 200: 2}
 STEPS = {30: 12, 200: 6}
+ROUTES = "x" * (2 * MIN_PACKED_BYTES)  # a table that relays defer
 BOUNDED = ("config/", "servers/")
 
 seconds = st.sampled_from([0.0, 0.2, 0.5, 0.9, 1.4, 2.5])
@@ -68,7 +70,7 @@
 
     def change_configuration(self):
         self.version += 1
-        self.write("config/main", {"version": self.version})
+        self.write("config/main", {"version": self.version, "routes": ROUTES})
 
     def let_target_leave(self):
         key = f"servers/t{self.leaving % 20}"
