Do not pass on connections that were given up before the proxy knew whose they are

Such a connection has been closed before its turn; it was passed on all the same, so the other ends worked for tries that had ended. Each look at the hosts' descriptors was a thread's work, and new connections waited for a lock.

A connection that is closed, and on which nothing was sent, now ends at the proxy; one look serves all that wait, runs in the loop, and takes half of its time at most. The test has 50 such connections and five live ones: all 55 were passed on before, five now.

--- a/tests/loopback/test_soak.py
+++ b/tests/loopback/test_soak.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import contextlib
+import os
 import pathlib
 import shutil
+import socket
 import tempfile
 import unittest
 
@@ -22,6 +24,7 @@
 IP = "127.252.1.101"
 PORT, OTHER_PORT = 9000, 9001
 SETTLE_S = 0.2
+GIVEN_UP, LIVE = 50, 5  # connections of a burst
 
 
 class TestSoak(unittest.TestCase):
@@ -95,6 +98,39 @@
         passed = rewriter.replace(b"at 127.9.1") + rewriter.replace(b".101 and 12")
         self.assertEqual(passed + rewriter.rest(), b"at 127.9.2.101 and 12")
 
+    # Each try that has been given up is passed on, and answered by a new one, so that
+    # under load the other ends serve no try that is alive.
+    def test_connections_that_were_given_up_are_not_passed_on(self):
+        self.assertEqual(asyncio.run(_passed_of_a_burst()), ["h1"] * LIVE)
+
+
+async def _passed_of_a_burst():
+    """Return the hosts of the connections of a burst that reach the other end.
+
+    All but the last ones are closed before the proxy can tell whose they are.
+    """
+    noted = []
+
+    def note(kind, **fields):
+        noted.append(fields["host"])
+
+    async def on_connection(reader, writer):
+        writer.close()
+
+    server = await asyncio.start_server(on_connection, IP, OTHER_PORT)
+    proxy = Proxy(note, lambda: {os.getpid(): "h1"})
+    await proxy.listen((IP, PORT), (IP, OTHER_PORT), "t0")
+    for _ in range(GIVEN_UP):
+        socket.create_connection((IP, PORT)).close()
+    live = [await asyncio.open_connection(IP, PORT) for _ in range(LIVE)]
+    await asyncio.gather(*[reader.read() for reader, _ in live])
+    for _, writer in live:
+        writer.close()
+    await asyncio.sleep(SETTLE_S)
+    proxy.close()
+    server.close()
+    return noted
+
 
 async def _received(resets, late=False):
     """Return what arrives of bytes that are sent before and in a cut.
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -17,7 +17,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+MIN_LOOK_PAUSE_S = 0.005
 REWRITE_WAIT_S = 0.002  # for the rest of an address that a read has split
+END_WAIT_S = 0.05  # for the end of a connection that the kernel counts as closed
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 NETLINK_SOCK_DIAG, SOCK_DIAG_BY_FAMILY = 4, 20
 DIAG_INODE = 84  # its offset in the kernel's answer
@@ -143,6 +145,9 @@
     async def _connect(self, *ends):
         if self.host is None:
             self.host = await self.proxy.find_host(*ends)
+            if self.host is None and await self._is_given_up():
+                self.reset()
+                return
         self._rewriters = self.proxy.rewriters(self.host, self.end)
         kinds = self.kinds()
         if CutKind.RESET in kinds:
@@ -169,6 +174,15 @@
         self.proxy.note("conn", via=self.via, host=self.host, end=self.end)
         self.flush()
 
+    async def _is_given_up(self):
+        """Return whether the host has closed the connection and sent nothing."""
+        until = time.monotonic() + END_WAIT_S
+        while not self._queues[True] and time.monotonic() < until:
+            if self._sides[True].transport.is_closing():
+                return True
+            await asyncio.sleep(REWRITE_WAIT_S)
+        return [data for _, data in self._queues[True]] == [None]
+
     def kinds(self):
         """Return the kinds of all cuts on the way now."""
         return {cut.kind for cut in self.proxy.cuts_of(self.host, self.end)}
@@ -305,7 +319,8 @@
         self._cuts = []
         self._servers = []
         self._owners = {}
-        self._looks = asyncio.Lock()
+        self._look = None
+        self._look_s = 0.0
 
     async def listen(self, address, upstream, end, host=None):
         """Pass on connections to `address`, from one host or any."""
@@ -369,14 +384,24 @@
         None if it isn't known, mostly because it has been closed again.
         """
         wanted = _socket_name(peer, here)
-        if wanted in self._owners:
-            return self._owners[wanted]
-        # Connections come in bursts, so one look finds the owners of many.
-        async with self._looks:
-            if wanted not in self._owners and _socket_name(peer, here) is not None:
-                self._owners = await asyncio.to_thread(_owners, self._host_pids())
+        if wanted is not None and wanted not in self._owners:
+            if self._look is None:
+                self._look = asyncio.ensure_future(self._look_for_owners())
+            await asyncio.shield(self._look)
         return self._owners.get(wanted)
 
+    async def _look_for_owners(self):
+        """Find the owners of all connections that have been opened until now.
+
+        One look serves all that wait for it.  It is no thread's work, since each of its
+        many short calls would wait for its turn in the interpreter.
+        """
+        await asyncio.sleep(max(MIN_LOOK_PAUSE_S, self._look_s))
+        self._look = None
+        began_at = time.monotonic()
+        self._owners = _owners(self._host_pids())
+        self._look_s = time.monotonic() - began_at
+
 
 def _owners(host_pids):
     """Return the name of the host that has a socket open, by the socket's name."""
