--- a/src/persimmonspoke/standins/holder.py
+++ b/src/persimmonspoke/standins/holder.py
@@ -211,8 +211,10 @@
                 reader, writer = await asyncio.open_connection(ip, int(port))
                 head = f"POST /beat HTTP/1.1\r\nContent-Length: {len(data)}\r\n\r\n"
                 writer.write(head.encode() + data)
-                await reader.readuntil(b"\r\n\r\n")
+                head = await reader.readuntil(b"\r\n\r\n")
                 writer.close()
+                return head.split(b" ", 2)[1] == b"200"
+        return False
 
     async def _report_periodically(self):
         sequence = 0
@@ -232,7 +234,8 @@
             self.beats = False
             await self._report(left=True)
         else:
-            await self._report(sequence=0)
+            if await self._report(sequence=0):
+                self.log("leaving")
         await asyncio.sleep(self.args.drain_s)
         if not self.args.abrupt:
             await self._report(left=True)
--- a/tests/cover/test_soak_judge.py
+++ b/tests/cover/test_soak_judge.py
@@ -345,6 +345,29 @@
     )
 
 
+class TestLateSends(Table, unittest.TestCase):
+    RULE = "DRAIN"
+    LEFT = on("leaving", 10.0, "a")
+    LATE = sent("r", 12.0), work("a", "r", 12.2, 12.4)
+    CASES = (
+        ("broken", "a send after the bound", LEFT, *LATE),
+        ("", "one within it", LEFT, sent("r", 11.8), work("a", "r", 11.9, 12.4)),
+        ("", "a target whose leaving the store has not acknowledged", *LATE),
+        ("", "another target", on("leaving", 10.0, "b"), *LATE),
+        ("", "a host that is not known", LEFT, sent("r", 12.0, None), LATE[1]),
+        ("", "a host that was paused", LEFT, *LATE, on("pause", 8.0, "h1"))
+        + (on("resume", 9.3, "h1"),),
+        ("broken", "one that was paused long before", LEFT, *LATE)
+        + (on("pause", 8.0, "h1"), on("resume", 9.1, "h1")),
+        ("broken", "a pause of another host", LEFT, *LATE, on("pause", 11.0, "h2")),
+        ("", "a pause of the store before", LEFT, *LATE, on("pause", 6.0, "db"))
+        + (on("resume", 7.1, "db"),),
+        ("broken", "a pause of the store long before", LEFT, *LATE)
+        + (on("pause", 6.0, "db"), on("resume", 6.9, "db")),
+        ("", "a pause of the store since", LEFT, *LATE, on("pause", 11.0, "db")),
+    )
+
+
 class TestConsistency(Table, unittest.TestCase):
     RULE = "history"
     CASES = (
--- a/tests/cover/test_starved_hosts.py
+++ b/tests/cover/test_starved_hosts.py
@@ -39,6 +39,18 @@
         served = [s for s in fleet.sent[since:] if s.host == host.process.name]
         self.assertGreater(len(served), 5)
 
+    # Guards against slots that targets keep free for requests that may not be sent.
+    def test_a_request_takes_no_slot_until_its_host_has_read_the_news(self):
+        fleet = self.start()
+        host = fleet.others()[0]
+        host.process.pause()
+        eventlet.sleep(DRAIN_S + 1.0)
+        acquired, sent = host.scheduler.acquired_count, len(fleet.sent)
+        host.process.resume()
+        eventlet.sleep(DRAIN_S)
+        served = [s for s in fleet.sent[sent:] if s.host == host.process.name]
+        self.assertEqual(host.scheduler.acquired_count - acquired, len(served))
+
 
 class TestStorms(SendingCase):
     # Guards against DRAIN: large tables take the processor time in which a host would
--- a/tools/soak/history.py
+++ b/tools/soak/history.py
@@ -183,6 +183,7 @@
     "release": Order,
     "work": Work,
     "draining": Change,
+    "leaving": Change,  # the store has acknowledged that
     "sent": Sent,
     "answered": Answered,
     "lost": Lost,
--- a/tools/soak/judge.py
+++ b/tools/soak/judge.py
@@ -53,6 +53,7 @@
     thaw_s: float = 0.3
     stable_window_s: float = 3.0
     grace_s: float = 6.0
+    drain_s: float = 2.0
 
 
 @dataclass
@@ -515,6 +516,31 @@
             yield Finding("LOST", found[MAX_LOST][0], names, f"all lost by {host}")
 
 
+def late_sends(trial):
+    """Yield requests that began at a target too late after it had said that it leaves.
+
+    Only hosts in touch count, and a store that was well when it acknowledged that.
+    """
+    window_s = trial.bounds.stable_window_s
+    disturbances = list(_disturbances(trial))
+    hosts = {sent.request: sent.host for sent in trial.history.all("sent")}
+    left_at = {change.process: change.at for change in trial.history.all("leaving")}
+    for work in trial.works:
+        left = left_at.get(work.process)
+        late_s = 0.0 if left is None else work.started_at - left - trial.bounds.drain_s
+        host = hosts.get(work.request)
+        if late_s <= LEEWAY_S or host is None:
+            continue
+        spans = {host: work.started_at, **dict.fromkeys(trial.stores, left)}
+        if not any(
+            d.begin <= work.started_at and d.end >= spans[name] - window_s
+            for d in disturbances
+            for name in d.names & set(spans)
+        ):
+            text = f"{host} let it begin {late_s:.3f} s after the bound"
+            yield Finding("DRAIN", work.started_at, (work.process, work.request), text)
+
+
 def consistency(trial):
     """Yield contradictions in the history, by which the soak itself errs."""
     errors = []
@@ -556,6 +582,7 @@
     protected_requests,
     whole_answers,
     lost_answers,
+    late_sends,
     consistency,
 )
 
