--- a/tests/cover/test_deferred_tables.py
+++ b/tests/cover/test_deferred_tables.py
@@ -62,6 +62,29 @@
         eventlet.sleep(SLOW_S - 0.3)
         self.assertLess(self.proof_s("servers/"), DRAIN_S / 2)
 
+    # Guards against CONFIG: an answer that was given before a change, and comes after
+    # the news of it, is held for the newest.
+    def test_a_late_answer_does_not_stand_for_what_was_named_since(self):
+        call, late = self.host.link.call, []
+
+        def deliver_late(peer, message, deadline):
+            reply = call(peer, message, deadline)
+            if isinstance(message, NewsRequest) and message.fetches:
+                late.append(peer.host_id)
+                eventlet.sleep(0.4 if len(late) == 1 else SLOW_S)
+            return reply
+
+        self.host.link.call = deliver_late
+        self.change_table()
+        eventlet.sleep(0.1)
+        changed_at = self.host.clock.now()
+        self.change_table()
+        for _ in range(12):
+            eventlet.sleep(0.1)
+            if self.host.version() < self.version:
+                self.assertLess(self.host.updates.proven_at("config/"), changed_at)
+        self.assertGreaterEqual(len(late), 2)
+
     # Guards against CONFIG: what was left out is held for known.
     def test_proves_nothing_of_a_table_that_is_still_to_come(self):
         self.on_fetch(lambda: eventlet.sleep(SLOW_S))
