Check each slot that a paused host takes, not their number at the end

Traced with the times of each attempt: one to one since the host went on; the last request had its slot at the instant at which the test counted, and was not sent yet. The test now asserts at each slot that the list of targets is new enough, which is stricter. It fails without the wait before a slot, as before.

--- a/tests/cover/test_starved_hosts.py
+++ b/tests/cover/test_starved_hosts.py
@@ -45,11 +45,16 @@
         host = fleet.others()[0]
         host.process.pause()
         eventlet.sleep(DRAIN_S + 1.0)
-        acquired, sent = host.scheduler.acquired_count, len(fleet.sent)
+        acquire, allowed = host.scheduler.acquire, []
+
+        def recorded(ticket, candidates):
+            allowed.append(host.fresh_targets.may_send())
+            return acquire(ticket, candidates)
+
+        host.scheduler.acquire = recorded
         host.process.resume()
         eventlet.sleep(DRAIN_S)
-        served = [s for s in fleet.sent[sent:] if s.host == host.process.name]
-        self.assertEqual(host.scheduler.acquired_count - acquired, len(served))
+        self.assertEqual(set(allowed), {True})
 
 
 class TestStorms(SendingCase):
