--- a/tests/cover/test_starved_hosts.py
+++ b/tests/cover/test_starved_hosts.py
@@ -39,6 +39,19 @@
         served = [s for s in fleet.sent[since:] if s.host == host.process.name]
         self.assertGreater(len(served), 5)
 
+    # Guards against DRAIN: nothing has arrived at the host that it could apply first.
+    def test_a_host_asks_for_what_no_answer_has_told_it(self):
+        fleet = self.start()
+        host = fleet.others()[0]
+        host.process.pause()
+        eventlet.sleep(1.0)  # the answers to its questions have been given
+        for number in range(1, 20, 2):
+            fleet.let_leave(f"t{number}")
+        eventlet.sleep(DRAIN_S + 0.2)
+        host.process.resume()
+        eventlet.sleep(DRAIN_S)
+        self.assert_no_late_send(fleet)
+
     # Guards against slots that targets keep free for requests that may not be sent.
     def test_a_request_takes_no_slot_until_its_host_has_read_the_news(self):
         fleet = self.start()
